Set down the module layout, the core types and the design page

Cause: empty repository. Change: Maven modules with a core that has no I/O, a layout check, formatter and linter, domain types, and the interfaces of scheduler, claims, configuration, membership, quarantine and limits.

--- /dev/null
+++ b/cli/src/main/kotlin/cowslipcart/cli/Main.kt
@@ -0,0 +1,4 @@
+package cowslipcart.cli
+
+/** Entry point. */
+public fun main(): Unit = println("cowslipcart cli")
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/SchedulerDecision.kt
@@ -0,0 +1,57 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.GrantId
+
+/** A decision of a [ShardScheduler], to be sent to the origin of [request] and logged. */
+public sealed interface SchedulerDecision {
+    /** The request that was decided on. */
+    public val request: CapacityRequest
+
+    /**
+     * [request] may be dispatched to [endpoint].
+     *
+     * @property candidates endpoints that were considered
+     * @property reason short reason for the log, for example `prefix` or `least-wait`
+     */
+    public data class Grant(
+        override val request: CapacityRequest,
+        public val grantId: GrantId,
+        public val endpoint: EndpointId,
+        public val candidates: List<EndpointId>,
+        public val reason: String
+    ) : SchedulerDecision
+
+    /**
+     * [request] will not run on this shard.
+     *
+     * @property retryAfterMs when a new attempt may succeed; null if it cannot
+     */
+    public data class Refuse(
+        override val request: CapacityRequest,
+        public val reason: RefusalReason,
+        public val retryAfterMs: Long?
+    ) : SchedulerDecision
+
+    /** [request] runs under [grantId] and has to stop for more urgent work. */
+    public data class GiveWay(
+        override val request: CapacityRequest,
+        public val grantId: GrantId,
+        public val endpoint: EndpointId
+    ) : SchedulerDecision
+}
+
+/** Why the owner of a shard refused a request. */
+public enum class RefusalReason {
+    /** No capacity, and no lower-tier work in the shard that could give way. */
+    SHARD_FULL,
+
+    /** The request cannot finish before its deadline. */
+    DEADLINE,
+
+    /** The preset in force stops this tier. */
+    TIER_STOPPED,
+
+    /** No endpoint of the shard can take the request. */
+    NO_ENDPOINT
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/config/ConfigReplica.kt
@@ -0,0 +1,26 @@
+package cowslipcart.core.config
+
+import cowslipcart.core.model.LogOffset
+
+/** Replay of the stream `config`. The state moves forward only. */
+public interface ConfigReplica {
+    /** Configuration and the offset it stands for. */
+    public val state: ConfigState
+
+    /**
+     * Applies records in the order of their offsets and returns a verdict for each. Records below
+     * [ConfigState.nextOffset] are skipped without verdict. If records before the first one are
+     * gone ([firstKeptOffset] is above `nextOffset`), records up to the first valid checkpoint
+     * are skipped.
+     */
+    public fun apply(records: List<ConfigRecord>, firstKeptOffset: LogOffset): List<ConfigVerdict>
+
+    /** Takes the state of a peer if it is ahead of this one; returns whether it was taken. */
+    public fun adopt(peerState: ConfigState): Boolean
+
+    /**
+     * Returns a checkpoint to append if the oldest record needed for a replay is older than a third
+     * of [retentionMs] at [logNowMs], else null.
+     */
+    public fun proposeCheckpoint(logNowMs: Long, retentionMs: Long): ConfigEntry.Checkpoint?
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/membership/Rendezvous.kt
@@ -0,0 +1,30 @@
+package cowslipcart.core.membership
+
+import cowslipcart.core.model.HostId
+
+/**
+ * Returns the host of [hosts] with the highest hash of (host, [key]), or null if there is none.
+ * All hosts with the same set compute the same owner, and a host that leaves moves only its keys.
+ */
+public fun rendezvousOwner(key: String, hosts: Collection<HostId>): HostId? =
+    hosts.maxWithOrNull(compareBy({ rendezvousScore(key, it.value) }, { it.value }))
+
+/** Returns the index below [count] with the highest hash of (index, [key]). */
+public fun rendezvousIndex(key: String, count: Int): Int =
+    (0 until count).maxBy { rendezvousScore(key, it.toString()) }
+
+private fun rendezvousScore(key: String, candidate: String): Long = stableHash("$key/$candidate")
+
+/** 64-bit FNV-1a over the characters, finished with the mixer of SplitMix64. */
+public fun stableHash(text: String): Long {
+    var hash = FNV_OFFSET_BASIS
+    for (char in text) {
+        hash = (hash xor char.code.toLong()) * FNV_PRIME
+    }
+    hash = (hash xor (hash ushr 30)) * -0x40a7b892e31b1a47L
+    hash = (hash xor (hash ushr 27)) * -0x6b2fb644ecceee15L
+    return hash xor (hash ushr 31)
+}
+
+private const val FNV_OFFSET_BASIS: Long = -0x340d631b7bdddcdbL
+private const val FNV_PRIME: Long = 0x100000001b3L
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
@@ -0,0 +1,4 @@
+package cowslipcart.daemon
+
+/** Entry point. */
+public fun main(): Unit = println("cowslipcart daemon")
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Main.kt
@@ -0,0 +1,4 @@
+package cowslipcart.experiment
+
+/** Entry point. */
+public fun main(): Unit = println("cowslipcart experiment")
--- /dev/null
+++ b/standins/src/main/kotlin/cowslipcart/standins/Main.kt
@@ -0,0 +1,4 @@
+package cowslipcart.standins
+
+/** Entry point. */
+public fun main(): Unit = println("cowslipcart standins")
