--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeEffect.kt
@@ -0,0 +1,118 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.claims.ClaimItem
+import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.config.ConfigEntry
+import cowslipcart.core.config.ConfigVerdict
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.origin.Rejection
+import cowslipcart.core.origin.StoredAnswer
+
+/** Something that the I/O around the core has to do. */
+public sealed interface NodeEffect {
+    /** Send a message to a peer. Lost messages are repeated by the core where it matters. */
+    public data class SendPeer(
+        public val to: HostId,
+        public val address: String,
+        public val message: PeerMessage
+    ) : NodeEffect
+
+    /** Send the request to [endpoint], or continue its cancelled stream there. */
+    public data class Dispatch(
+        public val requestId: RequestId,
+        public val grantId: GrantId,
+        public val shard: ShardId,
+        public val endpoint: EndpointSpec,
+        public val isResume: Boolean
+    ) : NodeEffect
+
+    /** Cancel the stream so that it can be resumed. */
+    public data class InterruptStream(public val requestId: RequestId) : NodeEffect
+
+    /** Cancel the stream. */
+    public data class CancelStream(public val requestId: RequestId) : NodeEffect
+
+    /** Answer the caller with a problem document. */
+    public data class Reject(public val requestId: RequestId, public val rejection: Rejection) :
+        NodeEffect
+
+    /** Answer the caller with a stored answer. */
+    public data class Replay(public val requestId: RequestId, public val answer: StoredAnswer) :
+        NodeEffect
+
+    /** Append a batch to a claims partition. */
+    public data class AppendClaims(
+        public val partition: Int,
+        public val batch: Long,
+        public val items: List<ClaimItem>
+    ) : NodeEffect
+
+    /** Read a claims partition. */
+    public data class ReadClaims(public val partition: Int, public val from: LogOffset) : NodeEffect
+
+    /** Append a record to the stream `epochs`; failures need no report. */
+    public data class AppendEpoch(public val entry: EpochEntry) : NodeEffect
+
+    /** Append a record to the stream `config`; failures need no report. */
+    public data class AppendConfig(public val entry: ConfigEntry) : NodeEffect
+
+    /** Read the stream `config` now, a peer is ahead. */
+    public data object ReadConfigNow : NodeEffect
+
+    /** A configuration record was decided. */
+    public data class ConfigDecided(public val verdict: ConfigVerdict) : NodeEffect
+
+    /** The configuration in force changed. */
+    public data class PublishConfiguration(
+        public val configuration: Configuration,
+        public val nextOffset: LogOffset
+    ) : NodeEffect
+
+    /** Readiness changed; [missing] says what a host that is not ready waits for. */
+    public data class PublishReadiness(
+        public val isReady: Boolean,
+        public val missing: List<String>
+    ) : NodeEffect
+
+    /** Poll the load of exactly these endpoints from now on. */
+    public data class WatchEndpoints(public val endpoints: List<EndpointSpec>) : NodeEffect
+
+    /** Write a log line for a routing or placement decision. */
+    public data class LogDecision(public val decision: DecisionLine) : NodeEffect
+
+    /** The hosts that are known to run, for the operator. */
+    public data class PublishHosts(public val hosts: List<KnownHost>) : NodeEffect
+
+    /** Close connections to a peer that was declared dead. */
+    public data class ForgetPeer(public val host: HostId) : NodeEffect
+}
+
+/** Content of the log line of a decision. */
+public data class DecisionLine(
+    public val requestId: RequestId,
+    public val organisation: OrganisationId,
+    public val tier: Tier,
+    public val shard: ShardId,
+    public val candidates: List<EndpointId>,
+    public val choice: String,
+    public val reason: String,
+    public val revision: Revision
+)
+
+/** A host as this host knows it. */
+public data class KnownHost(
+    public val host: HostId,
+    public val peerAddress: String,
+    public val domain: String,
+    public val isOwner: Boolean
+)
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -0,0 +1,104 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.capacity.CacheEvent
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.capacity.LoadReport
+import cowslipcart.core.claims.ClaimRecord
+import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.config.ConfigRecord
+import cowslipcart.core.log.LogError
+import cowslipcart.core.membership.HostList
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.core.origin.StreamEnd
+
+/** Something that happened outside of the control thread. */
+public sealed interface NodeInput {
+    /** A caller sent a request. */
+    public data class Start(public val request: CallerRequest) : NodeInput
+
+    /** A caller closed its connection before the answer was complete. */
+    public data class CallerGone(public val requestId: RequestId) : NodeInput
+
+    /** The exchange with an endpoint ended. */
+    public data class StreamEnded(public val requestId: RequestId, public val end: StreamEnd) :
+        NodeInput
+
+    /** Progress of running streams, by shard. */
+    public data class StreamProgress(public val reports: Map<ShardId, List<GrantProgress>>) :
+        NodeInput
+
+    /** A peer's message arrived; [from] is authenticated. */
+    public data class FromPeer(public val from: HostId, public val message: PeerMessage) : NodeInput
+
+    /** The platform's list was read. */
+    public data class HostListRead(public val list: HostList) : NodeInput
+
+    /** The platform's list could not be read. */
+    public data object HostListFailed : NodeInput
+
+    /** An endpoint reported its load. */
+    public data class LoadRead(public val report: LoadReport) : NodeInput
+
+    /** An endpoint did not report its load. */
+    public data class LoadFailed(public val endpoint: EndpointId) : NodeInput
+
+    /** An endpoint reported changes of its prefix cache. */
+    public data class CacheRead(
+        public val endpoint: EndpointId,
+        public val events: List<CacheEvent>
+    ) : NodeInput
+
+    /** Records of the stream `config`. */
+    public data class ConfigRead(
+        public val records: List<ConfigRecord>,
+        public val firstKeptOffset: LogOffset,
+        public val endOffset: LogOffset
+    ) : NodeInput
+
+    /** The stream `config` could not be read. */
+    public data object ConfigReadFailed : NodeInput
+
+    /** Records of the stream `epochs`. */
+    public data class EpochsRead(public val entries: List<Pair<LogOffset, EpochEntry>>) : NodeInput
+
+    /** Records of a claims partition. */
+    public data class ClaimsRead(
+        public val partition: Int,
+        public val records: List<ClaimRecord>,
+        public val firstKeptOffset: LogOffset,
+        public val endOffset: LogOffset
+    ) : NodeInput
+
+    /** A claims partition could not be read. */
+    public data class ClaimsReadFailed(public val partition: Int, public val error: LogError) :
+        NodeInput
+
+    /** A batch of claims was appended. */
+    public data class ClaimsAppended(
+        public val partition: Int,
+        public val batch: Long,
+        public val offset: LogOffset
+    ) : NodeInput
+
+    /** The append of a batch of claims failed, or its answer was lost. */
+    public data class ClaimsAppendFailed(
+        public val partition: Int,
+        public val batch: Long,
+        public val error: LogError
+    ) : NodeInput
+
+    /** Start of a graceful shutdown; waiting requests end after [limitMs]. */
+    public data class Drain(public val limitMs: Long) : NodeInput
+
+    /**
+     * Time passed.
+     *
+     * @property wallNowMs wall clock, milliseconds since 1970; compared with the times of keys only
+     */
+    public data class Tick(public val wallNowMs: Long) : NodeInput
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -0,0 +1,154 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.capacity.RefusalReason
+import cowslipcart.core.capacity.RunningGrant
+import cowslipcart.core.claims.ClaimItem
+import cowslipcart.core.claims.ClaimVerdict
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.config.ConfigState
+import cowslipcart.core.membership.PingContent
+import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.origin.KeyStanding
+import cowslipcart.core.origin.RequestOutcome
+import cowslipcart.core.quarantine.CrashReport
+
+/** Message between two hosts. The encoding is in the `wire` module. */
+public sealed interface PeerMessage {
+    /** Membership ping. */
+    public data class Ping(public val content: PingContent) : PeerMessage
+
+    /** Answer to a [Ping]. */
+    public data class PingAck(public val content: PingContent) : PeerMessage
+
+    /** Asks the receiver to ping [target]. */
+    public data class PingRequest(public val target: HostId) : PeerMessage
+
+    /** Origin to owner: asks for capacity, or repeats the ask with a higher [askCount]. */
+    public data class AskCapacity(
+        public val shard: ShardId,
+        public val request: CapacityRequest,
+        public val askCount: Long
+    ) : PeerMessage
+
+    /** Owner to origin: the request may be dispatched. [askCount] is the last one received. */
+    public data class CapacityGranted(
+        public val shard: ShardId,
+        public val requestId: RequestId,
+        public val grantId: GrantId,
+        public val endpoint: EndpointId,
+        public val askCount: Long
+    ) : PeerMessage
+
+    /** Owner to origin: the request will not run on this shard. */
+    public data class CapacityRefused(
+        public val shard: ShardId,
+        public val requestId: RequestId,
+        public val reason: RefusalReason,
+        public val retryAfterMs: Long?
+    ) : PeerMessage
+
+    /** Origin to owner: a grant ended. */
+    public data class CapacityReleased(public val shard: ShardId, public val report: GrantReport) :
+        PeerMessage
+
+    /** Origin to owner: progress of running streams. */
+    public data class CapacityProgress(
+        public val shard: ShardId,
+        public val reports: List<GrantProgress>
+    ) : PeerMessage
+
+    /** Origin to owner: a waiting request is withdrawn. */
+    public data class CancelAsk(public val shard: ShardId, public val requestId: RequestId) :
+        PeerMessage
+
+    /** Owner to origin: the capacity of a running request is needed for more urgent work. */
+    public data class GiveWay(
+        public val shard: ShardId,
+        public val requestId: RequestId,
+        public val grantId: GrantId
+    ) : PeerMessage
+
+    /** Origin to owner: a request gave way; [resume] is null if it cannot continue. */
+    public data class GaveWay(
+        public val shard: ShardId,
+        public val report: GrantReport,
+        public val resume: CapacityRequest?
+    ) : PeerMessage
+
+    /** Origin to a new owner: grants that are in use. */
+    public data class RunningReport(
+        public val shard: ShardId,
+        public val running: List<RunningGrant>
+    ) : PeerMessage
+
+    /**
+     * Origin to batcher or key owner: decide a claim.
+     *
+     * @property partition partition of the batcher; null for a key owner
+     */
+    public data class ClaimRequest(public val partition: Int?, public val claim: ClaimItem.Claim) :
+        PeerMessage
+
+    /** Batcher or key owner to origin: the decision. */
+    public data class ClaimReply(public val attempt: AttemptId, public val verdict: ClaimVerdict) :
+        PeerMessage
+
+    /** Origin to batcher or key owner: a release or an outcome. */
+    public data class ClaimNotice(public val partition: Int?, public val item: ClaimItem) :
+        PeerMessage
+
+    /** Asks the origin of a request what became of it. */
+    public data class OutcomeQuery(
+        public val organisation: OrganisationId,
+        public val requestId: RequestId,
+        public val incarnation: IncarnationId
+    ) : PeerMessage
+
+    /** Answer to an [OutcomeQuery]. */
+    public data class OutcomeReply(
+        public val requestId: RequestId,
+        public val outcome: RequestOutcome
+    ) : PeerMessage
+
+    /** Asks what the receiver knows about a key. */
+    public data class KeyQuery(public val requestId: RequestId, public val key: RequestKey) :
+        PeerMessage
+
+    /** Answer to a [KeyQuery]. */
+    public data class KeyReply(public val requestId: RequestId, public val standing: KeyStanding) :
+        PeerMessage
+
+    /** An endpoint crashed while requests ran on it. */
+    public data class CrashNotice(public val report: CrashReport) : PeerMessage
+
+    /** Acknowledges a [CrashNotice]. */
+    public data class CrashAck(public val crashId: String) : PeerMessage
+
+    /** Asks for the configuration and its offset. */
+    public data object ConfigFetch : PeerMessage
+
+    /** Answer to a [ConfigFetch]. */
+    public data class ConfigReply(public val state: ConfigState) : PeerMessage
+
+    /** Origin to quota holder: asks for tokens of an organisation. */
+    public data class QuotaAsk(
+        public val organisation: OrganisationId,
+        public val askedTokens: Long
+    ) : PeerMessage
+
+    /** Quota holder to origin: granted tokens, 0 for none. */
+    public data class QuotaGranted(
+        public val organisation: OrganisationId,
+        public val grantedTokens: Long
+    ) : PeerMessage
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CallerRequest.kt
@@ -0,0 +1,35 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.PrefixBlock
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Tier
+
+/**
+ * A request as the traffic side hands it to control, without its body.
+ *
+ * @property key idempotency key, or null if the caller sent none
+ * @property isRepeatable whether the call is idempotent; if not, [key] is not null and the claim goes
+ * through the log
+ * @property isInterruptible whether it may give way while it runs
+ * @property timeLeftMs time until the caller's deadline; null without deadline
+ * @property prefillTokens estimated prompt length
+ * @property outputTokens estimated or requested length of the answer
+ */
+public data class CallerRequest(
+    public val requestId: RequestId,
+    public val organisation: OrganisationId,
+    public val tier: Tier,
+    public val pool: PoolId,
+    public val key: RequestKey?,
+    public val isRepeatable: Boolean,
+    public val isInterruptible: Boolean,
+    public val fingerprint: Fingerprint,
+    public val timeLeftMs: Long?,
+    public val prefillTokens: Int,
+    public val outputTokens: Int,
+    public val prefixBlocks: List<PrefixBlock>
+)
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -0,0 +1,189 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.capacity.RefusalReason
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.membership.rendezvousIndex
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.ShardId
+
+/** The part of a request's life in which it waits for a grant. */
+internal class CapacityPhase(
+    private val self: AttemptOrigin,
+    private val table: RequestTable,
+    private val shardCounts: ShardCounts
+) {
+    fun begin(tracked: TrackedRequest, nowMs: Long): List<OriginEffect> =
+        ask(tracked, firstShard(tracked.request), emptySet(), null, nowMs)
+
+    /** Waits again at the same shard after the request gave way. */
+    fun beginResume(
+        tracked: TrackedRequest,
+        shard: ShardId,
+        resume: Resume,
+        nowMs: Long
+    ): CapacityRequest {
+        val asks = mapOf(1L to nowMs)
+        tracked.state = RequestState.Waiting(shard, 1, asks, emptySet(), nowMs, resume)
+        return capacityRequest(tracked, resume, nowMs)
+    }
+
+    fun onGranted(tracked: TrackedRequest?, grant: ReceivedGrant, nowMs: Long): List<OriginEffect> {
+        val state = tracked?.state
+        if (state is RequestState.Dispatched && state.grantId == grant.grantId) return emptyList()
+        val isUsable = state is RequestState.Waiting &&
+            state.shard == grant.shard &&
+            isFresh(state, grant, nowMs) &&
+            (state.resume == null || state.resume.endpoint == grant.endpoint)
+        if (tracked == null || state !is RequestState.Waiting || !isUsable) {
+            return listOf(OriginEffect.SendReleased(grant.shard, unusedReport(grant.grantId)))
+        }
+        tracked.state = RequestState.Dispatched(
+            grant.shard,
+            grant.grantId,
+            grant.endpoint,
+            isInterrupting = false,
+            resume = state.resume
+        )
+        return listOf(
+            OriginEffect.Dispatch(
+                tracked.request.requestId,
+                grant.grantId,
+                grant.endpoint,
+                isResume = state.resume != null
+            )
+        )
+    }
+
+    fun onRefused(
+        tracked: TrackedRequest,
+        state: RequestState.Waiting,
+        reason: RefusalReason,
+        retryAfterMs: Long?,
+        nowMs: Long
+    ): List<OriginEffect> {
+        if (state.resume != null) {
+            return table.endUnknown(tracked, stoppedForUrgentWork(), nowMs)
+        }
+        if (reason == RefusalReason.SHARD_FULL || reason == RefusalReason.NO_ENDPOINT) {
+            val tried = state.triedShards + state.shard
+            val next = nextShard(tracked.request, tried)
+            if (next != null) return ask(tracked, next, tried, null, nowMs)
+        }
+        val detail = when (reason) {
+            RefusalReason.SHARD_FULL -> "no capacity"
+            RefusalReason.DEADLINE -> "the deadline cannot be met"
+            RefusalReason.TIER_STOPPED -> "the preset in force stops this tier"
+            RefusalReason.NO_ENDPOINT -> "no endpoint is available"
+        }
+        return table.endNotRun(tracked, Rejection.NotRun(detail, retryAfterMs), nowMs)
+    }
+
+    /** Sends the ask again, to whoever owns the shard now. */
+    fun repeatAsk(
+        tracked: TrackedRequest,
+        state: RequestState.Waiting,
+        nowMs: Long
+    ): List<OriginEffect> {
+        val askCount = state.askCount + 1
+        val recent = state.askSentAtMs.filterValues {
+            nowMs - it <= OriginController.MAX_GRANT_AGE_MS
+        }
+        tracked.state = state.copy(askCount = askCount, askSentAtMs = recent + (askCount to nowMs))
+        val request = capacityRequest(tracked, state.resume, nowMs)
+        return listOf(OriginEffect.SendAsk(state.shard, request, askCount))
+    }
+
+    fun tick(
+        tracked: TrackedRequest,
+        state: RequestState.Waiting,
+        nowMs: Long
+    ): List<OriginEffect> {
+        val timeLeftMs = tracked.timeLeftMs(nowMs)
+            ?: (state.sinceMs + OriginController.MAX_WAIT_MS - nowMs)
+        if (timeLeftMs <= 0) return giveUp(tracked, state, "waited too long for capacity", nowMs)
+        val lastSentAtMs = state.askSentAtMs[state.askCount] ?: 0
+        if (nowMs - lastSentAtMs < OriginController.REPEAT_INTERVAL_MS) return emptyList()
+        return repeatAsk(tracked, state, nowMs)
+    }
+
+    /** Ends a waiting request and withdraws its ask. */
+    fun giveUp(
+        tracked: TrackedRequest,
+        state: RequestState.Waiting,
+        detail: String,
+        nowMs: Long
+    ): List<OriginEffect> {
+        val withdraw = OriginEffect.SendCancelAsk(state.shard, tracked.request.requestId)
+        val end = if (state.resume != null) {
+            table.endUnknown(tracked, stoppedForUrgentWork(), nowMs)
+        } else {
+            table.endNotRun(tracked, Rejection.NotRun(detail, RETRY_AFTER_MS), nowMs)
+        }
+        return end + withdraw
+    }
+
+    fun capacityRequest(tracked: TrackedRequest, resume: Resume?, nowMs: Long): CapacityRequest {
+        val request = tracked.request
+        return CapacityRequest(
+            requestId = request.requestId,
+            origin = self.host,
+            organisation = request.organisation,
+            tier = request.tier,
+            pool = request.pool,
+            timeLeftMs = tracked.timeLeftMs(nowMs),
+            prefillTokens = request.prefillTokens,
+            outputTokens = (request.outputTokens - (resume?.sentTokens ?: 0)).coerceAtLeast(1),
+            prefixBlocks = request.prefixBlocks,
+            isSuspect = tracked.isSuspect,
+            isInterruptible = request.isInterruptible,
+            resumeOn = resume?.endpoint
+        )
+    }
+
+    private fun ask(
+        tracked: TrackedRequest,
+        shard: ShardId,
+        triedShards: Set<ShardId>,
+        resume: Resume?,
+        nowMs: Long
+    ): List<OriginEffect> {
+        val asks = mapOf(1L to nowMs)
+        tracked.state = RequestState.Waiting(shard, 1, asks, triedShards, nowMs, resume)
+        return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, resume, nowMs), 1))
+    }
+
+    /**
+     * Requests with the same first prefix block start at the same shard, so that they find its
+     * prefix cache.
+     */
+    private fun firstShard(request: CallerRequest): ShardId {
+        val key = request.prefixBlocks.firstOrNull()?.value?.toString() ?: request.requestId.value
+        return ShardId(request.pool, rendezvousIndex(key, shardCounts.shardCountFor(request)))
+    }
+
+    private fun nextShard(request: CallerRequest, tried: Set<ShardId>): ShardId? =
+        (0 until shardCounts.shardCountFor(request))
+            .map { ShardId(request.pool, it) }
+            .firstOrNull { it !in tried }
+
+    /** The owner granted after it had received the echoed ask, so the ask's age bounds the grant's. */
+    private fun isFresh(state: RequestState.Waiting, grant: ReceivedGrant, nowMs: Long): Boolean {
+        val sentAtMs = state.askSentAtMs[grant.echoedAskCount] ?: return false
+        return nowMs - sentAtMs <= OriginController.MAX_GRANT_AGE_MS
+    }
+
+    private fun stoppedForUrgentWork() = Rejection.OutcomeUnknown(
+        "the request was stopped for more urgent work and could not be continued"
+    )
+
+    private companion object {
+        const val RETRY_AFTER_MS = 1_000L
+    }
+}
+
+/** Report for a grant that was not used. */
+internal fun unusedReport(grantId: GrantId): GrantReport =
+    GrantReport(grantId, GrantEnd.UNUSED, 0, 0, 0, null, 0)
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginEffect.kt
@@ -0,0 +1,128 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.capacity.RunningGrant
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.claims.ClaimItem
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+
+/** Effect of an [OriginController]. */
+public sealed interface OriginEffect {
+    /**
+     * Have a claim decided.
+     *
+     * @property isDurable whether it goes through the log
+     */
+    public data class SendClaim(public val claim: ClaimItem.Claim, public val isDurable: Boolean) :
+        OriginEffect
+
+    /** Record a release or an outcome where the claim was decided. */
+    public data class SendClaimItem(public val item: ClaimItem, public val isDurable: Boolean) :
+        OriginEffect
+
+    /** Ask the origin of an earlier attempt what became of it. */
+    public data class SendOutcomeQuery(
+        public val organisation: OrganisationId,
+        public val requestId: RequestId,
+        public val origin: AttemptOrigin
+    ) : OriginEffect
+
+    /** Ask all hosts whether a request with [key] is known to them. */
+    public data class SendKeyQuery(public val requestId: RequestId, public val key: RequestKey) :
+        OriginEffect
+
+    /** Ask the owner of [shard] for capacity; [askCount] rises with each repetition. */
+    public data class SendAsk(
+        public val shard: ShardId,
+        public val request: CapacityRequest,
+        public val askCount: Long
+    ) : OriginEffect
+
+    /** Withdraw a request that waits at the owner of [shard]. */
+    public data class SendCancelAsk(public val shard: ShardId, public val requestId: RequestId) :
+        OriginEffect
+
+    /** Give a grant back. */
+    public data class SendReleased(public val shard: ShardId, public val report: GrantReport) :
+        OriginEffect
+
+    /** Give a grant back because its request gave way; [resume] is null if it cannot continue. */
+    public data class SendGaveWay(
+        public val shard: ShardId,
+        public val report: GrantReport,
+        public val resume: CapacityRequest?
+    ) : OriginEffect
+
+    /** Tell the new owner of [shard] which of its grants are in use here. */
+    public data class SendRunning(
+        public val shard: ShardId,
+        public val running: List<RunningGrant>
+    ) : OriginEffect
+
+    /** Send the request to [endpoint]; if [isResume], continue its cancelled stream. */
+    public data class Dispatch(
+        public val requestId: RequestId,
+        public val grantId: GrantId,
+        public val endpoint: EndpointId,
+        public val isResume: Boolean
+    ) : OriginEffect
+
+    /** Cancel the stream so that it can be resumed, and report [StreamEnd.Interrupted]. */
+    public data class InterruptStream(public val requestId: RequestId) : OriginEffect
+
+    /** Cancel the stream; its caller left. */
+    public data class CancelStream(public val requestId: RequestId) : OriginEffect
+
+    /** Answer the caller with a problem document. */
+    public data class Reject(public val requestId: RequestId, public val rejection: Rejection) :
+        OriginEffect
+
+    /** Answer the caller with the answer of an earlier attempt. */
+    public data class Replay(public val requestId: RequestId, public val answer: StoredAnswer) :
+        OriginEffect
+
+    /** Tell all hosts about a crash and report their acknowledgements. */
+    public data class ReportCrash(
+        public val crashId: String,
+        public val endpoint: EndpointId,
+        public val fingerprint: Fingerprint,
+        public val ranAlone: Boolean
+    ) : OriginEffect
+
+    /** A request with [fingerprint] finished normally. */
+    public data class ReportCompleted(public val fingerprint: Fingerprint) : OriginEffect
+}
+
+/** What a host knows about a key, in rising order of precedence. */
+public enum class KeyStanding {
+    /** No request with the key was dispatched, and none waits to be. */
+    UNSEEN,
+
+    /** A request with the key waits or runs. */
+    RUNNING,
+
+    /** A request with the key was dispatched, or nobody can tell. */
+    UNKNOWN
+}
+
+/** What the origin of a request knows about it. */
+public sealed interface RequestOutcome {
+    /** It is not finished. */
+    public data object Running : RequestOutcome
+
+    /** It did not run and will not run. */
+    public data object NotRun : RequestOutcome
+
+    /** It finished with this answer. */
+    public data class Answered(public val answer: StoredAnswer) : RequestOutcome
+
+    /** It started and its outcome is not known, or its answer is no longer kept. */
+    public data object Unknown : RequestOutcome
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/origin/StreamEnd.kt
@@ -0,0 +1,60 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.capacity.GrantReport
+
+/**
+ * How the exchange with an endpoint ended, as the traffic side saw it. [report] holds what was
+ * measured; its grant id is the one of the dispatch.
+ */
+public sealed interface StreamEnd {
+    /** Measurements of the exchange. */
+    public val report: GrantReport
+
+    /** The whole answer arrived; [answer] is null if it is too large to keep. */
+    public data class Completed(
+        override val report: GrantReport,
+        public val answer: StoredAnswer?
+    ) : StreamEnd
+
+    /** The endpoint's reply, or a refused connection, proves that nothing ran. */
+    public data class ProvenNotRun(override val report: GrantReport, public val detail: String) :
+        StreamEnd
+
+    /**
+     * The exchange broke off after bytes were sent.
+     *
+     * @property hasEndpointCrashed whether the endpoint then refused connections
+     */
+    public data class Broken(
+        override val report: GrantReport,
+        public val detail: String,
+        public val hasEndpointCrashed: Boolean
+    ) : StreamEnd
+
+    /** The caller left and the stream was cancelled. */
+    public data class CallerGone(override val report: GrantReport) : StreamEnd
+
+    /**
+     * The stream was cancelled to give way.
+     *
+     * @property sentTokens output tokens that the caller has received
+     * @property canResume whether the endpoint keeps a handle to resume it
+     */
+    public data class Interrupted(
+        override val report: GrantReport,
+        public val sentTokens: Int,
+        public val canResume: Boolean
+    ) : StreamEnd
+}
+
+/**
+ * A whole answer, kept for callers that send the same key again.
+ *
+ * @property status HTTP status
+ * @property body at most 64 KiB
+ */
+public data class StoredAnswer(
+    public val status: Int,
+    public val contentType: String,
+    public val body: String
+)
