--- a/core/src/main/kotlin/cowslipcart/core/model/Configuration.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Configuration.kt
@@ -27,6 +27,10 @@
     public val drainedEndpoints: Set<EndpointId> =
         select<DrainSpec>().mapTo(mutableSetOf()) { it.endpoint }
 
+    /** Weight of each organisation. */
+    public val organisationWeights: Map<OrganisationId, Double> =
+        select<OrganisationSpec>().associate { it.id to it.weight }
+
     /** The preset in force, or null before the first switch. */
     public val preset: PresetSpec?
         get() = presetInForce?.let { declarations[DeclarationKey.Preset(it)] as? PresetSpec }
@@ -35,6 +39,10 @@
     public fun findOrganisation(id: OrganisationId): OrganisationSpec? =
         declarations[DeclarationKey.Organisation(id)] as? OrganisationSpec
 
+    /** Returns the endpoint with this id, or null if none is declared. */
+    public fun findEndpoint(id: EndpointId): EndpointSpec? =
+        declarations[DeclarationKey.Endpoint(id)] as? EndpointSpec
+
     /** Returns the pool whose endpoints serve [model], or null if none does. */
     public fun findModelPool(model: String): PoolSpec? =
         pools.values.firstOrNull { (it.kind as? PoolKind.Model)?.model == model }
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
@@ -0,0 +1,112 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.config.ConfigState
+import cowslipcart.core.config.createConfigReplica
+import cowslipcart.core.config.createReadinessGate
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import kotlin.random.Random
+
+/** Configuration of this host and whether it is known to be new enough to serve. */
+internal class ConfigDesk(
+    self: HostId,
+    private val random: Random,
+    private val outbox: Outbox
+) {
+    private val replica = createConfigReplica()
+    private val gate = createReadinessGate(self)
+    private var publishedReadiness: Pair<Boolean, List<String>>? = null
+    private var isLogReadable = false
+    private var lastFetchAtMs = Long.MIN_VALUE / 2
+    private var nextCheckpointAtMs = 0L
+    private val peerOffsets = HashMap<HostId, LogOffset>()
+
+    val state: ConfigState get() = replica.state
+    val configuration: Configuration get() = replica.state.configuration
+    val isReady: Boolean get() = gate.isReady
+
+    /** Applies records; returns whether the configuration changed. */
+    fun onRead(input: NodeInput.ConfigRead): Boolean {
+        isLogReadable = true
+        val before = replica.state.configuration
+        val verdicts = replica.apply(input.records, input.firstKeptOffset)
+        verdicts.forEach { outbox.emit(NodeEffect.ConfigDecided(it)) }
+        gate.onOwnOffset(replica.state.nextOffset)
+        gate.onLogEnd(input.endOffset)
+        return publish(before)
+    }
+
+    fun onReadFailed() {
+        isLogReadable = false
+        gate.onLogFailure()
+        publishReadiness()
+    }
+
+    /** Takes the state of a peer; returns whether the configuration changed. */
+    fun onReply(from: HostId, state: ConfigState): Boolean {
+        val before = replica.state.configuration
+        replica.adopt(state)
+        gate.onOwnOffset(replica.state.nextOffset)
+        gate.onPeerOffset(from, state.nextOffset)
+        return publish(before)
+    }
+
+    fun onPeerOffset(from: HostId, offset: LogOffset, nowMs: Long) {
+        peerOffsets[from] = offset
+        gate.onPeerOffset(from, offset)
+        if (offset > replica.state.nextOffset) catchUp(from, nowMs)
+        publishReadiness()
+    }
+
+    fun onListedPeers(hosts: Set<HostId>?) {
+        gate.onListedPeers(hosts)
+        publishReadiness()
+    }
+
+    /** Appends a checkpoint when one is due; jitter keeps hosts from all writing it at once. */
+    fun tick(wallNowMs: Long, nowMs: Long) {
+        if (nowMs < nextCheckpointAtMs) return
+        val isFirst = nextCheckpointAtMs == 0L
+        nextCheckpointAtMs = nowMs + CHECKPOINT_INTERVAL_MS +
+            random.nextLong(CHECKPOINT_INTERVAL_MS)
+        if (isFirst || !isLogReadable || !gate.isReady) return
+        replica.proposeCheckpoint(wallNowMs, RETENTION_MS)
+            ?.let { outbox.emit(NodeEffect.AppendConfig(it)) }
+    }
+
+    /** The log is read first; a peer's state serves when the log cannot be read. */
+    private fun catchUp(from: HostId, nowMs: Long) {
+        if (nowMs - lastFetchAtMs < FETCH_INTERVAL_MS) return
+        lastFetchAtMs = nowMs
+        if (isLogReadable) outbox.emit(NodeEffect.ReadConfigNow)
+        outbox.send(from, PeerMessage.ConfigFetch)
+    }
+
+    private fun publish(before: Configuration): Boolean {
+        val state = replica.state
+        val hasChanged = state.configuration != before
+        if (hasChanged) {
+            outbox.emit(NodeEffect.PublishConfiguration(state.configuration, state.nextOffset))
+        }
+        publishReadiness()
+        return hasChanged
+    }
+
+    private fun publishReadiness() {
+        val missing = gate.describeMissing() +
+            if (configuration.presetInForce == null) listOf("a preset in force") else emptyList()
+        val readiness = missing.isEmpty() to missing
+        if (readiness == publishedReadiness) return
+        publishedReadiness = readiness
+        outbox.emit(NodeEffect.PublishReadiness(readiness.first, readiness.second))
+    }
+
+    private companion object {
+        const val FETCH_INTERVAL_MS = 200L
+        const val CHECKPOINT_INTERVAL_MS = 60_000L
+
+        /** Retention that the log is expected to have at least. */
+        const val RETENTION_MS = 24 * 3_600_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/Conversions.kt
@@ -0,0 +1,17 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.claims.ClaimItem
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.origin.ReceivedGrant
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.core.origin.unusedReport
+
+internal fun PeerMessage.CapacityGranted.toReceivedGrant(): ReceivedGrant =
+    ReceivedGrant(shard, requestId, grantId, endpoint, askCount)
+
+/** The request that makes this claim; an attempt has the id of its request. */
+internal val ClaimItem.requestId: RequestId get() = RequestId(attempt.value)
+
+internal fun notDeclared(grantId: GrantId): StreamEnd =
+    StreamEnd.ProvenNotRun(unusedReport(grantId), "the endpoint is no longer declared")
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -0,0 +1,398 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.membership.MembershipEffect
+import cowslipcart.core.membership.createMembershipView
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.core.origin.KeyStanding
+import cowslipcart.core.origin.OriginEffect
+import cowslipcart.core.origin.Rejection
+import cowslipcart.core.origin.RequestOutcome
+import cowslipcart.core.origin.createOriginController
+import cowslipcart.core.quarantine.CrashReport
+import cowslipcart.core.quarantine.Standing
+import cowslipcart.core.quarantine.createSuspectRegistry
+import kotlin.random.Random
+
+/** Creates the control state of the host process [self]. */
+public fun createNodeController(self: HostIdentity, random: Random): NodeController =
+    DefaultNodeController(self, random)
+
+private class DefaultNodeController(private val self: HostIdentity, random: Random) :
+    NodeController {
+    private val process = AttemptOrigin(self.host, self.incarnation)
+    private val membership = createMembershipView(self, random)
+    private val outbox = Outbox(self.host) { membership.liveHosts[it]?.peerAddress }
+    private val config = ConfigDesk(self.host, random, outbox)
+    private val shards = ShardDesk(self.host, random, outbox)
+    private val claims = ClaimDesk(process, membership, outbox)
+    private val crashes = CrashDesk(self.host, membership, outbox)
+    private val inquiries = KeyInquiryDesk(self.host, membership, outbox)
+    private val quota = QuotaDesk(membership, outbox)
+    private val suspects = createSuspectRegistry()
+    private val origin = createOriginController(process) { request ->
+        config.configuration.pools[request.pool]?.shardCount ?: 1
+    }
+    private val knownOwners = HashMap<ShardId, HostId?>()
+
+    override val openRequestCount: Int get() = origin.openCount
+
+    override fun handle(input: NodeInput, nowMs: Long): List<NodeEffect> {
+        dispatchInput(input, nowMs)
+        while (true) {
+            val message = outbox.toSelf.removeFirstOrNull() ?: break
+            onMessage(self.host, message, nowMs)
+        }
+        return outbox.drain()
+    }
+
+    private fun dispatchInput(input: NodeInput, nowMs: Long) {
+        when (input) {
+            is NodeInput.Start -> onStart(input.request, nowMs)
+
+            is NodeInput.CallerGone -> applyOrigin(origin.onCallerGone(input.requestId, nowMs), nowMs)
+
+            is NodeInput.StreamEnded ->
+                applyOrigin(origin.onStreamEnd(input.requestId, input.end, nowMs), nowMs)
+
+            is NodeInput.StreamProgress -> input.reports.forEach { (shard, reports) ->
+                outbox.send(shards.ownerOf(shard), PeerMessage.CapacityProgress(shard, reports))
+            }
+
+            is NodeInput.FromPeer -> onMessage(input.from, input.message, nowMs)
+
+            is NodeInput.HostListRead -> onHostList(input, nowMs)
+
+            NodeInput.HostListFailed -> config.onListedPeers(null)
+
+            is NodeInput.LoadRead -> onLoad(input, nowMs)
+
+            is NodeInput.LoadFailed -> if (shards.onLoadFailed(input.endpoint)) refresh(nowMs)
+
+            is NodeInput.CacheRead -> shards.onCache(input.endpoint, input.events, nowMs)
+
+            is NodeInput.ConfigRead -> if (config.onRead(input)) refresh(nowMs)
+
+            NodeInput.ConfigReadFailed -> config.onReadFailed()
+
+            is NodeInput.EpochsRead -> claims.onEpochs(input.entries)
+
+            is NodeInput.ClaimsRead,
+            is NodeInput.ClaimsReadFailed,
+            is NodeInput.ClaimsAppended,
+            is NodeInput.ClaimsAppendFailed -> claims.onClaimsInput(input, nowMs)
+
+            is NodeInput.Drain -> {
+                applyMembership(membership.leave(nowMs), nowMs)
+                applyOrigin(origin.drain(input.limitMs, nowMs), nowMs)
+            }
+
+            is NodeInput.Tick -> onTick(input.wallNowMs, nowMs)
+        }
+    }
+
+    private fun onMessage(from: HostId, message: PeerMessage, nowMs: Long) {
+        when (message) {
+            is PeerMessage.Ping -> {
+                applyMembership(membership.onPing(message.content, nowMs), nowMs)
+                config.onPeerOffset(from, message.content.configOffset, nowMs)
+            }
+
+            is PeerMessage.PingAck -> {
+                applyMembership(membership.onPingAck(message.content, nowMs), nowMs)
+                config.onPeerOffset(from, message.content.configOffset, nowMs)
+            }
+
+            is PeerMessage.PingRequest ->
+                applyMembership(membership.onPingRequest(from, message.target, nowMs), nowMs)
+
+            is PeerMessage.AskCapacity,
+            is PeerMessage.CancelAsk,
+            is PeerMessage.CapacityReleased,
+            is PeerMessage.CapacityProgress,
+            is PeerMessage.GaveWay,
+            is PeerMessage.RunningReport -> shards.onMessage(message, nowMs)
+
+            is PeerMessage.CapacityGranted,
+            is PeerMessage.CapacityRefused,
+            is PeerMessage.GiveWay,
+            is PeerMessage.ClaimReply,
+            is PeerMessage.OutcomeReply -> onReplyToOrigin(message, nowMs)
+
+            is PeerMessage.ClaimRequest -> claims.onClaim(message, nowMs)
+
+            is PeerMessage.ClaimNotice -> claims.onNotice(message, nowMs)
+
+            is PeerMessage.OutcomeQuery -> onOutcomeQuery(from, message)
+
+            is PeerMessage.KeyQuery -> {
+                val standing = origin.standingOf(message.key, null)
+                outbox.send(from, PeerMessage.KeyReply(message.requestId, standing))
+            }
+
+            is PeerMessage.KeyReply ->
+                inquiries.onReply(from, message.requestId, message.standing)?.let {
+                    applyOrigin(origin.onKeyStanding(message.requestId, it, nowMs), nowMs)
+                }
+
+            is PeerMessage.CrashNotice -> {
+                suspects.onCrash(message.report, nowMs)
+                outbox.send(from, PeerMessage.CrashAck(message.report.crashId))
+            }
+
+            is PeerMessage.CrashAck -> if (crashes.onAck(from, message.crashId)) {
+                applyOrigin(origin.onCrashSpread(message.crashId, nowMs), nowMs)
+            }
+
+            PeerMessage.ConfigFetch -> outbox.send(from, PeerMessage.ConfigReply(config.state))
+
+            is PeerMessage.ConfigReply -> if (config.onReply(from, message.state)) refresh(nowMs)
+
+            is PeerMessage.QuotaAsk -> quota.onAsk(from, message, config.configuration, nowMs)
+
+            is PeerMessage.QuotaGranted -> quota.onGranted(message, nowMs)
+        }
+    }
+
+    private fun onReplyToOrigin(message: PeerMessage, nowMs: Long) {
+        val effects = when (message) {
+            is PeerMessage.CapacityGranted -> origin.onGranted(message.toReceivedGrant(), nowMs)
+
+            is PeerMessage.CapacityRefused -> origin.onRefused(
+                message.shard,
+                message.requestId,
+                message.reason,
+                message.retryAfterMs,
+                nowMs
+            )
+
+            is PeerMessage.GiveWay -> origin.onGiveWay(message.requestId, message.grantId)
+
+            is PeerMessage.ClaimReply ->
+                origin.onClaimVerdict(message.attempt, message.verdict, nowMs)
+
+            is PeerMessage.OutcomeReply ->
+                origin.onOutcome(message.requestId, message.outcome, nowMs)
+
+            else -> error("expected a reply to an origin, found $message")
+        }
+        applyOrigin(effects, nowMs)
+    }
+
+    private fun onStart(request: CallerRequest, nowMs: Long) {
+        val standing = suspects.standing(request.fingerprint, nowMs)
+        if (standing == Standing.QUARANTINED) {
+            reject(request, Rejection.Quarantined("this content crashed two endpoints"))
+            return
+        }
+        val retryAfterMs = quota.admit(request, config.configuration, nowMs)
+        if (retryAfterMs != null) {
+            val rejection = Rejection.LimitExceeded("the organisation's limit is used up", retryAfterMs)
+            reject(request, rejection)
+            return
+        }
+        applyOrigin(origin.start(request, standing == Standing.SUSPECT, nowMs), nowMs)
+    }
+
+    private fun reject(request: CallerRequest, rejection: Rejection) {
+        outbox.emit(NodeEffect.Reject(request.requestId, rejection))
+    }
+
+    private fun onOutcomeQuery(from: HostId, query: PeerMessage.OutcomeQuery) {
+        val outcome = if (query.incarnation == self.incarnation) {
+            origin.outcomeOf(query.organisation, query.requestId)
+        } else {
+            RequestOutcome.Unknown
+        }
+        outbox.send(from, PeerMessage.OutcomeReply(query.requestId, outcome))
+    }
+
+    private fun onHostList(input: NodeInput.HostListRead, nowMs: Long) {
+        applyMembership(membership.onHostList(input.list, nowMs), nowMs)
+        val peers = input.list.hosts
+            .filter { !it.isLeaving && it.host != self.host }
+            .mapTo(mutableSetOf()) { it.host }
+        config.onListedPeers(peers)
+    }
+
+    private fun onLoad(input: NodeInput.LoadRead, nowMs: Long) {
+        val report = input.report
+        if (report.isLeaving) {
+            applyMembership(membership.onEndpointLeaving(report.endpoint, nowMs), nowMs)
+        }
+        if (shards.onLoad(report, nowMs)) refresh(nowMs)
+    }
+
+    private fun onTick(wallNowMs: Long, nowMs: Long) {
+        inquiries.onTick(wallNowMs)
+        applyMembership(membership.tick(config.state.nextOffset, nowMs), nowMs)
+        applyOrigin(origin.tick(nowMs), nowMs)
+        crashes.takeExpired(nowMs).forEach { applyOrigin(origin.onCrashSpread(it, nowMs), nowMs) }
+        claims.tick(wallNowMs, nowMs)
+        config.tick(wallNowMs, nowMs)
+        quota.tick(nowMs)
+        shards.tick(nowMs)
+        suspects.tick(nowMs)
+    }
+
+    private fun applyMembership(effects: List<MembershipEffect>, nowMs: Long) {
+        for (effect in effects) {
+            when (effect) {
+                is MembershipEffect.SendPing -> outbox.emit(
+                    NodeEffect.SendPeer(effect.to, effect.address, PeerMessage.Ping(effect.ping))
+                )
+
+                is MembershipEffect.SendPingAck ->
+                    outbox.send(effect.to, PeerMessage.PingAck(effect.ack))
+
+                is MembershipEffect.SendPingRequest ->
+                    outbox.send(effect.via, PeerMessage.PingRequest(effect.target))
+
+                is MembershipEffect.HostDied -> {
+                    inquiries.onHostDied()
+                    shards.onHostDied(effect.identity.host, nowMs)
+                    outbox.emit(NodeEffect.ForgetPeer(effect.identity.host))
+                }
+
+                MembershipEffect.OwnersChanged,
+                MembershipEffect.LeavingEndpointsChanged -> refresh(nowMs)
+            }
+        }
+    }
+
+    /** Computes again who owns what after a change of members, endpoints or configuration. */
+    private fun refresh(nowMs: Long) {
+        shards.refresh(
+            config.configuration,
+            membership.owners,
+            membership.leavingEndpoints,
+            nowMs
+        )
+        for (shard in shards.allShards()) {
+            val owner = shards.ownerOf(shard)
+            if (knownOwners.put(shard, owner) != owner) {
+                applyOrigin(origin.onOwnerChanged(shard, nowMs), nowMs)
+            }
+        }
+        outbox.emit(NodeEffect.PublishHosts(describeHosts()))
+    }
+
+    private fun describeHosts(): List<KnownHost> = membership.liveHosts.values.map {
+        KnownHost(it.host, it.peerAddress, it.domain.value, it.host in membership.owners)
+    }
+
+    private fun applyOrigin(effects: List<OriginEffect>, nowMs: Long) {
+        for (effect in effects) applyOrigin(effect, nowMs)
+    }
+
+    private fun applyOrigin(effect: OriginEffect, nowMs: Long) {
+        when (effect) {
+            is OriginEffect.SendClaim ->
+                claims.route(effect.claim, effect.isDurable)?.let { detail ->
+                    val requestId = effect.claim.requestId
+                    applyOrigin(origin.onClaimUndecidable(requestId, detail, nowMs), nowMs)
+                }
+
+            is OriginEffect.SendClaimItem -> claims.routeItem(effect.item, effect.isDurable)
+
+            is OriginEffect.SendOutcomeQuery -> outbox.send(
+                effect.origin.host,
+                PeerMessage.OutcomeQuery(
+                    effect.organisation,
+                    effect.requestId,
+                    effect.origin.incarnation
+                )
+            )
+
+            is OriginEffect.SendKeyQuery -> {
+                val own = origin.standingOf(effect.key, effect.requestId)
+                inquiries.begin(effect.requestId, effect.key, own)?.let { standing ->
+                    applyOrigin(origin.onKeyStanding(effect.requestId, standing, nowMs), nowMs)
+                }
+            }
+
+            is OriginEffect.ReportCrash -> onCrash(effect, nowMs)
+
+            is OriginEffect.ReportCompleted -> suspects.onCompleted(effect.fingerprint, nowMs)
+
+            is OriginEffect.SendAsk,
+            is OriginEffect.SendCancelAsk,
+            is OriginEffect.SendReleased,
+            is OriginEffect.SendGaveWay,
+            is OriginEffect.SendRunning -> sendToOwner(effect)
+
+            is OriginEffect.Dispatch -> dispatch(effect, nowMs)
+
+            is OriginEffect.InterruptStream ->
+                outbox.emit(NodeEffect.InterruptStream(effect.requestId))
+
+            is OriginEffect.CancelStream -> outbox.emit(NodeEffect.CancelStream(effect.requestId))
+
+            is OriginEffect.Reject -> {
+                inquiries.forget(effect.requestId)
+                outbox.emit(NodeEffect.Reject(effect.requestId, effect.rejection))
+            }
+
+            is OriginEffect.Replay ->
+                outbox.emit(NodeEffect.Replay(effect.requestId, effect.answer))
+        }
+    }
+
+    private fun sendToOwner(effect: OriginEffect) {
+        val (shard, message) = when (effect) {
+            is OriginEffect.SendAsk ->
+                effect.shard to
+                    PeerMessage.AskCapacity(effect.shard, effect.request, effect.askCount)
+
+            is OriginEffect.SendCancelAsk ->
+                effect.shard to PeerMessage.CancelAsk(effect.shard, effect.requestId)
+
+            is OriginEffect.SendReleased ->
+                effect.shard to PeerMessage.CapacityReleased(effect.shard, effect.report)
+
+            is OriginEffect.SendGaveWay ->
+                effect.shard to PeerMessage.GaveWay(effect.shard, effect.report, effect.resume)
+
+            is OriginEffect.SendRunning ->
+                effect.shard to PeerMessage.RunningReport(effect.shard, effect.running)
+
+            else -> error("expected a message to a shard owner, found $effect")
+        }
+        outbox.send(shards.ownerOf(shard), message)
+    }
+
+    /** An endpoint that is no longer declared gets no request; its grant counts as not run. */
+    private fun dispatch(effect: OriginEffect.Dispatch, nowMs: Long) {
+        val endpoint = config.configuration.findEndpoint(effect.endpoint)
+        if (endpoint == null) {
+            val end = notDeclared(effect.grantId)
+            applyOrigin(origin.onStreamEnd(effect.requestId, end, nowMs), nowMs)
+            return
+        }
+        outbox.emit(
+            NodeEffect.Dispatch(
+                effect.requestId,
+                effect.grantId,
+                effect.shard,
+                endpoint,
+                effect.isResume
+            )
+        )
+    }
+
+    private fun onCrash(effect: OriginEffect.ReportCrash, nowMs: Long) {
+        val report = CrashReport(
+            effect.crashId,
+            effect.endpoint,
+            listOf(effect.fingerprint),
+            effect.ranAlone
+        )
+        suspects.onCrash(report, nowMs)
+        if (crashes.spread(report, nowMs)) {
+            applyOrigin(origin.onCrashSpread(effect.crashId, nowMs), nowMs)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -0,0 +1,217 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.capacity.CacheEvent
+import cowslipcart.core.capacity.LoadReport
+import cowslipcart.core.capacity.SchedulerDecision
+import cowslipcart.core.capacity.SchedulerPolicy
+import cowslipcart.core.capacity.ShardConfig
+import cowslipcart.core.capacity.createShardScheduler
+import cowslipcart.core.membership.rendezvousIndex
+import cowslipcart.core.membership.rendezvousOwner
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.ShardId
+import kotlin.random.Random
+
+/** Owner side of the shards that this host owns. */
+internal class ShardDesk(
+    private val self: HostId,
+    private val random: Random,
+    private val outbox: Outbox
+) {
+    private val owned = HashMap<ShardId, OwnedShard>()
+    private var configuration = Configuration.EMPTY
+    private var owners: Set<HostId> = emptySet()
+    private var leaving: Set<EndpointId> = emptySet()
+    private val failureCounts = HashMap<EndpointId, Int>()
+
+    /** Returns the host that owns [shard] now, or null if no host is live. */
+    fun ownerOf(shard: ShardId): HostId? = rendezvousOwner("shard/$shard", owners)
+
+    /** All shards of the configuration. */
+    fun allShards(): List<ShardId> =
+        configuration.pools.values.flatMap { pool ->
+            (0 until pool.shardCount).map { ShardId(pool.id, it) }
+        }
+
+    /** Takes changed facts; creates and drops schedulers and reconfigures the others. */
+    fun refresh(
+        configuration: Configuration,
+        owners: Set<HostId>,
+        leaving: Set<EndpointId>,
+        nowMs: Long
+    ) {
+        this.configuration = configuration
+        this.owners = owners
+        this.leaving = leaving
+        val mine = allShards().filter { ownerOf(it) == self }
+        owned.keys.retainAll(mine.toSet())
+        for (shard in mine) {
+            val config = shardConfig(shard)
+            val existing = owned[shard]
+            if (existing == null) {
+                owned[shard] = OwnedShard(
+                    createShardScheduler(SchedulerPolicy.CowslipCart, config, random, true)
+                )
+            } else {
+                decide(shard, existing.scheduler.reconfigure(config, nowMs))
+            }
+        }
+        outbox.emit(NodeEffect.WatchEndpoints(mine.flatMap { endpointsOf(it) }))
+    }
+
+    /** Handles a message to the owner of a shard; it is ignored if another host owns it. */
+    fun onMessage(message: PeerMessage, nowMs: Long) {
+        when (message) {
+            is PeerMessage.AskCapacity -> onAsk(message, nowMs)
+
+            is PeerMessage.CancelAsk ->
+                withShard(message.shard) { it.onCancel(message.requestId, nowMs) }
+
+            is PeerMessage.CapacityReleased ->
+                withShard(message.shard) { it.onReleased(message, nowMs) }
+
+            is PeerMessage.CapacityProgress ->
+                withShard(message.shard) { it.scheduler.progress(message.reports, nowMs) }
+
+            is PeerMessage.GaveWay ->
+                withShard(message.shard) { it.onGaveWay(message, nowMs) }
+
+            is PeerMessage.RunningReport ->
+                withShard(message.shard) { it.onRunning(message.running, nowMs) }
+
+            else -> error("expected a message to a shard owner, found $message")
+        }
+    }
+
+    fun onHostDied(host: HostId, nowMs: Long) {
+        for ((shard, state) in owned) decide(shard, state.onHostDied(host, nowMs))
+    }
+
+    /** Takes a load report; returns whether an endpoint that was taken as dead is back. */
+    fun onLoad(report: LoadReport, nowMs: Long): Boolean {
+        val wasDead = isDead(report.endpoint)
+        failureCounts.remove(report.endpoint)
+        val shard = shardOf(report.endpoint) ?: return wasDead
+        owned[shard]?.let { decide(shard, it.scheduler.reportLoad(report, nowMs)) }
+        return wasDead
+    }
+
+    /** Counts a missing load report; returns whether the endpoint is taken as dead from now on. */
+    fun onLoadFailed(endpoint: EndpointId): Boolean {
+        val count = failureCounts.merge(endpoint, 1, Int::plus)
+        return count == MAX_LOAD_FAILURES
+    }
+
+    fun onCache(endpoint: EndpointId, events: List<CacheEvent>, nowMs: Long) {
+        val shard = shardOf(endpoint) ?: return
+        owned[shard]?.scheduler?.reportCache(events, nowMs)
+    }
+
+    fun tick(nowMs: Long) {
+        for ((shard, state) in owned) decide(shard, state.scheduler.tick(nowMs))
+    }
+
+    private fun onAsk(message: PeerMessage.AskCapacity, nowMs: Long) {
+        val state = owned[message.shard] ?: return
+        val reaction = state.onAsk(message, ::isUnavailable, nowMs)
+        decide(message.shard, reaction.decisions)
+        reaction.repeatedGrant?.let { outbox.send(message.request.origin, it) }
+    }
+
+    private fun withShard(shard: ShardId, action: (OwnedShard) -> List<SchedulerDecision>) {
+        val state = owned[shard] ?: return
+        decide(shard, action(state))
+    }
+
+    private fun decide(shard: ShardId, decisions: List<SchedulerDecision>) {
+        for (decision in decisions) {
+            log(shard, decision)
+            send(shard, decision)
+        }
+    }
+
+    private fun send(shard: ShardId, decision: SchedulerDecision) {
+        val requestId = decision.request.requestId
+        val askCount = owned[shard]?.onDecision(decision) ?: return
+        val message = when (decision) {
+            is SchedulerDecision.Grant -> PeerMessage.CapacityGranted(
+                shard,
+                requestId,
+                decision.grantId,
+                decision.endpoint,
+                askCount
+            )
+
+            is SchedulerDecision.Refuse -> PeerMessage.CapacityRefused(
+                shard,
+                requestId,
+                decision.reason,
+                decision.retryAfterMs
+            )
+
+            is SchedulerDecision.GiveWay ->
+                PeerMessage.GiveWay(shard, requestId, decision.grantId)
+        }
+        outbox.send(decision.request.origin, message)
+    }
+
+    private fun log(shard: ShardId, decision: SchedulerDecision) {
+        val request = decision.request
+        val (candidates, choice, reason) = when (decision) {
+            is SchedulerDecision.Grant ->
+                Triple(decision.candidates, "grant ${decision.endpoint}", decision.reason)
+
+            is SchedulerDecision.Refuse ->
+                Triple(emptyList(), "refuse", decision.reason.name.lowercase())
+
+            is SchedulerDecision.GiveWay ->
+                Triple(listOf(decision.endpoint), "give way", "more urgent work waits")
+        }
+        val line = DecisionLine(
+            request.requestId,
+            request.organisation,
+            request.tier,
+            shard,
+            candidates,
+            choice,
+            reason,
+            configuration.revision
+        )
+        outbox.emit(NodeEffect.LogDecision(line))
+    }
+
+    private fun shardConfig(shard: ShardId): ShardConfig {
+        val endpoints = endpointsOf(shard)
+        return ShardConfig(
+            shard = shard,
+            endpoints = endpoints,
+            unavailable = endpoints.map { it.id }.filterTo(mutableSetOf()) { isUnavailable(it) },
+            tiers = configuration.tiers,
+            preset = configuration.preset,
+            weights = configuration.organisationWeights
+        )
+    }
+
+    private fun endpointsOf(shard: ShardId): List<EndpointSpec> =
+        configuration.endpoints.filter { it.pool == shard.pool && shardOf(it.id) == shard }
+
+    private fun shardOf(endpoint: EndpointId): ShardId? {
+        val spec = configuration.findEndpoint(endpoint) ?: return null
+        val shardCount = configuration.pools[spec.pool]?.shardCount ?: return null
+        return ShardId(spec.pool, rendezvousIndex(endpoint.value, shardCount))
+    }
+
+    private fun isUnavailable(endpoint: EndpointId): Boolean =
+        endpoint in leaving || endpoint in configuration.drainedEndpoints || isDead(endpoint)
+
+    private fun isDead(endpoint: EndpointId): Boolean =
+        (failureCounts[endpoint] ?: 0) >= MAX_LOAD_FAILURES
+
+    private companion object {
+        /** Load polls in a row without answer after which an endpoint gets no new work. */
+        const val MAX_LOAD_FAILURES = 2
+    }
+}
--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -51,6 +51,7 @@
             OriginEffect.Dispatch(
                 tracked.request.requestId,
                 grant.grantId,
+                grant.shard,
                 grant.endpoint,
                 isResume = state.resume != null
             )
--- a/core/src/main/kotlin/cowslipcart/core/origin/OriginEffect.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginEffect.kt
@@ -70,6 +70,7 @@
     public data class Dispatch(
         public val requestId: RequestId,
         public val grantId: GrantId,
+        public val shard: ShardId,
         public val endpoint: EndpointId,
         public val isResume: Boolean
     ) : OriginEffect
