--- a/core/src/main/kotlin/cowslipcart/core/claims/KeyOwnership.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/KeyOwnership.kt
@@ -17,6 +17,16 @@
     /** Moves the end of epoch [number], which must be the last one, forward. */
     public data class ExtendEpoch(public val number: Long, public val untilKeyTimeMs: Long) :
         EpochEntry
+
+    /**
+     * Repeats the [epochs] that were valid up to [throughOffset], for readers that find the stream
+     * trimmed. Valid only if it lies directly behind [throughOffset]: a trimmed stream does not
+     * show which of two racing epochs came first.
+     */
+    public data class Checkpoint(
+        public val throughOffset: LogOffset,
+        public val epochs: List<Epoch>
+    ) : EpochEntry
 }
 
 /** Who decides about a key. */
@@ -36,7 +46,10 @@
     /** Offset of the first record that is not applied. */
     public val nextOffset: LogOffset
 
-    /** Applies a record; a void one and one below [nextOffset] change nothing. */
+    /**
+     * Applies a record; a void one and one below [nextOffset] change nothing. After a gap the
+     * epochs that are known stay in force, and no others are accepted before a valid checkpoint.
+     */
     public fun apply(offset: LogOffset, entry: EpochEntry)
 
     /** Returns the owner of [key]. */
@@ -45,7 +58,8 @@
     /**
      * Returns the record to append so that key times up to [wallNowMs] plus the horizon are
      * covered by the hosts in [live], or null if nothing is due. A change of [live] starts a new
-     * epoch at the end of the last one.
+     * epoch at the end of the last one, when that end is due for renewal; it could not take effect
+     * earlier.
      */
     public fun proposeEntry(live: List<AttemptOrigin>, wallNowMs: Long): EpochEntry?
 }
@@ -63,7 +77,7 @@
     /** Frees the key of [attempt] if it holds it; the attempt id stays released. */
     public fun release(key: RequestKey, attempt: AttemptId)
 
-    /** Number of claims held. */
+    /** Number of keys held. */
     public val size: Int
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/claims/ReplayedKeyEpochs.kt
@@ -0,0 +1,100 @@
+package cowslipcart.core.claims
+
+import cowslipcart.core.membership.rendezvousOwner
+import cowslipcart.core.model.LogOffset
+
+/** Creates a replay of the stream `epochs` that expects the record at offset 0 first. */
+public fun createKeyEpochs(): KeyEpochs = ReplayedKeyEpochs()
+
+private class ReplayedKeyEpochs : KeyEpochs {
+    private val epochs = ArrayDeque<EpochEntry.Epoch>()
+    private var isComplete = true
+    private var recordsSinceCheckpoint = 0
+
+    override var nextOffset: LogOffset = LogOffset(0)
+        private set
+
+    override fun apply(offset: LogOffset, entry: EpochEntry) {
+        if (offset < nextOffset) return
+        if (offset > nextOffset) isComplete = false
+        nextOffset = offset.next()
+        recordsSinceCheckpoint++
+        when (entry) {
+            is EpochEntry.Epoch -> if (isComplete && isNext(entry)) epochs.addLast(entry)
+            is EpochEntry.ExtendEpoch -> if (isComplete) extend(entry)
+            is EpochEntry.Checkpoint -> if (entry.throughOffset.next() == offset) restore(entry)
+        }
+        dropOldEpochs()
+    }
+
+    override fun ownerOf(key: RequestKey): KeyOwner {
+        val last = epochs.lastOrNull() ?: return KeyOwner.NotYetCovered
+        if (key.keyTimeMs >= last.untilKeyTimeMs) return KeyOwner.NotYetCovered
+        val epoch = epochs.lastOrNull { it.fromKeyTimeMs <= key.keyTimeMs }
+            ?: return KeyOwner.BeforeHistory
+        val host = rendezvousOwner(hashInput(key), epoch.hosts.map { it.host })
+        return KeyOwner.Known(epoch.hosts.first { it.host == host })
+    }
+
+    override fun proposeEntry(live: List<AttemptOrigin>, wallNowMs: Long): EpochEntry? {
+        if (!isComplete || live.isEmpty()) return null
+        val hosts = live.distinctBy { it.host }.sortedBy { it.host }
+        val last = epochs.lastOrNull()
+        val untilMs = wallNowMs + HORIZON_MS
+        return when {
+            last == null -> EpochEntry.Epoch(1, hosts, wallNowMs - MAX_KEY_AGE_MS, untilMs)
+            last.untilKeyTimeMs - wallNowMs >= RENEWAL_MS -> proposeCheckpoint()
+            last.hosts == hosts -> EpochEntry.ExtendEpoch(last.number, untilMs)
+            else -> EpochEntry.Epoch(last.number + 1, hosts, last.untilKeyTimeMs, untilMs)
+        }
+    }
+
+    private fun isNext(entry: EpochEntry.Epoch): Boolean {
+        val last = epochs.lastOrNull()
+        val follows = when (last) {
+            null -> entry.number == 1L
+
+            else ->
+                entry.number == last.number + 1 && entry.fromKeyTimeMs == last.untilKeyTimeMs
+        }
+        return follows && entry.hosts.isNotEmpty() && entry.untilKeyTimeMs > entry.fromKeyTimeMs
+    }
+
+    private fun extend(entry: EpochEntry.ExtendEpoch) {
+        val last = epochs.lastOrNull() ?: return
+        if (entry.number != last.number || entry.untilKeyTimeMs <= last.untilKeyTimeMs) return
+        epochs[epochs.lastIndex] = last.copy(untilKeyTimeMs = entry.untilKeyTimeMs)
+    }
+
+    private fun restore(checkpoint: EpochEntry.Checkpoint) {
+        recordsSinceCheckpoint = 0
+        if (isComplete) return
+        isComplete = true
+        epochs.clear()
+        epochs.addAll(checkpoint.epochs)
+    }
+
+    private fun proposeCheckpoint(): EpochEntry? = when {
+        recordsSinceCheckpoint < RECORDS_PER_CHECKPOINT -> null
+        else -> EpochEntry.Checkpoint(LogOffset(nextOffset.value - 1), epochs.toList())
+    }
+
+    private fun dropOldEpochs() {
+        val last = epochs.lastOrNull() ?: return
+        while (epochs.first().untilKeyTimeMs < last.untilKeyTimeMs - KEPT_KEY_TIME_MS) {
+            epochs.removeFirst()
+        }
+    }
+}
+
+/** Bounds how long the keys of a dead owner are answered "outcome unknown". */
+private const val HORIZON_MS = 120_000L
+
+/** Half of the horizon, so that one lost renewal does not leave key times uncovered. */
+private const val RENEWAL_MS = 60_000L
+
+/** Keys are claimed for 1 h; the rest covers the horizon and clocks that differ by minutes. */
+private const val KEPT_KEY_TIME_MS = MAX_KEY_AGE_MS + 10 * 60_000L
+
+/** With one renewal a minute there is a checkpoint in each half hour of the stream. */
+private const val RECORDS_PER_CHECKPOINT = 32
