--- a/core/src/main/kotlin/cowslipcart/core/config/ReadinessGate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/ReadinessGate.kt
@@ -17,8 +17,18 @@
     /** A read of the log failed. */
     public fun onLogFailure()
 
-    /** Peer [host] has applied the configuration before [nextOffset]. */
-    public fun onPeerOffset(host: HostId, nextOffset: LogOffset)
+    /**
+     * Peer [host] has applied the configuration before [nextOffset]; [isPeerReady] tells whether
+     * that peer is ready itself. During a log outage, hosts that all started without the log must
+     * not take each other's empty configuration for the newest one.
+     */
+    public fun onPeerOffset(host: HostId, nextOffset: LogOffset, isPeerReady: Boolean)
+
+    /**
+     * Peer [host] did not answer in time. With the log this host need not wait for it; without the
+     * log it must.
+     */
+    public fun onPeerSilent(host: HostId)
 
     /** The platform lists these other hosts as live; null while the list cannot be read. */
     public fun onListedPeers(hosts: Set<HostId>?)
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/membership/PingRelays.kt
@@ -0,0 +1,25 @@
+package cowslipcart.core.membership
+
+import cowslipcart.core.model.HostId
+
+/** Hosts that wait for the answer of another host that was pinged on their behalf. */
+internal class PingRelays {
+    private val relays = mutableListOf<Relay>()
+
+    fun add(target: HostId, requester: HostId, nowMs: Long) {
+        relays += Relay(target, requester, nowMs)
+    }
+
+    /** Removes and returns the hosts that wait for an answer of [target]. */
+    fun take(target: HostId): List<HostId> {
+        val waiting = relays.filter { it.target == target }
+        relays -= waiting.toSet()
+        return waiting.map { it.requester }.distinct()
+    }
+
+    fun removeOld(nowMs: Long) {
+        relays.removeIf { nowMs - it.addedAtMs >= MembershipView.PING_INTERVAL_MS }
+    }
+
+    private data class Relay(val target: HostId, val requester: HostId, val addedAtMs: Long)
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/quarantine/CrashHistoryRegistry.kt
@@ -0,0 +1,58 @@
+package cowslipcart.core.quarantine
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+
+/** Returns a registry without entries. */
+public fun createSuspectRegistry(): SuspectRegistry = CrashHistoryRegistry()
+
+private class CrashHistoryRegistry : SuspectRegistry {
+    private val histories = mutableMapOf<Fingerprint, CrashHistory>()
+    private val receivedAtMsByCrash = mutableMapOf<String, Long>()
+
+    override fun standing(fingerprint: Fingerprint, nowMs: Long): Standing {
+        val history = histories[fingerprint]
+        return when {
+            history == null || isExpired(history.lastCrashMs, nowMs) -> Standing.CLEAR
+            history.isQuarantined -> Standing.QUARANTINED
+            else -> Standing.SUSPECT
+        }
+    }
+
+    override fun crashedEndpoints(fingerprint: Fingerprint): Set<EndpointId> =
+        histories[fingerprint]?.endpoints.orEmpty().toSet()
+
+    override fun onCrash(report: CrashReport, nowMs: Long) {
+        tick(nowMs)
+        if (report.crashId in receivedAtMsByCrash) return
+        receivedAtMsByCrash[report.crashId] = nowMs
+        val ranAlone = report.ranAlone && report.fingerprints.size == 1
+        for (fingerprint in report.fingerprints) {
+            val history = histories.getOrPut(fingerprint) { CrashHistory() }
+            history.lastCrashMs = nowMs
+            val earlierEndpoints = history.endpoints + report.earlierEndpoints
+            if (ranAlone && (earlierEndpoints - report.endpoint).isNotEmpty()) {
+                history.isQuarantined = true
+            }
+            history.endpoints += report.endpoint
+        }
+    }
+
+    override fun onCompleted(fingerprint: Fingerprint, nowMs: Long) {
+        if (histories[fingerprint]?.isQuarantined == false) histories -= fingerprint
+    }
+
+    override fun tick(nowMs: Long) {
+        histories.values.removeIf { isExpired(it.lastCrashMs, nowMs) }
+        receivedAtMsByCrash.values.removeIf { isExpired(it, nowMs) }
+    }
+
+    private fun isExpired(sinceMs: Long, nowMs: Long) =
+        nowMs - sinceMs >= SuspectRegistry.ENTRY_LIFETIME_MS
+
+    private class CrashHistory {
+        val endpoints = mutableSetOf<EndpointId>()
+        var lastCrashMs = 0L
+        var isQuarantined = false
+    }
+}
--- a/core/src/main/kotlin/cowslipcart/core/quarantine/SuspectRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/quarantine/SuspectRegistry.kt
@@ -11,6 +11,9 @@
     /** Returns how a request with [fingerprint] has to be treated. */
     public fun standing(fingerprint: Fingerprint, nowMs: Long): Standing
 
+    /** Endpoints that crashed with [fingerprint] in their batch, as far as this host knows. */
+    public fun crashedEndpoints(fingerprint: Fingerprint): Set<EndpointId>
+
     /** Takes a crash report. A repeated report of the same crash changes nothing. */
     public fun onCrash(report: CrashReport, nowMs: Long)
 
@@ -31,12 +34,16 @@
  *
  * @property crashId the same in all reports of one crash
  * @property ranAlone whether the single fingerprint was the only request in the batch
+ * @property earlierEndpoints [SuspectRegistry.crashedEndpoints] of the single fingerprint at the
+ * reporting host, empty unless [ranAlone]. A host that receives the reports of two crashes in the
+ * wrong order still quarantines the fingerprint.
  */
 public data class CrashReport(
     public val crashId: String,
     public val endpoint: EndpointId,
     public val fingerprints: List<Fingerprint>,
-    public val ranAlone: Boolean
+    public val ranAlone: Boolean,
+    public val earlierEndpoints: Set<EndpointId> = emptySet()
 )
 
 /** Treatment of a request. */
