Tell peers in pings whether the sender is ready

Cause: hosts that all started in a log outage could take each other's empty configuration for the newest. Change: pings and configuration replies carry readiness; a listed peer that never answers is reported to the readiness gate as silent after 5 s.

--- a/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
@@ -9,18 +9,15 @@
 import kotlin.random.Random
 
 /** Configuration of this host and whether it is known to be new enough to serve. */
-internal class ConfigDesk(
-    self: HostId,
-    private val random: Random,
-    private val outbox: Outbox
-) {
+internal class ConfigDesk(self: HostId, private val random: Random, private val outbox: Outbox) {
     private val replica = createConfigReplica()
     private val gate = createReadinessGate(self)
     private var publishedReadiness: Pair<Boolean, List<String>>? = null
     private var isLogReadable = false
     private var lastFetchAtMs = Long.MIN_VALUE / 2
     private var nextCheckpointAtMs = 0L
-    private val peerOffsets = HashMap<HostId, LogOffset>()
+    private val answeredPeers = HashSet<HostId>()
+    private val silentSinceMs = HashMap<HostId, Long>()
 
     val state: ConfigState get() = replica.state
     val configuration: Configuration get() = replica.state.configuration
@@ -44,22 +41,27 @@
     }
 
     /** Takes the state of a peer; returns whether the configuration changed. */
-    fun onReply(from: HostId, state: ConfigState): Boolean {
+    fun onReply(from: HostId, reply: PeerMessage.ConfigReply): Boolean {
         val before = replica.state.configuration
-        replica.adopt(state)
+        replica.adopt(reply.state)
         gate.onOwnOffset(replica.state.nextOffset)
-        gate.onPeerOffset(from, state.nextOffset)
+        gate.onPeerOffset(from, reply.state.nextOffset, reply.isReady)
         return publish(before)
     }
 
-    fun onPeerOffset(from: HostId, offset: LogOffset, nowMs: Long) {
-        peerOffsets[from] = offset
-        gate.onPeerOffset(from, offset)
+    fun onPeerOffset(from: HostId, offset: LogOffset, isPeerReady: Boolean, nowMs: Long) {
+        answeredPeers += from
+        gate.onPeerOffset(from, offset, isPeerReady)
         if (offset > replica.state.nextOffset) catchUp(from, nowMs)
         publishReadiness()
     }
 
-    fun onListedPeers(hosts: Set<HostId>?) {
+    /** Takes the listed peers; one that has not answered for a while is reported as silent. */
+    fun onListedPeers(hosts: Set<HostId>?, nowMs: Long) {
+        for (host in hosts.orEmpty() - answeredPeers) {
+            val sinceMs = silentSinceMs.getOrPut(host) { nowMs }
+            if (nowMs - sinceMs >= PEER_ANSWER_TIMEOUT_MS) gate.onPeerSilent(host)
+        }
         gate.onListedPeers(hosts)
         publishReadiness()
     }
@@ -104,6 +106,9 @@
 
     private companion object {
         const val FETCH_INTERVAL_MS = 200L
+
+        /** Time in which a listed peer is pinged several times. */
+        const val PEER_ANSWER_TIMEOUT_MS = 5_000L
         const val CHECKPOINT_INTERVAL_MS = 60_000L
 
         /** Retention that the log is expected to have at least. */
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -53,7 +53,10 @@
         when (input) {
             is NodeInput.Start -> onStart(input.request, nowMs)
 
-            is NodeInput.CallerGone -> applyOrigin(origin.onCallerGone(input.requestId, nowMs), nowMs)
+            is NodeInput.CallerGone -> applyOrigin(
+                origin.onCallerGone(input.requestId, nowMs),
+                nowMs
+            )
 
             is NodeInput.StreamEnded ->
                 applyOrigin(origin.onStreamEnd(input.requestId, input.end, nowMs), nowMs)
@@ -66,7 +69,7 @@
 
             is NodeInput.HostListRead -> onHostList(input, nowMs)
 
-            NodeInput.HostListFailed -> config.onListedPeers(null)
+            NodeInput.HostListFailed -> config.onListedPeers(null, nowMs)
 
             is NodeInput.LoadRead -> onLoad(input, nowMs)
 
@@ -98,12 +101,12 @@
         when (message) {
             is PeerMessage.Ping -> {
                 applyMembership(membership.onPing(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, nowMs)
+                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
             }
 
             is PeerMessage.PingAck -> {
                 applyMembership(membership.onPingAck(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, nowMs)
+                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
             }
 
             is PeerMessage.PingRequest ->
@@ -147,9 +150,12 @@
                 applyOrigin(origin.onCrashSpread(message.crashId, nowMs), nowMs)
             }
 
-            PeerMessage.ConfigFetch -> outbox.send(from, PeerMessage.ConfigReply(config.state))
+            PeerMessage.ConfigFetch -> outbox.send(
+                from,
+                PeerMessage.ConfigReply(config.state, config.isReady)
+            )
 
-            is PeerMessage.ConfigReply -> if (config.onReply(from, message.state)) refresh(nowMs)
+            is PeerMessage.ConfigReply -> if (config.onReply(from, message)) refresh(nowMs)
 
             is PeerMessage.QuotaAsk -> quota.onAsk(from, message, config.configuration, nowMs)
 
@@ -190,7 +196,10 @@
         }
         val retryAfterMs = quota.admit(request, config.configuration, nowMs)
         if (retryAfterMs != null) {
-            val rejection = Rejection.LimitExceeded("the organisation's limit is used up", retryAfterMs)
+            val rejection = Rejection.LimitExceeded(
+                "the organisation's limit is used up",
+                retryAfterMs
+            )
             reject(request, rejection)
             return
         }
@@ -215,7 +224,7 @@
         val peers = input.list.hosts
             .filter { !it.isLeaving && it.host != self.host }
             .mapTo(mutableSetOf()) { it.host }
-        config.onListedPeers(peers)
+        config.onListedPeers(peers, nowMs)
     }
 
     private fun onLoad(input: NodeInput.LoadRead, nowMs: Long) {
@@ -242,11 +251,15 @@
         for (effect in effects) {
             when (effect) {
                 is MembershipEffect.SendPing -> outbox.emit(
-                    NodeEffect.SendPeer(effect.to, effect.address, PeerMessage.Ping(effect.ping))
+                    NodeEffect.SendPeer(
+                        effect.to,
+                        effect.address,
+                        PeerMessage.Ping(effect.ping, config.isReady)
+                    )
                 )
 
                 is MembershipEffect.SendPingAck ->
-                    outbox.send(effect.to, PeerMessage.PingAck(effect.ack))
+                    outbox.send(effect.to, PeerMessage.PingAck(effect.ack, config.isReady))
 
                 is MembershipEffect.SendPingRequest ->
                     outbox.send(effect.via, PeerMessage.PingRequest(effect.target))
--- a/core/src/main/kotlin/cowslipcart/core/node/OwnedShard.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/OwnedShard.kt
@@ -42,7 +42,10 @@
             )
             return Reaction(emptyList(), repeated)
         }
-        val freed = grantId?.let { forget(it); scheduler.release(unusedReport(it), nowMs) }
+        val freed = grantId?.let {
+            forget(it)
+            scheduler.release(unusedReport(it), nowMs)
+        }
         askCounts[request.requestId] = message.askCount
         return Reaction(freed.orEmpty() + scheduler.submit(request, nowMs), null)
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -24,11 +24,13 @@
 
 /** Message between two hosts. The encoding is in the `wire` module. */
 public sealed interface PeerMessage {
-    /** Membership ping. */
-    public data class Ping(public val content: PingContent) : PeerMessage
+    /** Membership ping; [isReady] tells whether the sender serves requests. */
+    public data class Ping(public val content: PingContent, public val isReady: Boolean) :
+        PeerMessage
 
     /** Answer to a [Ping]. */
-    public data class PingAck(public val content: PingContent) : PeerMessage
+    public data class PingAck(public val content: PingContent, public val isReady: Boolean) :
+        PeerMessage
 
     /** Asks the receiver to ping [target]. */
     public data class PingRequest(public val target: HostId) : PeerMessage
@@ -138,7 +140,8 @@
     public data object ConfigFetch : PeerMessage
 
     /** Answer to a [ConfigFetch]. */
-    public data class ConfigReply(public val state: ConfigState) : PeerMessage
+    public data class ConfigReply(public val state: ConfigState, public val isReady: Boolean) :
+        PeerMessage
 
     /** Origin to quota holder: asks for tokens of an organisation. */
     public data class QuotaAsk(
--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -31,10 +31,9 @@
     fun ownerOf(shard: ShardId): HostId? = rendezvousOwner("shard/$shard", owners)
 
     /** All shards of the configuration. */
-    fun allShards(): List<ShardId> =
-        configuration.pools.values.flatMap { pool ->
-            (0 until pool.shardCount).map { ShardId(pool.id, it) }
-        }
+    fun allShards(): List<ShardId> = configuration.pools.values.flatMap { pool ->
+        (0 until pool.shardCount).map { ShardId(pool.id, it) }
+    }
 
     /** Takes changed facts; creates and drops schedulers and reconfigures the others. */
     fun refresh(
