--- /dev/null
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -0,0 +1,197 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.capacity.RefusalReason
+import cowslipcart.core.origin.KeyStanding
+import cowslipcart.wire.log.ClaimItemDocument
+import cowslipcart.wire.log.ConfigStateDocument
+import cowslipcart.wire.log.KeyDocument
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * Wire form of a message between hosts. The serial names and the short field names are part of the
+ * protocol: change them only together with [PeerCodec.VERSION].
+ */
+@Serializable
+internal sealed interface PeerMessageDocument
+
+@Serializable
+@SerialName("ping")
+internal class PingMessage(
+    @SerialName("c") val content: PingDocument,
+    @SerialName("r") val isReady: Boolean
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("ping-ack")
+internal class PingAckMessage(
+    @SerialName("c") val content: PingDocument,
+    @SerialName("r") val isReady: Boolean
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("ping-request")
+internal class PingRequestMessage(@SerialName("t") val target: String) : PeerMessageDocument
+
+@Serializable
+@SerialName("ask")
+internal class AskMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val request: CapacityRequestDocument,
+    @SerialName("n") val askCount: Long
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("granted")
+internal class GrantedMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val requestId: String,
+    @SerialName("g") val grantId: String,
+    @SerialName("e") val endpoint: String,
+    @SerialName("n") val askCount: Long
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("refused")
+internal class RefusedMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val requestId: String,
+    @SerialName("w") val reason: RefusalReason,
+    @SerialName("t") val retryAfterMs: Long? = null
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("released")
+internal class ReleasedMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val report: GrantReportDocument
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("progress")
+internal class ProgressMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val reports: List<GrantProgressDocument>
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("cancel")
+internal class CancelMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val requestId: String
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("give-way")
+internal class GiveWayMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val requestId: String,
+    @SerialName("g") val grantId: String
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("gave-way")
+internal class GaveWayMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val report: GrantReportDocument,
+    @SerialName("c") val resume: CapacityRequestDocument? = null
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("running")
+internal class RunningMessage(
+    @SerialName("s") val shard: ShardDocument,
+    @SerialName("r") val running: List<RunningGrantDocument>
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("claim")
+internal class ClaimMessage(
+    @SerialName("p") val partition: Int? = null,
+    @SerialName("c") val claim: ClaimItemDocument.Claim
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("claim-reply")
+internal class ClaimReplyMessage(
+    @SerialName("a") val attempt: String,
+    @SerialName("v") val verdict: VerdictDocument
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("claim-notice")
+internal class ClaimNoticeMessage(
+    @SerialName("p") val partition: Int? = null,
+    @SerialName("i") val item: ClaimItemDocument
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("outcome-query")
+internal class OutcomeQueryMessage(
+    @SerialName("o") val organisation: String,
+    @SerialName("r") val requestId: String,
+    @SerialName("i") val incarnation: Long
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("outcome-reply")
+internal class OutcomeReplyMessage(
+    @SerialName("r") val requestId: String,
+    @SerialName("o") val outcome: OutcomeDocument
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("key-query")
+internal class KeyQueryMessage(
+    @SerialName("r") val requestId: String,
+    @SerialName("k") val key: KeyDocument
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("key-reply")
+internal class KeyReplyMessage(
+    @SerialName("r") val requestId: String,
+    @SerialName("s") val standing: KeyStanding
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("crash")
+internal class CrashMessage(
+    @SerialName("c") val crashId: String,
+    @SerialName("e") val endpoint: String,
+    @SerialName("f") val fingerprints: List<String>,
+    @SerialName("a") val ranAlone: Boolean
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("crash-ack")
+internal class CrashAckMessage(@SerialName("c") val crashId: String) : PeerMessageDocument
+
+@Serializable
+@SerialName("config-fetch")
+internal data object ConfigFetchMessage : PeerMessageDocument
+
+@Serializable
+@SerialName("config-reply")
+internal class ConfigReplyMessage(
+    @SerialName("s") val state: ConfigStateDocument,
+    @SerialName("r") val isReady: Boolean
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("quota-ask")
+internal class QuotaAskMessage(
+    @SerialName("o") val organisation: String,
+    @SerialName("n") val askedTokens: Long
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("quota-granted")
+internal class QuotaGrantedMessage(
+    @SerialName("o") val organisation: String,
+    @SerialName("n") val grantedTokens: Long
+) : PeerMessageDocument
+
+@Serializable
+@SerialName("error")
+internal class ErrorMessage(@SerialName("d") val detail: String) : PeerMessageDocument
--- /dev/null
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -0,0 +1,89 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.wire.log.toClaimDocument
+import cowslipcart.wire.log.toDocument
+
+/** Converts a message to its wire form. */
+internal fun PeerMessage.toDocument(): PeerMessageDocument = when (this) {
+    is PeerMessage.Ping -> PingMessage(content.toDocument(), isReady)
+
+    is PeerMessage.PingAck -> PingAckMessage(content.toDocument(), isReady)
+
+    is PeerMessage.PingRequest -> PingRequestMessage(target.value)
+
+    is PeerMessage.AskCapacity,
+    is PeerMessage.CapacityGranted,
+    is PeerMessage.CapacityRefused,
+    is PeerMessage.CapacityReleased,
+    is PeerMessage.CapacityProgress,
+    is PeerMessage.CancelAsk,
+    is PeerMessage.GiveWay,
+    is PeerMessage.GaveWay,
+    is PeerMessage.RunningReport -> capacityDocument()
+
+    is PeerMessage.ClaimRequest -> ClaimMessage(partition, claim.toClaimDocument())
+
+    is PeerMessage.ClaimReply -> ClaimReplyMessage(attempt.value, verdict.toDocument())
+
+    is PeerMessage.ClaimNotice -> ClaimNoticeMessage(partition, item.toDocument())
+
+    is PeerMessage.OutcomeQuery ->
+        OutcomeQueryMessage(organisation.value, requestId.value, incarnation.value)
+
+    is PeerMessage.OutcomeReply -> OutcomeReplyMessage(requestId.value, outcome.toDocument())
+
+    is PeerMessage.KeyQuery -> KeyQueryMessage(requestId.value, key.toDocument())
+
+    is PeerMessage.KeyReply -> KeyReplyMessage(requestId.value, standing)
+
+    is PeerMessage.CrashNotice -> CrashMessage(
+        report.crashId,
+        report.endpoint.value,
+        report.fingerprints.map { it.value },
+        report.ranAlone
+    )
+
+    is PeerMessage.CrashAck -> CrashAckMessage(crashId)
+
+    PeerMessage.ConfigFetch -> ConfigFetchMessage
+
+    is PeerMessage.ConfigReply -> ConfigReplyMessage(state.toDocument(), isReady)
+
+    is PeerMessage.QuotaAsk -> QuotaAskMessage(organisation.value, askedTokens)
+
+    is PeerMessage.QuotaGranted -> QuotaGrantedMessage(organisation.value, grantedTokens)
+}
+
+private fun PeerMessage.capacityDocument(): PeerMessageDocument = when (this) {
+    is PeerMessage.AskCapacity -> AskMessage(shard.toDocument(), request.toDocument(), askCount)
+
+    is PeerMessage.CapacityGranted -> GrantedMessage(
+        shard.toDocument(),
+        requestId.value,
+        grantId.value,
+        endpoint.value,
+        askCount
+    )
+
+    is PeerMessage.CapacityRefused ->
+        RefusedMessage(shard.toDocument(), requestId.value, reason, retryAfterMs)
+
+    is PeerMessage.CapacityReleased -> ReleasedMessage(shard.toDocument(), report.toDocument())
+
+    is PeerMessage.CapacityProgress ->
+        ProgressMessage(shard.toDocument(), reports.map { it.toDocument() })
+
+    is PeerMessage.CancelAsk -> CancelMessage(shard.toDocument(), requestId.value)
+
+    is PeerMessage.GiveWay ->
+        GiveWayMessage(shard.toDocument(), requestId.value, grantId.value)
+
+    is PeerMessage.GaveWay ->
+        GaveWayMessage(shard.toDocument(), report.toDocument(), resume?.toDocument())
+
+    is PeerMessage.RunningReport ->
+        RunningMessage(shard.toDocument(), running.map { it.toDocument() })
+
+    else -> error("expected a message about capacity, found $this")
+}
