--- a/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
@@ -9,20 +9,28 @@
 import kotlin.random.Random
 
 /** Configuration of this host and whether it is known to be new enough to serve. */
-internal class ConfigDesk(self: HostId, private val random: Random, private val outbox: Outbox) {
+internal class ConfigDesk(
+    private val self: HostId,
+    private val random: Random,
+    private val outbox: Outbox
+) {
     private val replica = createConfigReplica()
     private val gate = createReadinessGate(self)
     private var publishedReadiness: Pair<Boolean, List<String>>? = null
     private var isLogReadable = false
     private var lastFetchAtMs = Long.MIN_VALUE / 2
     private var nextCheckpointAtMs = 0L
-    private val answeredPeers = HashSet<HostId>()
+    private val peers = HashMap<HostId, PeerStatus>()
     private val silentSinceMs = HashMap<HostId, Long>()
 
     val state: ConfigState get() = replica.state
     val configuration: Configuration get() = replica.state.configuration
     val isReady: Boolean get() = gate.isReady
 
+    /** What [host] said last of its configuration; for this host, what is in force. */
+    fun statusOf(host: HostId): PeerStatus? =
+        if (host == self) PeerStatus(replica.state.nextOffset, gate.isReady) else peers[host]
+
     /** Applies records; returns whether the configuration changed. */
     fun onRead(input: NodeInput.ConfigRead): Boolean {
         isLogReadable = true
@@ -50,7 +58,7 @@
     }
 
     fun onPeerOffset(from: HostId, offset: LogOffset, isPeerReady: Boolean, nowMs: Long) {
-        answeredPeers += from
+        peers[from] = PeerStatus(offset, isPeerReady)
         gate.onPeerOffset(from, offset, isPeerReady)
         if (offset > replica.state.nextOffset) catchUp(from, nowMs)
         publishReadiness()
@@ -58,7 +66,7 @@
 
     /** Takes the listed peers; one that has not answered for a while is reported as silent. */
     fun onListedPeers(hosts: Set<HostId>?, nowMs: Long) {
-        for (host in hosts.orEmpty() - answeredPeers) {
+        for (host in hosts.orEmpty() - peers.keys) {
             val sinceMs = silentSinceMs.getOrPut(host) { nowMs }
             if (nowMs - sinceMs >= PEER_ANSWER_TIMEOUT_MS) gate.onPeerSilent(host)
         }
@@ -115,3 +123,6 @@
         const val RETENTION_MS = 24 * 3_600_000L
     }
 }
+
+/** Configuration offset and readiness of a host. */
+internal data class PeerStatus(val configOffset: LogOffset, val isReady: Boolean)
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -5,12 +5,12 @@
 import cowslipcart.core.membership.MembershipEffect
 import cowslipcart.core.membership.createMembershipView
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.origin.CallerRequest
 import cowslipcart.core.origin.KeyStanding
 import cowslipcart.core.origin.OriginEffect
 import cowslipcart.core.origin.Rejection
-import cowslipcart.core.origin.RequestOutcome
 import cowslipcart.core.origin.createOriginController
 import cowslipcart.core.quarantine.CrashReport
 import cowslipcart.core.quarantine.Standing
@@ -36,6 +36,8 @@
     private val origin = createOriginController(process) { request ->
         config.configuration.pools[request.pool]?.shardCount ?: 1
     }
+    private val outcomes = OutcomeDesk(process, origin, membership, outbox)
+    private var hostsPublishedAtMs = Long.MIN_VALUE / 2
     private val knownOwners = HashMap<ShardId, HostId?>()
 
     override val openRequestCount: Int get() = origin.openCount
@@ -88,6 +90,8 @@
             is NodeInput.ClaimsAppended,
             is NodeInput.ClaimsAppendFailed -> claims.onClaimsInput(input, nowMs)
 
+            is NodeInput.FindOutcome -> outcomes.onFind(input, nowMs)
+
             is NodeInput.Drain -> {
                 applyMembership(membership.leave(nowMs), nowMs)
                 applyOrigin(origin.drain(input.limitMs, nowMs), nowMs)
@@ -129,7 +133,7 @@
 
             is PeerMessage.ClaimNotice -> claims.onNotice(message, nowMs)
 
-            is PeerMessage.OutcomeQuery -> onOutcomeQuery(from, message)
+            is PeerMessage.OutcomeQuery -> outcomes.onQuery(from, message)
 
             is PeerMessage.KeyQuery -> {
                 val standing = origin.standingOf(message.key, null)
@@ -180,8 +184,10 @@
             is PeerMessage.ClaimReply ->
                 origin.onClaimVerdict(message.attempt, message.verdict, nowMs)
 
-            is PeerMessage.OutcomeReply ->
+            is PeerMessage.OutcomeReply -> {
+                outcomes.onReply(message.requestId, message.outcome)
                 origin.onOutcome(message.requestId, message.outcome, nowMs)
+            }
 
             else -> error("expected a reply to an origin, found $message")
         }
@@ -210,15 +216,6 @@
         outbox.emit(NodeEffect.Reject(request.requestId, rejection))
     }
 
-    private fun onOutcomeQuery(from: HostId, query: PeerMessage.OutcomeQuery) {
-        val outcome = if (query.incarnation == self.incarnation) {
-            origin.outcomeOf(query.organisation, query.requestId)
-        } else {
-            RequestOutcome.Unknown
-        }
-        outbox.send(from, PeerMessage.OutcomeReply(query.requestId, outcome))
-    }
-
     private fun onHostList(input: NodeInput.HostListRead, nowMs: Long) {
         applyMembership(membership.onHostList(input.list, nowMs), nowMs)
         val peers = input.list.hosts
@@ -243,8 +240,13 @@
         claims.tick(wallNowMs, nowMs)
         config.tick(wallNowMs, nowMs)
         quota.tick(nowMs)
+        outcomes.tick(nowMs)
         shards.tick(nowMs)
         suspects.tick(nowMs)
+        if (nowMs - hostsPublishedAtMs >= HOSTS_INTERVAL_MS) {
+            hostsPublishedAtMs = nowMs
+            outbox.emit(NodeEffect.PublishHosts(describeHosts()))
+        }
     }
 
     private fun applyMembership(effects: List<MembershipEffect>, nowMs: Long) {
@@ -290,11 +292,18 @@
                 applyOrigin(origin.onOwnerChanged(shard, nowMs), nowMs)
             }
         }
-        outbox.emit(NodeEffect.PublishHosts(describeHosts()))
     }
 
     private fun describeHosts(): List<KnownHost> = membership.liveHosts.values.map {
-        KnownHost(it.host, it.peerAddress, it.domain.value, it.host in membership.owners)
+        val status = config.statusOf(it.host)
+        KnownHost(
+            it.host,
+            it.peerAddress,
+            it.domain.value,
+            it.host in membership.owners,
+            status?.configOffset ?: LogOffset(0),
+            status?.isReady ?: false
+        )
     }
 
     private fun applyOrigin(effects: List<OriginEffect>, nowMs: Long) {
@@ -408,4 +417,9 @@
             applyOrigin(origin.onCrashSpread(effect.crashId, nowMs), nowMs)
         }
     }
+
+    private companion object {
+        /** Operators see the state of hosts with this delay. */
+        const val HOSTS_INTERVAL_MS = 500L
+    }
 }
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeEffect.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeEffect.kt
@@ -16,6 +16,7 @@
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.model.Tier
 import cowslipcart.core.origin.Rejection
+import cowslipcart.core.origin.RequestOutcome
 import cowslipcart.core.origin.StoredAnswer
 
 /** Something that the I/O around the core has to do. */
@@ -87,6 +88,10 @@
     /** Poll the load of exactly these endpoints from now on. */
     public data class WatchEndpoints(public val endpoints: List<EndpointSpec>) : NodeEffect
 
+    /** Answer to [NodeInput.FindOutcome]. */
+    public data class OutcomeFound(public val queryId: Long, public val outcome: RequestOutcome) :
+        NodeEffect
+
     /** Write a log line for a routing or placement decision. */
     public data class LogDecision(public val decision: DecisionLine) : NodeEffect
 
@@ -114,5 +119,7 @@
     public val host: HostId,
     public val peerAddress: String,
     public val domain: String,
-    public val isOwner: Boolean
+    public val isOwner: Boolean,
+    public val configOffset: LogOffset,
+    public val isReady: Boolean
 )
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.origin.CallerRequest
@@ -92,6 +93,17 @@
         public val error: LogError
     ) : NodeInput
 
+    /**
+     * Somebody asks what became of a request; answered by [NodeEffect.OutcomeFound].
+     *
+     * @property organisation whose requests may be seen; null for an operator, who sees all
+     */
+    public data class FindOutcome(
+        public val queryId: Long,
+        public val organisation: OrganisationId?,
+        public val requestId: RequestId
+    ) : NodeInput
+
     /** Start of a graceful shutdown; waiting requests end after [limitMs]. */
     public data class Drain(public val limitMs: Long) : NodeInput
 
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -109,9 +109,9 @@
     public data class ClaimNotice(public val partition: Int?, public val item: ClaimItem) :
         PeerMessage
 
-    /** Asks the origin of a request what became of it. */
+    /** Asks the origin of a request what became of it; an operator's host names no organisation. */
     public data class OutcomeQuery(
-        public val organisation: OrganisationId,
+        public val organisation: OrganisationId?,
         public val requestId: RequestId,
         public val incarnation: IncarnationId
     ) : PeerMessage
--- a/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
@@ -199,9 +199,11 @@
         return emptyList()
     }
 
-    override fun outcomeOf(organisation: OrganisationId, requestId: RequestId): RequestOutcome {
+    override fun outcomeOf(organisation: OrganisationId?, requestId: RequestId): RequestOutcome {
         val tracked = table.find(requestId) ?: return RequestOutcome.Unknown
-        if (tracked.request.organisation != organisation) return RequestOutcome.Unknown
+        if (organisation != null && tracked.request.organisation != organisation) {
+            return RequestOutcome.Unknown
+        }
         return when (tracked.state) {
             RequestState.Done ->
                 table.answers.find(requestId)
--- a/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
@@ -87,8 +87,11 @@
     /** Takes no more requests; those that wait end as not run when [limitMs] is over. */
     public fun drain(limitMs: Long, nowMs: Long): List<OriginEffect>
 
-    /** Returns what is known about a request of [organisation]; another's is unknown. */
-    public fun outcomeOf(organisation: OrganisationId, requestId: RequestId): RequestOutcome
+    /**
+     * Returns what is known about a request. If [organisation] is given, a request of another one
+     * is unknown.
+     */
+    public fun outcomeOf(organisation: OrganisationId?, requestId: RequestId): RequestOutcome
 
     /** Repeats asks and claims that are due and ends requests that waited too long. */
     public fun tick(nowMs: Long): List<OriginEffect>
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/origin/RequestIds.kt
@@ -0,0 +1,23 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.RequestId
+
+/**
+ * Returns the id of the [number]th request of [process]. It names the process, so that any host can
+ * ask it what became of the request.
+ */
+public fun requestIdOf(process: AttemptOrigin, number: Long): RequestId =
+    RequestId("${process.host}$SEPARATOR${process.incarnation}$SEPARATOR$number")
+
+/** Returns the process that took the request, or null if the id has another form. */
+public fun originOf(requestId: RequestId): AttemptOrigin? {
+    val parts = requestId.value.split(SEPARATOR)
+    if (parts.size != 3) return null
+    val incarnation = parts[1].toULongOrNull(radix = 16) ?: return null
+    return AttemptOrigin(HostId(parts[0]), IncarnationId(incarnation.toLong()))
+}
+
+private const val SEPARATOR = "~"
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -0,0 +1,179 @@
+package cowslipcart.daemon
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.createNodeController
+import cowslipcart.core.origin.requestIdOf
+import cowslipcart.daemon.control.ControlLoop
+import cowslipcart.daemon.control.DecisionLog
+import cowslipcart.daemon.control.EffectRunner
+import cowslipcart.daemon.control.OutcomeBoard
+import cowslipcart.daemon.control.PublishedState
+import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.control.VerdictBoard
+import cowslipcart.daemon.endpoint.EndpointContext
+import cowslipcart.daemon.endpoint.LoadPoller
+import cowslipcart.daemon.endpoint.createHttpClient
+import cowslipcart.daemon.http.BodyReader
+import cowslipcart.daemon.http.CallerApi
+import cowslipcart.daemon.http.HttpServer
+import cowslipcart.daemon.http.OperatorApi
+import cowslipcart.daemon.http.RequestApi
+import cowslipcart.daemon.http.RequestFactory
+import cowslipcart.daemon.peer.Handshake
+import cowslipcart.daemon.peer.PeerListener
+import cowslipcart.daemon.peer.PeerNetwork
+import cowslipcart.daemon.peer.PeerServer
+import cowslipcart.daemon.peer.boundPort
+import cowslipcart.daemon.platform.HostListPoller
+import cowslipcart.daemon.platform.HttpLog
+import cowslipcart.daemon.platform.PlatformStreams
+import cowslipcart.daemon.session.SessionRegistry
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.server.engine.EmbeddedServer
+import java.security.SecureRandom
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/** A running daemon: the control loop and the I/O around it. */
+internal class Daemon private constructor(
+    private val settings: Settings,
+    selector: SelectorManager,
+    private val peerSocket: ServerSocket
+) {
+    private val log = LoggerFactory.getLogger(Daemon::class.java)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val random = SecureRandom()
+    private val host = HostId(settings.hostId)
+    private val process = AttemptOrigin(host, IncarnationId(random.nextLong()))
+    private val clock = RuntimeClock()
+    private val metrics = Metrics()
+    private val client = createHttpClient()
+    private val published = PublishedState()
+    private val registry = SessionRegistry()
+    private val handshake = Handshake(settings.peerSecret)
+    private val peers = PeerNetwork(host, scope, handshake, selector, metrics)
+    private val peerAddress =
+        settings.peerListen.copy(port = peerSocket.boundPort).toString()
+    private val identity = HostIdentity(
+        host,
+        process.incarnation,
+        DomainId(settings.failureDomain),
+        peerAddress
+    )
+    private val loop = ControlLoop(createNodeController(identity, Random(random.nextLong())), clock)
+    private val context = EndpointContext(client, clock, metrics, settings.streamIdleTimeoutMs)
+    private val streams =
+        PlatformStreams(HttpLog(client, settings.logUrl), scope, metrics, loop::submit)
+    private val poller = LoadPoller(scope, context.probe, loop::submit)
+    private val verdicts = VerdictBoard()
+    private val outcomes = OutcomeBoard(loop::submit)
+    private val requestCount = AtomicLong()
+    private var server: EmbeddedServer<*, *>? = null
+
+    /** Starts everything. Returns the ports that were bound. */
+    suspend fun start(): BoundPorts {
+        registerGauges()
+        val peerServer = PeerServer(host, handshake, metrics) { loop.submit(it) }
+        peerServer.start(scope, peerSocket)
+        loop.start(scope, effectRunner())
+        streams.start()
+        HostListPoller(client, settings.hostListUrl, loop::submit).start(scope)
+        scope.launch { reportProgress() }
+        val httpServer = httpServer().start(settings.httpListen)
+        server = httpServer
+        val httpPort = httpServer.engine.resolvedConnectors().first().port
+        log.info("host {} started, incarnation {}", host, process.incarnation)
+        return BoundPorts(httpPort, peerSocket.boundPort)
+    }
+
+    /**
+     * Shuts down gracefully: not ready first, then no new requests, then the end of all open ones.
+     * Streams in flight are awaited without limit; requests that wait for capacity end after the
+     * drain limit.
+     */
+    suspend fun drain() {
+        log.info("shutting down: not ready from now on")
+        published.isDraining.value = true
+        delay(settings.drainNoticeMs)
+        loop.submit(NodeInput.Drain(settings.drainLimitMs))
+        while (loop.openRequestCount() > 0 || registry.size > 0) delay(DRAIN_POLL_MS)
+        // Leaves time for the last bytes of answers and the last messages to peers.
+        delay(LAST_WORDS_MS)
+        server?.stop(gracePeriodMillis = 100, timeoutMillis = 1_000)
+        scope.cancel()
+        log.info("shut down")
+    }
+
+    private fun effectRunner() = EffectRunner(
+        published,
+        registry,
+        peers,
+        streams,
+        poller,
+        verdicts,
+        outcomes,
+        DecisionLog(metrics)
+    )
+
+    private fun httpServer(): HttpServer {
+        val bodies = BodyReader(settings.maxBodyBytes)
+        val factory = RequestFactory { requestIdOf(process, requestCount.incrementAndGet()) }
+        val callers =
+            CallerApi(published, factory, context, registry, scope, bodies, loop::submit)
+        val operators =
+            OperatorApi(published, streams, verdicts, bodies, settings.operatorToken)
+        return HttpServer(callers, RequestApi(published, outcomes), operators, published, metrics)
+    }
+
+    private suspend fun CoroutineScope.reportProgress() {
+        while (isActive) {
+            delay(PROGRESS_INTERVAL_MS)
+            val progress = registry.collectProgress()
+            if (progress.isNotEmpty()) loop.submit(NodeInput.StreamProgress(progress))
+        }
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("cowslipcart_open_sessions", "Requests in work on this host") {
+            registry.size.toDouble()
+        }
+        metrics.gauge("cowslipcart_ready", "1 if the host takes requests") {
+            if (published.isReady) 1.0 else 0.0
+        }
+        metrics.gauge("cowslipcart_config_revision", "Revision in force") {
+            published.configuration.value.configuration.revision.value.toDouble()
+        }
+        metrics.gauge("cowslipcart_control_busy_seconds", "Time spent on control") {
+            loop.busyNs / 1e9
+        }
+    }
+
+    companion object {
+        /** Binds the peer socket and creates a daemon that is not started yet. */
+        suspend fun create(settings: Settings): Daemon {
+            val selector = SelectorManager(Dispatchers.IO)
+            return Daemon(settings, selector, PeerListener(selector).bind(settings.peerListen))
+        }
+
+        private const val PROGRESS_INTERVAL_MS = 1_000L
+        private const val DRAIN_POLL_MS = 50L
+        private const val LAST_WORDS_MS = 200L
+    }
+}
+
+/** Ports that a daemon has bound. */
+internal data class BoundPorts(val httpPort: Int, val peerPort: Int)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
@@ -1,4 +1,6 @@
 package cowslipcart.daemon
 
-/** Entry point. */
-public fun main(): Unit = println("cowslipcart daemon")
+import com.github.ajalt.clikt.core.main
+
+/** Entry point of `cowslipcartd`. */
+public fun main(args: Array<String>): Unit = DaemonCommand().main(args)
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
@@ -0,0 +1,69 @@
+package cowslipcart.daemon
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Metrics of this process. */
+internal class Metrics {
+    private val registry = PrometheusRegistry()
+    private val writer = PrometheusTextFormatWriter.builder().build()
+
+    /** Answers to callers by tier and result: `answered`, or the name of the problem. */
+    val requests: Counter = counter(
+        "cowslipcart_requests",
+        "Answers to callers",
+        "tier",
+        "result"
+    )
+
+    val tokens: Counter = counter("cowslipcart_output_tokens", "Output tokens from endpoints")
+
+    val decisions: Counter = counter(
+        "cowslipcart_decisions",
+        "Decisions of shard owners",
+        "choice"
+    )
+
+    val foreignAnswers: Counter =
+        counter("cowslipcart_foreign_answers", "Endpoint replies that named another request")
+
+    val peerFrames: Counter =
+        counter("cowslipcart_peer_frames", "Frames between hosts", "direction")
+
+    val peerBytes: Counter =
+        counter("cowslipcart_peer_bytes", "Bytes of frames between hosts", "direction")
+
+    val peerErrors: Counter =
+        counter("cowslipcart_peer_errors", "Faults in the peer protocol", "kind")
+
+    val logCalls: Counter = counter("cowslipcart_log_calls", "Calls to the log", "call", "result")
+
+    val firstToken: Histogram = Histogram.builder()
+        .name("cowslipcart_first_token_seconds")
+        .help("Time from arrival to the first byte of the answer")
+        .labelNames("tier")
+        .register(registry)
+
+    /** Registers a gauge that is read when metrics are collected. */
+    fun gauge(name: String, help: String, read: () -> Double) {
+        GaugeWithCallback.builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(read()) }
+            .register(registry)
+    }
+
+    /** All metrics in the Prometheus text format. */
+    fun render(): ByteArray {
+        val buffer = ByteArrayOutputStream()
+        writer.write(buffer, registry.scrape())
+        return buffer.toByteArray()
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/DecisionLog.kt
@@ -0,0 +1,25 @@
+package cowslipcart.daemon.control
+
+import cowslipcart.core.node.DecisionLine
+import cowslipcart.daemon.Metrics
+import org.slf4j.LoggerFactory
+import org.slf4j.event.Level
+
+/** Writes one log line for each routing or placement decision. */
+internal class DecisionLog(private val metrics: Metrics) {
+    private val log = LoggerFactory.getLogger("cowslipcart.decision")
+
+    fun write(line: DecisionLine) {
+        metrics.decisions.labelValues(line.choice.substringBefore(' ')).inc()
+        log.makeLoggingEventBuilder(Level.INFO)
+            .addKeyValue("request", line.requestId.value)
+            .addKeyValue("organisation", line.organisation.value)
+            .addKeyValue("tier", line.tier.rank)
+            .addKeyValue("shard", line.shard.toString())
+            .addKeyValue("candidates", line.candidates.joinToString(",") { it.value })
+            .addKeyValue("choice", line.choice)
+            .addKeyValue("reason", line.reason)
+            .addKeyValue("revision", line.revision.value)
+            .log("decision")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
@@ -0,0 +1,91 @@
+package cowslipcart.daemon.control
+
+import cowslipcart.core.node.NodeEffect
+import cowslipcart.daemon.endpoint.LoadPoller
+import cowslipcart.daemon.peer.PeerNetwork
+import cowslipcart.daemon.platform.PlatformStreams
+import cowslipcart.daemon.session.SessionCommand
+import cowslipcart.daemon.session.SessionRegistry
+import org.slf4j.LoggerFactory
+
+/** Performs the effects of control by handing them to traffic; nothing here waits. */
+internal class EffectRunner(
+    private val published: PublishedState,
+    private val registry: SessionRegistry,
+    private val peers: PeerNetwork,
+    private val streams: PlatformStreams,
+    private val poller: LoadPoller,
+    private val verdicts: VerdictBoard,
+    private val outcomes: OutcomeBoard,
+    private val decisions: DecisionLog
+) : EffectHandler {
+    private val log = LoggerFactory.getLogger(EffectRunner::class.java)
+
+    override fun perform(effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.SendPeer -> peers.send(effect.to, effect.address, effect.message)
+
+            is NodeEffect.ForgetPeer -> peers.forget(effect.host)
+
+            is NodeEffect.Dispatch -> registry.command(
+                effect.requestId,
+                SessionCommand.Dispatch(
+                    effect.grantId,
+                    effect.shard,
+                    effect.endpoint,
+                    effect.isResume
+                )
+            )
+
+            is NodeEffect.InterruptStream ->
+                registry.command(effect.requestId, SessionCommand.Interrupt)
+
+            is NodeEffect.CancelStream -> registry.command(effect.requestId, SessionCommand.Cancel)
+
+            is NodeEffect.Reject ->
+                registry.command(effect.requestId, SessionCommand.Reject(effect.rejection))
+
+            is NodeEffect.Replay ->
+                registry.command(effect.requestId, SessionCommand.Replay(effect.answer))
+
+            is NodeEffect.AppendClaims ->
+                streams.appendClaims(effect.partition, effect.batch, effect.items)
+
+            is NodeEffect.ReadClaims -> streams.readClaims(effect.partition, effect.from)
+
+            is NodeEffect.AppendEpoch -> streams.appendEpoch(effect.entry)
+
+            is NodeEffect.AppendConfig -> streams.appendConfigLater(effect.entry)
+
+            NodeEffect.ReadConfigNow -> streams.readConfigNow()
+
+            is NodeEffect.ConfigDecided -> verdicts.post(effect.verdict)
+
+            is NodeEffect.PublishConfiguration -> publish(effect)
+
+            is NodeEffect.PublishReadiness -> {
+                log.info("ready: {}, missing: {}", effect.isReady, effect.missing)
+                published.readiness.value = Readiness(effect.isReady, effect.missing)
+            }
+
+            is NodeEffect.WatchEndpoints -> poller.watch(effect.endpoints)
+
+            is NodeEffect.OutcomeFound -> outcomes.found(effect.queryId, effect.outcome)
+
+            is NodeEffect.LogDecision -> decisions.write(effect.decision)
+
+            is NodeEffect.PublishHosts -> published.hosts.value = effect.hosts
+        }
+    }
+
+    private fun publish(effect: NodeEffect.PublishConfiguration) {
+        val configuration = effect.configuration
+        log.info(
+            "configuration revision {} in force, preset {}",
+            configuration.revision,
+            configuration.presetInForce
+        )
+        published.configuration.value =
+            PublishedConfiguration(configuration, effect.nextOffset)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/RuntimeClock.kt
@@ -0,0 +1,20 @@
+package cowslipcart.daemon.control
+
+import kotlin.time.Clock
+import kotlin.time.ExperimentalTime
+import kotlin.time.TimeSource
+
+/** Clock of the process; tests give their own [TimeSource] and [Clock]. */
+@OptIn(ExperimentalTime::class)
+internal class RuntimeClock(
+    timeSource: TimeSource = TimeSource.Monotonic,
+    private val wallClock: Clock = Clock.System
+) {
+    private val start = timeSource.markNow()
+
+    /** Monotonic time since the process started. */
+    fun nowMs(): Long = start.elapsedNow().inWholeMilliseconds
+
+    /** Wall clock, milliseconds since 1970. */
+    fun wallNowMs(): Long = wallClock.now().toEpochMilliseconds()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/EndpointContext.kt
@@ -0,0 +1,43 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.control.RuntimeClock
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import java.io.IOException
+import java.net.ConnectException
+
+/** What all exchanges of this host share. */
+internal class EndpointContext(
+    val client: HttpClient,
+    val clock: RuntimeClock,
+    val metrics: Metrics,
+    val idleTimeoutMs: Long
+) {
+    val probe = EndpointProbe(client)
+}
+
+/** Creates the HTTP client for endpoints and the platform. It never repeats a request by itself. */
+internal fun createHttpClient(): HttpClient = HttpClient(CIO) {
+    expectSuccess = false
+    followRedirects = false
+    engine {
+        requestTimeout = 0
+        maxConnectionsCount = MAX_CONNECTIONS
+        endpoint {
+            maxConnectionsPerRoute = MAX_CONNECTIONS
+            pipelineMaxSize = 1
+            connectTimeout = CONNECT_TIMEOUT_MS
+            connectAttempts = 1
+        }
+    }
+}
+
+/** Whether [e] proves that no byte was sent. */
+internal fun isConnectFailure(e: IOException): Boolean =
+    e is ConnectException || e is ConnectTimeoutException
+
+private const val MAX_CONNECTIONS = 10_000
+private const val CONNECT_TIMEOUT_MS = 2_000L
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ExchangeTimer.kt
@@ -0,0 +1,28 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.model.GrantId
+import cowslipcart.daemon.control.RuntimeClock
+
+/** Measures one exchange. */
+internal class ExchangeTimer(private val clock: RuntimeClock, private val grantId: GrantId) {
+    private val startMs = clock.nowMs()
+    private var firstTokenMs: Long? = null
+    private var tokenCount = 0
+
+    fun onToken() {
+        if (firstTokenMs == null) firstTokenMs = clock.nowMs() - startMs
+        tokenCount++
+    }
+
+    fun report(end: GrantEnd, prefillTokens: Int, cachedTokens: Int) = GrantReport(
+        grantId = grantId,
+        end = end,
+        prefillTokens = prefillTokens,
+        cachedTokens = cachedTokens,
+        outputTokens = tokenCount,
+        firstTokenMs = firstTokenMs,
+        durationMs = clock.nowMs() - startMs
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/LoadPoller.kt
@@ -0,0 +1,52 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.node.NodeInput
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+
+/** Polls the load of the endpoints of the shards that this host owns. */
+internal class LoadPoller(
+    private val scope: CoroutineScope,
+    private val probe: EndpointProbe,
+    private val control: (NodeInput) -> Unit
+) {
+    private val jobs = ConcurrentHashMap<EndpointId, Pair<EndpointSpec, Job>>()
+
+    /** Polls exactly [endpoints] from now on. */
+    fun watch(endpoints: List<EndpointSpec>) {
+        val wanted = endpoints.associateBy { it.id }
+        for ((id, running) in jobs) {
+            if (wanted[id] != running.first) {
+                running.second.cancel()
+                jobs.remove(id)
+            }
+        }
+        for (endpoint in endpoints) {
+            jobs.computeIfAbsent(endpoint.id) { endpoint to scope.launch { poll(endpoint) } }
+        }
+    }
+
+    private suspend fun CoroutineScope.poll(endpoint: EndpointSpec) {
+        while (isActive) {
+            val report = probe.readLoad(endpoint)
+            control(
+                if (report == null) {
+                    NodeInput.LoadFailed(endpoint.id)
+                } else {
+                    NodeInput.LoadRead(report)
+                }
+            )
+            delay(POLL_INTERVAL_MS)
+        }
+    }
+
+    private companion object {
+        const val POLL_INTERVAL_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
@@ -0,0 +1,246 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.daemon.session.AnswerRecorder
+import cowslipcart.daemon.session.CallerOutput
+import io.ktor.client.HttpClient
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.HttpStatement
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readLine
+import java.io.IOException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+
+/**
+ * Exchange with a model engine. The engine's stream is read as server-sent events; each event has a
+ * sequence number, and a gap or a repeat ends the request, since its answer would not be whole.
+ */
+internal class ModelExchange(
+    private val context: EndpointContext,
+    private val requestId: RequestId,
+    private val body: String,
+    private val answer: ModelAnswer,
+    private val recorder: AnswerRecorder?,
+    private val promptTokens: Int
+) : Exchange {
+    private enum class Stop { NONE, INTERRUPT, CANCEL }
+
+    private val client: HttpClient get() = context.client
+
+    @Volatile
+    private var stop = Stop.NONE
+
+    @Volatile
+    private var endpoint: EndpointSpec? = null
+
+    /** Result of stopping the stream; the stream can end before the engine has answered. */
+    @Volatile
+    private var canResume = CompletableDeferred<Boolean>()
+
+    @Volatile
+    override var receivedTokens: Int = 0
+        private set
+
+    private var nextSequence = 0L
+    private var usage: ModelChunk.Usage? = null
+
+    override suspend fun run(
+        start: ExchangeStart,
+        write: suspend (CallerOutput) -> Unit
+    ): StreamEnd {
+        endpoint = start.endpoint
+        stop = Stop.NONE
+        canResume = CompletableDeferred()
+        val timer = ExchangeTimer(context.clock, start.grantId)
+        return try {
+            statement(start).execute { response -> read(start, response, timer, write) }
+        } catch (e: IOException) {
+            ended(start, timer, e)
+        }
+    }
+
+    override suspend fun interrupt() = stopStream(Stop.INTERRUPT)
+
+    override suspend fun cancel() = stopStream(Stop.CANCEL)
+
+    private suspend fun stopStream(reason: Stop) {
+        val endpoint = endpoint ?: return
+        stop = reason
+        val isStopped = try {
+            val url = "http://${endpoint.address}/streams/${requestId.value}/cancel"
+            client.post(url).status.isSuccess()
+        } catch (_: IOException) {
+            false
+        }
+        canResume.complete(isStopped && endpoint.canResume)
+    }
+
+    private suspend fun statement(start: ExchangeStart): HttpStatement {
+        val base = "http://${start.endpoint.address}"
+        val path = if (start.isResume) {
+            "/streams/${requestId.value}/resume?from=$nextSequence"
+        } else {
+            "/v1/chat/completions"
+        }
+        return client.preparePost(base + path) {
+            header(REQUEST_ID_HEADER, requestId.value)
+            // A stale kept-alive connection would end the request as unknown.
+            header(HttpHeaders.Connection, "close")
+            contentType(ContentType.Application.Json)
+            if (!start.isResume) setBody(body)
+        }
+    }
+
+    private suspend fun read(
+        start: ExchangeStart,
+        response: HttpResponse,
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
+    ): StreamEnd {
+        val echoed = response.headers[REQUEST_ID_HEADER]
+        if (echoed != null && echoed != requestId.value) {
+            context.metrics.foreignAnswers.inc()
+            return broken(timer, "the endpoint answered for request $echoed", false)
+        }
+        if (!response.status.isSuccess()) return refused(start, response, timer, write)
+        return when (val fault = readEvents(response.bodyAsChannel(), timer, write)) {
+            null -> completed(timer, write)
+            END_OF_STREAM -> ended(start, timer, null)
+            else -> broken(timer, fault, false)
+        }
+    }
+
+    /** Returns null after a complete stream, else what was wrong. */
+    private suspend fun readEvents(
+        channel: ByteReadChannel,
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
+    ): String? {
+        while (true) {
+            val line = withTimeoutOrNull(context.idleTimeoutMs) { Line(channel.readLine()) }
+                ?: return "the endpoint was silent for ${context.idleTimeoutMs} ms"
+            val text = line.text ?: return END_OF_STREAM
+            if (!text.startsWith(DATA_PREFIX)) continue
+            val data = text.removePrefix(DATA_PREFIX)
+            if (data == DONE) return null
+            onData(data, timer, write)?.let { return it }
+        }
+    }
+
+    private suspend fun onData(
+        data: String,
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
+    ): String? {
+        val chunk = try {
+            ModelChunk.parse(data)
+        } catch (e: SerializationException) {
+            return "expected a chat completion chunk, found: ${e.message}"
+        }
+        if (chunk.sequence != null) {
+            if (chunk.sequence != nextSequence) {
+                return "expected event $nextSequence of the stream, found ${chunk.sequence}"
+            }
+            nextSequence++
+        }
+        if (chunk.choices.firstOrNull()?.delta?.content != null) {
+            timer.onToken()
+            receivedTokens++
+            context.metrics.tokens.inc()
+        }
+        chunk.usage?.let { usage = it }
+        answer.onChunk(chunk, data, write)
+        return null
+    }
+
+    private suspend fun completed(
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
+    ): StreamEnd {
+        answer.onEnd(write)
+        return StreamEnd.Completed(report(timer, GrantEnd.COMPLETED), recorder?.answer())
+    }
+
+    /** The engine's error to the caller's request is an answer; others leave the outcome open. */
+    private suspend fun refused(
+        start: ExchangeStart,
+        response: HttpResponse,
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
+    ): StreamEnd {
+        val status = response.status.value
+        if (status == 503 && response.headers[NOT_RUN_HEADER] == "true") {
+            return StreamEnd.ProvenNotRun(
+                report(timer, GrantEnd.FAILED),
+                "the endpoint ${start.endpoint.id} refused the request"
+            )
+        }
+        if (status !in 400..499 || start.isResume) {
+            return broken(timer, "the endpoint answered with status $status", false)
+        }
+        val text = response.bodyAsText().take(AnswerRecorder.MAX_BYTES)
+        recorder?.begin(status, ModelAnswer.JSON_TYPE)
+        recorder?.append(text)
+        write(CallerOutput.Head(status, ModelAnswer.JSON_TYPE))
+        write(CallerOutput.Body(text.encodeToByteArray()))
+        return StreamEnd.Completed(report(timer, GrantEnd.COMPLETED), recorder?.answer())
+    }
+
+    /** The stream ended early: it was stopped from here, was never sent, or broke. */
+    private suspend fun ended(
+        start: ExchangeStart,
+        timer: ExchangeTimer,
+        e: IOException?
+    ): StreamEnd = when {
+        stop == Stop.INTERRUPT -> StreamEnd.Interrupted(
+            report(timer, GrantEnd.CANCELLED),
+            receivedTokens,
+            withTimeoutOrNull(STOP_TIMEOUT_MS) { canResume.await() } ?: false
+        )
+
+        stop == Stop.CANCEL -> StreamEnd.CallerGone(report(timer, GrantEnd.CANCELLED))
+
+        e != null && isConnectFailure(e) && !start.isResume -> StreamEnd.ProvenNotRun(
+            report(timer, GrantEnd.FAILED),
+            "the endpoint ${start.endpoint.id} refused the connection"
+        )
+
+        else -> {
+            val hasCrashed = context.probe.readLoad(start.endpoint) == null
+            broken(timer, "the stream of endpoint ${start.endpoint.id} broke off", hasCrashed)
+        }
+    }
+
+    private fun broken(timer: ExchangeTimer, detail: String, hasCrashed: Boolean) =
+        StreamEnd.Broken(report(timer, GrantEnd.FAILED), detail, hasCrashed)
+
+    private fun report(timer: ExchangeTimer, end: GrantEnd) =
+        timer.report(end, usage?.promptTokens ?: promptTokens, usage?.cachedTokens ?: 0)
+
+    /** Tells the end of the stream from a timeout. */
+    private class Line(val text: String?)
+
+    private companion object {
+        const val REQUEST_ID_HEADER = "X-Request-Id"
+        const val NOT_RUN_HEADER = "X-Not-Run"
+        const val DATA_PREFIX = "data: "
+        const val DONE = "[DONE]"
+        const val STOP_TIMEOUT_MS = 1_000L
+        const val END_OF_STREAM = "the stream ended without its end mark"
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
@@ -0,0 +1,138 @@
+package cowslipcart.daemon.http
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.OrganisationSpec
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.daemon.control.PublishedState
+import cowslipcart.daemon.endpoint.EndpointContext
+import cowslipcart.daemon.endpoint.Exchange
+import cowslipcart.daemon.endpoint.ModelAnswer
+import cowslipcart.daemon.endpoint.ModelExchange
+import cowslipcart.daemon.endpoint.ServiceCall
+import cowslipcart.daemon.endpoint.ServiceExchange
+import cowslipcart.daemon.session.AnswerRecorder
+import cowslipcart.daemon.session.RequestSession
+import cowslipcart.daemon.session.SessionRegistry
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentType
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.queryString
+import kotlinx.coroutines.CoroutineScope
+
+/** Takes callers' requests and runs a session for each. */
+internal class CallerApi(
+    private val published: PublishedState,
+    private val factory: RequestFactory,
+    private val context: EndpointContext,
+    private val registry: SessionRegistry,
+    private val scope: CoroutineScope,
+    private val bodies: BodyReader,
+    private val control: (NodeInput) -> Unit
+) {
+    /** Handles `POST /v1/chat/completions`. */
+    suspend fun chat(call: ApplicationCall) {
+        val startMs = context.clock.nowMs()
+        val prepared = either {
+            val organisation = admit(call).bind()
+            val body = bodies.read(call).bind()
+            val chat = ChatRequest.parse(body).bind()
+            val configuration = published.configuration.value.configuration
+            val request =
+                factory.chat(chat, call.request.headers, organisation, configuration).bind()
+            newSession(request, modelExchange(request, chat))
+        }
+        serve(call, prepared, startMs)
+    }
+
+    /** Handles a call under `/services/{pool}`. */
+    suspend fun service(call: ApplicationCall, pool: String, path: String) {
+        val startMs = context.clock.nowMs()
+        val prepared = either {
+            val organisation = admit(call).bind()
+            val body = bodies.read(call).bind()
+            val query = call.request.queryString().let { if (it.isEmpty()) "" else "?$it" }
+            val method = call.request.httpMethod.value
+            val incoming = IncomingServiceCall(pool, method, path, path + query, body)
+            val configuration = published.configuration.value.configuration
+            val request = factory
+                .service(incoming, call.request.headers, organisation, configuration).bind()
+            newSession(request, serviceExchange(call, request, incoming))
+        }
+        serve(call, prepared, startMs)
+    }
+
+    /** Checks readiness and the bearer token. */
+    fun admit(call: ApplicationCall): Either<HttpError, OrganisationSpec> = either {
+        val configuration = published.configuration.value.configuration
+        val organisation = authenticate(call.request.headers, configuration).bind()
+        ensure(published.isReady) {
+            HttpError.NotServing("this host does not take requests now")
+        }
+        organisation
+    }
+
+    private fun modelExchange(request: CallerRequest, chat: ChatRequest): Exchange {
+        val recorder = recorderFor(request.key)
+        val answer = if (chat.isStream) {
+            ModelAnswer.Events(recorder)
+        } else {
+            ModelAnswer.Whole(request.requestId.value, chat.model, recorder)
+        }
+        return ModelExchange(
+            context,
+            request.requestId,
+            chat.toEndpointBody(),
+            answer,
+            recorder,
+            request.prefillTokens
+        )
+    }
+
+    private fun serviceExchange(
+        call: ApplicationCall,
+        request: CallerRequest,
+        incoming: IncomingServiceCall
+    ): Exchange {
+        val hasType = call.request.headers[HttpHeaders.ContentType] != null
+        val serviceCall = ServiceCall(
+            incoming.method,
+            incoming.pathAndQuery,
+            if (hasType) call.request.contentType().toString() else null,
+            incoming.body,
+            request.key?.uuid
+        )
+        return ServiceExchange(context, request.requestId, serviceCall, recorderFor(request.key))
+    }
+
+    private fun recorderFor(key: RequestKey?) =
+        key?.let { AnswerRecorder(AnswerRecorder.MAX_BYTES) }
+
+    private fun newSession(request: CallerRequest, exchange: Exchange) =
+        RequestSession(request, exchange, control, registry::remove)
+
+    private suspend fun serve(
+        call: ApplicationCall,
+        prepared: Either<HttpError, RequestSession>,
+        startMs: Long
+    ) {
+        prepared.fold(
+            { error -> call.respondProblem(error.toProblem(), null) },
+            { session ->
+                registry.add(session)
+                session.start(scope)
+                SessionResponse(session, context, tierName(session.request)).write(call, startMs)
+            }
+        )
+    }
+
+    private fun tierName(request: CallerRequest): String {
+        val configuration: Configuration = published.configuration.value.configuration
+        return configuration.tiers[request.tier]?.name ?: request.tier.toString()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/DuplicateKeys.kt
@@ -0,0 +1,49 @@
+package cowslipcart.daemon.http
+
+/**
+ * Finds an object of a JSON text that has a key twice. The text must be valid JSON. Readers differ
+ * on which of two values counts, so such a document is refused.
+ *
+ * @return the key, or null if there is none
+ */
+internal fun findDuplicateKey(json: String): String? = DuplicateKeyScan(json).run()
+
+private class DuplicateKeyScan(private val json: String) {
+    private var position = 0
+
+    /** Keys seen in each open object; null for an open array. */
+    private val open = ArrayDeque<MutableSet<String>?>()
+
+    fun run(): String? {
+        while (position < json.length) {
+            when (json[position]) {
+                '{' -> open.addLast(mutableSetOf())
+
+                '[' -> open.addLast(null)
+
+                '}', ']' -> open.removeLast()
+
+                '"' -> {
+                    val text = readString()
+                    if (isKey() && open.lastOrNull()?.add(text) == false) return text
+                    continue
+                }
+            }
+            position++
+        }
+        return null
+    }
+
+    /** Returns the raw text of the string at [position] and moves behind it. */
+    private fun readString(): String {
+        val start = ++position
+        while (json[position] != '"') position += if (json[position] == '\\') 2 else 1
+        return json.substring(start, position++)
+    }
+
+    private fun isKey(): Boolean {
+        var next = position
+        while (next < json.length && json[next].isWhitespace()) next++
+        return next < json.length && json[next] == ':'
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
@@ -0,0 +1,83 @@
+package cowslipcart.daemon.http
+
+import cowslipcart.core.origin.Rejection
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Error of the HTTP layer; errors of the layers below are converted to it. */
+internal sealed interface HttpError {
+    val detail: String
+
+    /** The request is wrong; [status] is 400, 404, 413 or 422. */
+    data class BadRequest(override val detail: String, val status: Int = 400) : HttpError
+
+    data class Unauthenticated(override val detail: String) : HttpError
+
+    /** This host does not take requests now; the request did not run. */
+    data class NotServing(override val detail: String) : HttpError
+
+    /** Control rejected the request. */
+    data class Rejected(val rejection: Rejection) : HttpError {
+        override val detail: String get() = rejection.detail
+    }
+}
+
+/** Problem document of RFC 9457. */
+@Serializable
+internal data class ProblemDocument(
+    val type: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    @SerialName("request_id") val requestId: String? = null
+) {
+    fun toJson(): String = Json.encodeToString(serializer(), this)
+}
+
+/** A problem with its headers; [name] is the last part of its type. */
+internal data class Problem(
+    val name: String,
+    val title: String,
+    val status: Int,
+    val detail: String,
+    val retryAfterMs: Long? = null
+) {
+    fun toDocument(requestId: String?) =
+        ProblemDocument("urn:cowslipcart:problem:$name", title, status, detail, requestId)
+
+    companion object {
+        const val CONTENT_TYPE = "application/problem+json"
+    }
+}
+
+/** Converts an error to the problem that the caller gets. */
+internal fun HttpError.toProblem(): Problem = when (this) {
+    is HttpError.BadRequest -> Problem("bad-request", "Bad request", status, detail)
+
+    is HttpError.Unauthenticated ->
+        Problem("unauthenticated", "Unauthenticated", 401, detail)
+
+    is HttpError.NotServing -> Problem("not-run", "Not run", 503, detail, RETRY_AFTER_MS)
+
+    is HttpError.Rejected -> rejection.toProblem()
+}
+
+private fun Rejection.toProblem(): Problem = when (this) {
+    is Rejection.NotRun -> Problem("not-run", "Not run", 503, detail, retryAfterMs)
+
+    is Rejection.OutcomeUnknown ->
+        Problem("outcome-unknown", "Outcome unknown", 502, detail)
+
+    is Rejection.StillRunning ->
+        Problem("outcome-unknown", "Still running", 409, detail, retryAfterMs)
+
+    is Rejection.LimitExceeded ->
+        Problem("limit-exceeded", "Limit exceeded", 429, detail, retryAfterMs)
+
+    is Rejection.Quarantined -> Problem("quarantined", "Quarantined", 422, detail)
+
+    is Rejection.BadRequest -> Problem("bad-request", "Bad request", 422, detail)
+}
+
+private const val RETRY_AFTER_MS = 1_000L
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
@@ -0,0 +1,116 @@
+package cowslipcart.daemon.http
+
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.control.PublishedState
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+
+/** The HTTP interface of a daemon: callers, operators, health and metrics. */
+internal class HttpServer(
+    private val callers: CallerApi,
+    private val requests: RequestApi,
+    private val operators: OperatorApi,
+    private val published: PublishedState,
+    private val metrics: Metrics
+) {
+    /** Binds [listen] and serves; the caller stops the returned server. */
+    fun start(listen: SocketAddressSetting): EmbeddedServer<*, *> =
+        embeddedServer(CIO, port = listen.port, host = listen.ip) {
+            intercept(ApplicationCallPipeline.Plugins) {
+                val fault = findHeaderFault(call)
+                if (fault != null) {
+                    call.respondProblem(HttpError.BadRequest(fault).toProblem(), null)
+                    finish()
+                }
+            }
+            routing {
+                callerRoutes()
+                operatorRoutes()
+                healthRoutes()
+            }
+        }.start(wait = false)
+
+    private fun Route.callerRoutes() {
+        post("/v1/chat/completions") { callers.chat(call) }
+        get("/v1/requests/{id}") { requests.showToCaller(call, call.parameters["id"].orEmpty()) }
+        route("/services/{pool}/{path...}") {
+            handle {
+                val pool = call.parameters["pool"].orEmpty()
+                val path = call.parameters.getAll("path").orEmpty().joinToString("/", "/")
+                callers.service(call, pool, path)
+            }
+        }
+    }
+
+    private fun Route.operatorRoutes() = route("/admin") {
+        get("/config") { authorised { operators.config(call) } }
+        post("/publish") { authorised { operators.publish(call) } }
+        post("/preset") { authorised { operators.switchPreset(call) } }
+        get("/hosts") { authorised { operators.hosts(call) } }
+        get("/endpoints") { authorised { operators.endpoints(call) } }
+        get("/log") { authorised { operators.log(call) } }
+        get("/requests/{id}") {
+            authorised { requests.showToOperator(call, call.parameters["id"].orEmpty()) }
+        }
+    }
+
+    private fun Route.healthRoutes() {
+        get("/healthz") { call.respondText("ok\n") }
+        get("/readyz") {
+            if (published.isReady) {
+                call.respondText("ready\n")
+            } else {
+                val missing = if (published.isDraining.value) {
+                    listOf("shutting down")
+                } else {
+                    published.readiness.value.missing
+                }
+                call.respondText(
+                    missing.joinToString("\n", "not ready\n", "\n"),
+                    ContentType.Text.Plain,
+                    HttpStatusCode.ServiceUnavailable
+                )
+            }
+        }
+        get("/metrics") {
+            call.respondBytes(metrics.render(), ContentType.Text.Plain)
+        }
+    }
+
+    private suspend fun RoutingContext.authorised(block: suspend () -> Unit) {
+        if (operators.isAuthorised(call)) block()
+    }
+
+    private fun findHeaderFault(call: ApplicationCall): String? {
+        val headers = call.request.headers
+        val count = headers.entries().sumOf { it.value.size }
+        if (count > MAX_HEADERS) return "headers: expected at most $MAX_HEADERS, found $count"
+        val chars = headers.entries().sumOf { (name, values) ->
+            values.sumOf { name.length + it.length }
+        }
+        if (chars > MAX_HEADER_CHARS) {
+            return "headers: expected at most $MAX_HEADER_CHARS characters, found $chars"
+        }
+        return null
+    }
+
+    private companion object {
+        const val MAX_HEADERS = 64
+        const val MAX_HEADER_CHARS = 16 * 1024
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestApi.kt
@@ -0,0 +1,45 @@
+package cowslipcart.daemon.http
+
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.origin.RequestOutcome
+import cowslipcart.daemon.control.PublishedState
+import cowslipcart.wire.admin.RequestDocument
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondText
+import kotlinx.serialization.json.Json
+
+/** Looks up what became of a request, on this host or on the one that took it. */
+internal fun interface OutcomeLookup {
+    /** Awaits the outcome; an [organisation] sees its own requests only, null sees all. */
+    suspend fun find(organisation: OrganisationId?, requestId: RequestId): RequestOutcome
+}
+
+/** Shows what became of a request. */
+internal class RequestApi(
+    private val published: PublishedState,
+    private val lookup: OutcomeLookup
+) {
+    /** Handles `GET /v1/requests/{id}`. */
+    suspend fun showToCaller(call: ApplicationCall, id: String) {
+        authenticate(call.request.headers, published.configuration.value.configuration).fold(
+            { call.respondProblem(it.toProblem(), null) },
+            { show(call, it.id, id) }
+        )
+    }
+
+    /** Handles `GET /admin/requests/{id}`. */
+    suspend fun showToOperator(call: ApplicationCall, id: String) = show(call, null, id)
+
+    private suspend fun show(call: ApplicationCall, organisation: OrganisationId?, id: String) {
+        val outcome = when (lookup.find(organisation, RequestId(id))) {
+            is RequestOutcome.Answered -> "answered"
+            RequestOutcome.NotRun -> "not-run"
+            RequestOutcome.Running -> "running"
+            RequestOutcome.Unknown -> "unknown"
+        }
+        val text = Json.encodeToString(RequestDocument.serializer(), RequestDocument(id, outcome))
+        call.respondText(text, ContentType.Application.Json)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/SessionResponse.kt
@@ -0,0 +1,112 @@
+package cowslipcart.daemon.http
+
+import cowslipcart.daemon.endpoint.EndpointContext
+import cowslipcart.daemon.session.CallerOutput
+import cowslipcart.daemon.session.RequestSession
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
+import java.io.IOException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.ReceiveChannel
+
+/** Writes the output of a session to its caller. */
+internal class SessionResponse(
+    private val session: RequestSession,
+    private val context: EndpointContext,
+    private val tierName: String
+) {
+    private val requestId = session.request.requestId.value
+
+    /** Awaits the answer and writes it; a caller that leaves is reported to the session. */
+    suspend fun write(call: ApplicationCall, startMs: Long) {
+        var isComplete = false
+        try {
+            isComplete = writeOutput(call, startMs)
+        } catch (e: IOException) {
+            count("caller-gone")
+            throw CancellationException("the caller closed its connection", e)
+        } finally {
+            if (!isComplete) session.callerGone()
+        }
+    }
+
+    private suspend fun writeOutput(call: ApplicationCall, startMs: Long): Boolean {
+        val output: ReceiveChannel<CallerOutput> = session.output
+        call.response.header(REQUEST_ID_HEADER, requestId)
+        when (val first = output.receiveCatching().getOrNull()) {
+            is CallerOutput.Head -> writeAnswer(call, first, output, startMs)
+
+            is CallerOutput.Problem -> {
+                val problem = HttpError.Rejected(first.rejection).toProblem()
+                count(problem.name)
+                call.respondProblem(problem, requestId)
+            }
+
+            is CallerOutput.Body, null -> error("expected a head or a problem, found $first")
+        }
+        return true
+    }
+
+    private suspend fun writeAnswer(
+        call: ApplicationCall,
+        head: CallerOutput.Head,
+        output: ReceiveChannel<CallerOutput>,
+        startMs: Long
+    ) {
+        context.metrics.firstToken.labelValues(tierName)
+            .observe((context.clock.nowMs() - startMs) / 1_000.0)
+        val type = ContentType.parse(head.contentType)
+        call.respondBytesWriter(type, HttpStatusCode.fromValue(head.status)) {
+            var result = "answered"
+            for (part in output) {
+                when (part) {
+                    is CallerOutput.Body -> {
+                        writeFully(part.bytes)
+                        flush()
+                    }
+
+                    is CallerOutput.Problem -> result = writeLateProblem(part)
+
+                    is CallerOutput.Head -> error("expected one head, found another")
+                }
+            }
+            count(result)
+        }
+    }
+
+    /** The status is already sent, so the problem goes into the stream as an event. */
+    private suspend fun ByteWriteChannel.writeLateProblem(part: CallerOutput.Problem): String {
+        val problem = HttpError.Rejected(part.rejection).toProblem()
+        val json = problem.toDocument(requestId).toJson()
+        writeFully("event: error\ndata: $json\n\n".encodeToByteArray())
+        flush()
+        return problem.name
+    }
+
+    private fun count(result: String) = context.metrics.requests.labelValues(tierName, result).inc()
+
+    private companion object {
+        const val REQUEST_ID_HEADER = "X-Request-Id"
+    }
+}
+
+/** Answers with a problem document. */
+internal suspend fun ApplicationCall.respondProblem(problem: Problem, requestId: String?) {
+    problem.retryAfterMs?.let { response.header(HttpHeaders.RetryAfter, secondsFor(it)) }
+    respondText(
+        problem.toDocument(requestId).toJson(),
+        ContentType.parse(Problem.CONTENT_TYPE),
+        HttpStatusCode.fromValue(problem.status)
+    )
+}
+
+/** `Retry-After` counts whole seconds, at least one. */
+private fun secondsFor(retryAfterMs: Long): String =
+    ((retryAfterMs + 999) / 1_000).coerceAtLeast(1).toString()
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/Frames.kt
@@ -0,0 +1,27 @@
+package cowslipcart.daemon.peer
+
+import cowslipcart.wire.peer.PeerCodec
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import java.io.IOException
+
+/** A frame of a wrong length; the connection cannot be read on. */
+internal class FrameLengthException(found: Int) :
+    IOException("expected a frame of 0 to ${PeerCodec.MAX_FRAME_BYTES} bytes, found $found")
+
+/** Reads a frame: 4-byte big-endian length, then the bytes. */
+internal suspend fun ByteReadChannel.readFrame(): ByteArray {
+    val length = readInt()
+    if (length !in 0..PeerCodec.MAX_FRAME_BYTES) throw FrameLengthException(length)
+    return readByteArray(length)
+}
+
+/** Writes a frame without flushing. */
+internal suspend fun ByteWriteChannel.writeFrame(bytes: ByteArray) {
+    writeInt(bytes.size)
+    writeFully(bytes)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerConnection.kt
@@ -0,0 +1,102 @@
+package cowslipcart.daemon.peer
+
+import cowslipcart.core.model.HostId
+import cowslipcart.daemon.Metrics
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import org.slf4j.LoggerFactory
+
+/**
+ * Outgoing connection to one address. Frames wait in a bounded queue; the oldest are dropped when
+ * the peer does not take them, since the core repeats what matters.
+ */
+internal class PeerConnection(
+    private val self: HostId,
+    private val address: String,
+    private val handshake: Handshake,
+    private val selector: SelectorManager,
+    private val metrics: Metrics
+) {
+    private val log = LoggerFactory.getLogger(PeerConnection::class.java)
+    private val frames = Channel<ByteArray>(QUEUE_CAPACITY, BufferOverflow.DROP_OLDEST)
+
+    fun send(frame: ByteArray) {
+        frames.trySend(frame)
+    }
+
+    fun start(scope: CoroutineScope) = scope.launch {
+        while (isActive) {
+            val first = frames.receive()
+            try {
+                connect().use { socket -> writeFrames(socket, first) }
+            } catch (e: IOException) {
+                metrics.peerErrors.labelValues("connection").inc()
+                log.debug("connection to peer {} failed: {}", address, e.message)
+                delay(RETRY_DELAY_MS)
+            } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+                metrics.peerErrors.labelValues("timeout").inc()
+                log.debug("connection to peer {} timed out: {}", address, e.message)
+                delay(RETRY_DELAY_MS)
+            }
+        }
+    }
+
+    private suspend fun connect(): Socket {
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toInt()
+        return withTimeout(CONNECT_TIMEOUT_MS) {
+            aSocket(selector).tcp().connect(host, port) { noDelay = true }
+        }
+    }
+
+    private suspend fun writeFrames(socket: Socket, first: ByteArray) {
+        val reader = socket.openReadChannel()
+        val writer = socket.openWriteChannel(autoFlush = false)
+        withTimeout(CONNECT_TIMEOUT_MS) { authenticate(reader, writer) }
+        var frame: ByteArray? = first
+        while (frame != null) {
+            writer.writeFrame(frame)
+            metrics.peerFrames.labelValues("sent").inc()
+            metrics.peerBytes.labelValues("sent").inc((frame.size + LENGTH_BYTES).toLong())
+            frame = frames.tryReceive().getOrNull()
+            if (frame == null) {
+                writer.flush()
+                frame = frames.receive()
+            }
+        }
+    }
+
+    private suspend fun authenticate(reader: ByteReadChannel, writer: ByteWriteChannel) {
+        val serverNonce = reader.readFrame()
+        val clientNonce = handshake.newNonce()
+        writer.writeFrame(self.value.encodeToByteArray())
+        writer.writeFrame(clientNonce)
+        writer.writeFrame(handshake.clientProof(serverNonce, clientNonce, self.value))
+        writer.flush()
+        val serverHost = reader.readFrame().decodeToString()
+        val expected = handshake.serverProof(serverNonce, clientNonce, serverHost)
+        if (!handshake.isEqual(expected, reader.readFrame())) {
+            throw IOException("expected a proof of the shared secret from $address, found another")
+        }
+    }
+
+    private companion object {
+        const val QUEUE_CAPACITY = 1_024
+        const val CONNECT_TIMEOUT_MS = 2_000L
+        const val RETRY_DELAY_MS = 100L
+        const val LENGTH_BYTES = 4
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
@@ -0,0 +1,46 @@
+package cowslipcart.daemon.peer
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.daemon.Metrics
+import cowslipcart.wire.peer.PeerCodec
+import io.ktor.network.selector.SelectorManager
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+
+/** Sends messages to other hosts; a connection is opened with the first message to an address. */
+internal class PeerNetwork(
+    private val self: HostId,
+    private val scope: CoroutineScope,
+    private val handshake: Handshake,
+    private val selector: SelectorManager,
+    private val metrics: Metrics
+) {
+    private class Peer(val connection: PeerConnection, val job: Job)
+
+    private val peers = ConcurrentHashMap<String, Peer>()
+    private val addresses = ConcurrentHashMap<HostId, String>()
+
+    /** Queues [message]; never blocks. */
+    fun send(to: HostId, address: String, message: PeerMessage) {
+        addresses[to] = address
+        val peer = peers.computeIfAbsent(address) {
+            val connection = PeerConnection(self, address, handshake, selector, metrics)
+            Peer(connection, connection.start(scope))
+        }
+        peer.connection.send(PeerCodec.encode(self, message))
+    }
+
+    /** Closes the connection to a host that was declared dead. */
+    fun forget(host: HostId) {
+        val address = addresses.remove(host) ?: return
+        peers.remove(address)?.job?.cancel()
+    }
+}
+
+/** Takes messages of other hosts. */
+internal fun interface PeerInbox {
+    fun deliver(input: NodeInput.FromPeer)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
@@ -0,0 +1,133 @@
+package cowslipcart.daemon.peer
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.node.NodeInput
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.wire.WireError
+import cowslipcart.wire.peer.PeerCodec
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import org.slf4j.LoggerFactory
+
+/** Accepts connections of other hosts and delivers their messages. */
+internal class PeerServer(
+    private val self: HostId,
+    private val handshake: Handshake,
+    private val metrics: Metrics,
+    private val inbox: PeerInbox
+) {
+    private val log = LoggerFactory.getLogger(PeerServer::class.java)
+
+    /** Accepts on [server] in [scope]. */
+    fun start(scope: CoroutineScope, server: ServerSocket) {
+        scope.launch { accept(server) }
+    }
+
+    private suspend fun CoroutineScope.accept(server: ServerSocket) {
+        while (isActive) {
+            val socket = server.accept()
+            launch { serve(socket) }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) {
+        try {
+            socket.use {
+                val reader = it.openReadChannel()
+                val writer = it.openWriteChannel(autoFlush = false)
+                val peer = withTimeout(HANDSHAKE_TIMEOUT_MS) { authenticate(reader, writer) }
+                if (peer == null) {
+                    metrics.peerErrors.labelValues("authentication").inc()
+                    log.warn("peer at {} does not know the shared secret", socket.remoteAddress)
+                } else {
+                    readFrames(peer, reader, writer)
+                }
+            }
+        } catch (e: FrameLengthException) {
+            metrics.peerErrors.labelValues("frame-length").inc()
+            log.warn("peer at {} sent a bad frame: {}", socket.remoteAddress, e.message)
+        } catch (e: TimeoutCancellationException) {
+            metrics.peerErrors.labelValues("timeout").inc()
+            log.debug("handshake with {} timed out: {}", socket.remoteAddress, e.message)
+        } catch (e: IOException) {
+            log.debug("peer at {} closed the connection: {}", socket.remoteAddress, e.message)
+        }
+    }
+
+    /** Returns the authenticated host, or null if its proof is wrong. */
+    private suspend fun authenticate(reader: ByteReadChannel, writer: ByteWriteChannel): HostId? {
+        val serverNonce = handshake.newNonce()
+        writer.writeFrame(serverNonce)
+        writer.flush()
+        val host = reader.readFrame().decodeToString()
+        val clientNonce = reader.readFrame()
+        val proof = reader.readFrame()
+        if (!handshake.isEqual(handshake.clientProof(serverNonce, clientNonce, host), proof)) {
+            return null
+        }
+        writer.writeFrame(self.value.encodeToByteArray())
+        writer.writeFrame(handshake.serverProof(serverNonce, clientNonce, self.value))
+        writer.flush()
+        return HostId(host)
+    }
+
+    private suspend fun readFrames(
+        peer: HostId,
+        reader: ByteReadChannel,
+        writer: ByteWriteChannel
+    ) {
+        while (true) {
+            val frame = reader.readFrame()
+            metrics.peerFrames.labelValues("received").inc()
+            metrics.peerBytes.labelValues("received").inc(frame.size.toLong())
+            PeerCodec.decode(frame).fold(
+                { error -> reportError(peer, error, writer) },
+                { decoded ->
+                    val message = decoded.message
+                    if (message == null) {
+                        metrics.peerErrors.labelValues("reported").inc()
+                    } else if (decoded.from != peer) {
+                        metrics.peerErrors.labelValues("sender").inc()
+                    } else {
+                        inbox.deliver(NodeInput.FromPeer(peer, message))
+                    }
+                }
+            )
+        }
+    }
+
+    private suspend fun reportError(peer: HostId, error: WireError, writer: ByteWriteChannel) {
+        metrics.peerErrors.labelValues("decode").inc()
+        log.warn("message of peer {} cannot be decoded: {}", peer, error.message)
+        writer.writeFrame(PeerCodec.encodeError(self, error))
+        writer.flush()
+    }
+
+    private companion object {
+        const val HANDSHAKE_TIMEOUT_MS = 2_000L
+    }
+}
+
+/** A bound socket for peers, known before the host's identity, which holds its port. */
+internal class PeerListener(private val selector: SelectorManager) {
+    /** Binds [listen]; port 0 takes a free one. */
+    suspend fun bind(listen: SocketAddressSetting): ServerSocket =
+        aSocket(selector).tcp().bind(listen.ip, listen.port)
+}
+
+/** Port that the socket is bound to. */
+internal val ServerSocket.boundPort: Int get() = (localAddress as InetSocketAddress).port
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/HostListPoller.kt
@@ -0,0 +1,66 @@
+package cowslipcart.daemon.platform
+
+import cowslipcart.core.membership.HostList
+import cowslipcart.core.membership.ListedHost
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.node.NodeInput
+import io.ktor.client.HttpClient
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Polls the platform's list of hosts. */
+internal class HostListPoller(
+    private val client: HttpClient,
+    private val baseUrl: String,
+    private val control: (NodeInput) -> Unit
+) {
+    @Serializable
+    private class Listed(val id: String, val address: String, val kind: String, val state: String)
+
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (isActive) {
+                val list = readList()
+                control(list?.let { NodeInput.HostListRead(it) } ?: NodeInput.HostListFailed)
+                delay(POLL_INTERVAL_MS)
+            }
+        }
+    }
+
+    private suspend fun readList(): HostList? = withTimeoutOrNull(TIMEOUT_MS) {
+        try {
+            val text = client.get("$baseUrl/hosts").bodyAsText()
+            toHostList(JSON.decodeFromString<List<Listed>>(text))
+        } catch (_: IOException) {
+            null
+        } catch (_: SerializationException) {
+            null
+        }
+    }
+
+    private fun toHostList(listed: List<Listed>) = HostList(
+        hosts = listed
+            .filter { it.kind == "entry" }
+            .map { ListedHost(HostId(it.id), it.address, it.state == LEAVING) },
+        leavingEndpoints = listed
+            .filter { it.kind == "endpoint" && it.state == LEAVING }
+            .mapTo(mutableSetOf()) { EndpointId(it.id) }
+    )
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+        const val LEAVING = "leaving"
+        const val POLL_INTERVAL_MS = 1_000L
+        const val TIMEOUT_MS = 1_500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/StreamTail.kt
@@ -0,0 +1,57 @@
+package cowslipcart.daemon.platform
+
+import cowslipcart.core.log.LogPage
+import cowslipcart.core.log.LogPort
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StreamName
+import cowslipcart.daemon.Metrics
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+
+/** Follows a stream of the log and passes each page on. */
+internal class StreamTail(
+    private val log: LogPort,
+    private val stream: StreamName,
+    private val metrics: Metrics
+) {
+    private val logger = LoggerFactory.getLogger(StreamTail::class.java)
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+
+    /** Ends the wait after a failed read. */
+    fun readNow() {
+        wake.trySend(Unit)
+    }
+
+    /** Reads on in [scope]; [onFailure] is called for each failed read. */
+    fun start(scope: CoroutineScope, onPage: (LogPage) -> Unit, onFailure: () -> Unit) {
+        scope.launch {
+            var next = LogOffset(0)
+            while (isActive) {
+                log.read(stream, next, MAX_RECORDS, LONG_POLL_MS).fold(
+                    { error ->
+                        metrics.logCalls.labelValues("read", "failed").inc()
+                        logger.debug("read of stream {} failed: {}", stream, error)
+                        onFailure()
+                        withTimeoutOrNull(RETRY_DELAY_MS) { wake.receive() }
+                    },
+                    { page ->
+                        metrics.logCalls.labelValues("read", "ok").inc()
+                        onPage(page)
+                        next = page.records.lastOrNull()?.offset?.next()
+                            ?: maxOf(next, page.firstKeptOffset)
+                    }
+                )
+            }
+        }
+    }
+
+    private companion object {
+        const val MAX_RECORDS = 256
+        const val LONG_POLL_MS = 1_000L
+        const val RETRY_DELAY_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/session/RequestSession.kt
@@ -0,0 +1,117 @@
+package cowslipcart.daemon.session
+
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.daemon.endpoint.Exchange
+import cowslipcart.daemon.endpoint.ExchangeStart
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
+
+/**
+ * Traffic side of one request: performs what control decides and passes the answer to the caller's
+ * connection. It goes on without a caller when the request has a key.
+ */
+internal class RequestSession(
+    val request: CallerRequest,
+    private val exchange: Exchange,
+    private val control: (NodeInput) -> Unit,
+    private val onEnd: (RequestId) -> Unit
+) {
+    private val commands = Channel<SessionCommand>(Channel.UNLIMITED)
+
+    /** Read by the connection of the caller; closed when the answer is complete. */
+    val output: Channel<CallerOutput> = Channel(OUTPUT_CAPACITY)
+
+    /** Grant and shard of the running exchange, for progress reports. */
+    @Volatile
+    var running: RunningExchange? = null
+        private set
+
+    fun command(command: SessionCommand) {
+        commands.trySend(command)
+    }
+
+    /** The caller closed its connection; nothing more is written to it. */
+    fun callerGone() {
+        output.cancel()
+        control(NodeInput.CallerGone(request.requestId))
+    }
+
+    /** Starts the session in [scope] and submits the request to control. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            try {
+                control(NodeInput.Start(request))
+                runCommands(this)
+            } finally {
+                output.close()
+                onEnd(request.requestId)
+            }
+        }
+    }
+
+    private suspend fun runCommands(scope: CoroutineScope) {
+        for (command in commands) {
+            when (command) {
+                is SessionCommand.Dispatch -> scope.launch { runExchange(command) }
+
+                is SessionCommand.Reject -> {
+                    write(CallerOutput.Problem(command.rejection))
+                    return
+                }
+
+                is SessionCommand.Replay -> {
+                    write(CallerOutput.Head(command.answer.status, command.answer.contentType))
+                    write(CallerOutput.Body(command.answer.body.encodeToByteArray()))
+                    return
+                }
+
+                SessionCommand.Interrupt -> exchange.interrupt()
+
+                SessionCommand.Cancel -> exchange.cancel()
+            }
+        }
+    }
+
+    private suspend fun runExchange(command: SessionCommand.Dispatch) {
+        val start = ExchangeStart(command.endpoint, command.grantId, command.isResume)
+        running = RunningExchange(command.shard, command.grantId)
+        val end = exchange.run(start, ::write)
+        running = null
+        control(NodeInput.StreamEnded(request.requestId, end))
+        when (end) {
+            is StreamEnd.Completed, is StreamEnd.CallerGone -> commands.close()
+
+            // Control decides what follows: another dispatch or a rejection.
+            is StreamEnd.ProvenNotRun, is StreamEnd.Broken, is StreamEnd.Interrupted -> Unit
+        }
+    }
+
+    /** Output to a caller that left is dropped. */
+    private suspend fun write(part: CallerOutput) {
+        try {
+            output.send(part)
+        } catch (_: CancellationException) {
+            currentCoroutineContext().ensureActive()
+        }
+    }
+
+    /** Output tokens that the running exchange has received. */
+    val receivedTokens: Int get() = exchange.receivedTokens
+
+    private companion object {
+        /** Bounds the memory of a slow caller; the endpoint's stream waits meanwhile. */
+        const val OUTPUT_CAPACITY = 64
+    }
+}
+
+/** Identifies the exchange of a session in progress reports. */
+internal data class RunningExchange(val shard: ShardId, val grantId: GrantId)
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/session/SessionRegistry.kt
@@ -0,0 +1,31 @@
+package cowslipcart.daemon.session
+
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import java.util.concurrent.ConcurrentHashMap
+
+/** Sessions of this host by request. */
+internal class SessionRegistry {
+    private val sessions = ConcurrentHashMap<RequestId, RequestSession>()
+
+    val size: Int get() = sessions.size
+
+    fun add(session: RequestSession) {
+        sessions[session.request.requestId] = session
+    }
+
+    fun remove(requestId: RequestId) {
+        sessions.remove(requestId)
+    }
+
+    /** Passes a command on; one for a session that has ended is dropped. */
+    fun command(requestId: RequestId, command: SessionCommand) {
+        sessions[requestId]?.command(command)
+    }
+
+    /** Progress of all running exchanges by shard. */
+    fun collectProgress(): Map<ShardId, List<GrantProgress>> = sessions.values
+        .mapNotNull { session -> session.running?.let { it to session.receivedTokens } }
+        .groupBy({ it.first.shard }, { GrantProgress(it.first.grantId, it.second) })
+}
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -36,7 +36,7 @@
     is ClaimNoticeMessage -> PeerMessage.ClaimNotice(partition, item.toItem())
 
     is OutcomeQueryMessage -> PeerMessage.OutcomeQuery(
-        OrganisationId(organisation),
+        organisation?.let { OrganisationId(it) },
         RequestId(requestId),
         IncarnationId(incarnation)
     )
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -128,7 +128,7 @@
 @Serializable
 @SerialName("outcome-query")
 internal class OutcomeQueryMessage(
-    @SerialName("o") val organisation: String,
+    @SerialName("o") val organisation: String? = null,
     @SerialName("r") val requestId: String,
     @SerialName("i") val incarnation: Long
 ) : PeerMessageDocument
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -29,7 +29,7 @@
     is PeerMessage.ClaimNotice -> ClaimNoticeMessage(partition, item.toDocument())
 
     is PeerMessage.OutcomeQuery ->
-        OutcomeQueryMessage(organisation.value, requestId.value, incarnation.value)
+        OutcomeQueryMessage(organisation?.value, requestId.value, incarnation.value)
 
     is PeerMessage.OutcomeReply -> OutcomeReplyMessage(requestId.value, outcome.toDocument())
 
