Replace the queue scheduler by the main policy

Change: endpoint state with learned speeds and load-report correction, prefix index with bounded LRU, start-time fair queue by tier and organisation, placement by estimated first token, deadline checks, shed rule, GiveWay, isolation of suspects, tier-0 reserve and voiding of lost grants.

--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -0,0 +1,239 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.RequestId
+import kotlin.random.Random
+
+/** The main policy: takes the inputs, lets the rules act on the shared state and dispatches. */
+internal class CowslipCartScheduler(config: ShardConfig, random: Random, rebuild: Boolean) :
+    ShardScheduler {
+    private val state = ShardState(config, rebuild)
+    private val placement = Placement(state.endpoints)
+    private val giveWay = GiveWayRule(state, placement)
+    private val isolation = IsolationRule(state, giveWay)
+    private val issuer = GrantIssuer(state, GrantIds(random))
+    private val dispatcher = Dispatcher(state, placement, issuer, isolation)
+    private val refusals = RefusalRule(state, placement, isolation)
+    private val shed = ShedRule(state, giveWay, refusals)
+    private val voiding = VoidRule(state)
+    private var sequence = 0L
+    private var lastUpkeepMs = Long.MIN_VALUE
+
+    override fun submit(request: CapacityRequest, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        state.recordSignOfLife(request.origin, nowMs)
+        val running = state.grants.find(request.requestId)
+        if (running != null) {
+            if (!voiding.wasLost(running, nowMs)) return emptyList()
+            end(running, nowMs)
+        }
+        val refused = enqueue(request, isCharged = false, nowMs)
+        if (refused != null) return listOf(refused)
+        return decide(nowMs) { out -> afterQueued(request.requestId, nowMs, out) }
+    }
+
+    override fun cancel(requestId: RequestId, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        state.queue.find(requestId)?.let(refusals::withdraw)
+        return decide(nowMs)
+    }
+
+    override fun release(report: GrantReport, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        val work = state.grants.find(report.grantId) ?: return emptyList()
+        state.recordSignOfLife(work.request.origin, nowMs)
+        learnFromEnd(work, report, nowMs)
+        end(work, nowMs)
+        return decide(nowMs)
+    }
+
+    override fun gaveWay(
+        report: GrantReport,
+        resume: CapacityRequest?,
+        nowMs: Long
+    ): List<SchedulerDecision> {
+        state.start(nowMs)
+        val work = state.grants.find(report.grantId) ?: return emptyList()
+        state.recordSignOfLife(work.request.origin, nowMs)
+        learnFromEnd(work, report, nowMs)
+        end(work, nowMs)
+        if (resume == null) return decide(nowMs)
+        val refused = enqueue(resume, isCharged = true, nowMs)
+        return decide(nowMs) { out -> refused?.let { out += it } }
+    }
+
+    override fun progress(reports: List<GrantProgress>, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        for (report in reports) {
+            val work = state.grants.find(report.grantId) ?: continue
+            state.recordSignOfLife(work.request.origin, nowMs)
+            LoadCorrection.applyProgress(work, report.sentTokens, nowMs)
+            state.endpoints.refresh(work.endpoint)
+        }
+        return decide(nowMs)
+    }
+
+    override fun reportLoad(report: LoadReport, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        val endpoint = state.endpoints.find(report.endpoint) ?: return emptyList()
+        val wasAvailable = endpoint.isAvailable
+        LoadCorrection.applyLoad(endpoint, report, nowMs)
+        state.endpoints.refresh(endpoint)
+        return decide(nowMs) { out ->
+            if (wasAvailable && !endpoint.isAvailable) onAvailabilityChanged(nowMs, out)
+        }
+    }
+
+    override fun reportCache(events: List<CacheEvent>, nowMs: Long) {
+        state.start(nowMs)
+        val prefixes = state.endpoints.prefixes
+        for (event in events) {
+            val index = state.endpoints.find(event.endpoint)?.index ?: continue
+            if (event.isStored) {
+                prefixes.store(index, event.block)
+            } else {
+                prefixes.evict(index, event.block)
+            }
+        }
+    }
+
+    override fun adopt(running: List<RunningGrant>, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        for (grant in running) {
+            state.recordSignOfLife(grant.request.origin, nowMs)
+            if (state.grants.find(grant.grantId) != null) continue
+            state.queue.find(grant.request.requestId)?.let(refusals::withdraw)
+            issuer.adopt(grant, nowMs)
+        }
+        return decide(nowMs)
+    }
+
+    override fun dropOrigin(origin: HostId, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        state.forgetOrigin(origin)
+        state.queue.filter { it.request.origin == origin }.forEach(refusals::withdraw)
+        state.grants.filter { it.request.origin == origin }.forEach { end(it, nowMs) }
+        return decide(nowMs)
+    }
+
+    override fun reconfigure(config: ShardConfig, nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        state.configure(config, nowMs)
+        return decide(nowMs) { out -> onAvailabilityChanged(nowMs, out) }
+    }
+
+    override fun tick(nowMs: Long): List<SchedulerDecision> {
+        state.start(nowMs)
+        if (lastUpkeepMs == Long.MIN_VALUE || nowMs - lastUpkeepMs >= UPKEEP_INTERVAL_MS) {
+            lastUpkeepMs = nowMs
+            keepUp(nowMs)
+        }
+        return decide(nowMs) { out -> giveWay.review(nowMs, out) }
+    }
+
+    /** Refuses what is due, dispatches, and then lets [after] act on what still waits. */
+    private inline fun decide(
+        nowMs: Long,
+        after: (MutableList<SchedulerDecision>) -> Unit = {}
+    ): List<SchedulerDecision> {
+        val out = ArrayList<SchedulerDecision>(2)
+        refusals.refuseOverdue(nowMs, out)
+        dispatcher.run(nowMs, out)
+        after(out)
+        return out
+    }
+
+    /**
+     * Queues [request], or puts it in place of its queued copy, which keeps its arrival. Returns
+     * the refusal if it cannot run.
+     */
+    private fun enqueue(
+        request: CapacityRequest,
+        isCharged: Boolean,
+        nowMs: Long
+    ): SchedulerDecision? {
+        val queued = state.queue.find(request.requestId)
+        if (queued != null) state.queue.remove(queued)
+        val work = queued ?: QueuedWork(
+            request = request,
+            sequence = sequence++,
+            firstTokenDueMs = nowMs + state.firstTokenTargetMs(request.tier),
+            isCharged = isCharged
+        )
+        work.request = request
+        work.outputTokens = state.outputs.estimate(request)
+        work.deadlineMs = request.timeLeftMs?.let { nowMs + it } ?: QueuedWork.NO_DEADLINE
+        work.nextCheckMs = QueuedWork.NO_DEADLINE
+        val reason = refusals.findReason(work, nowMs)
+        if (reason != null) {
+            isolation.forget(work)
+            return refusals.decision(work, reason)
+        }
+        state.queue.add(work)
+        return null
+    }
+
+    private fun afterQueued(
+        requestId: RequestId,
+        nowMs: Long,
+        out: MutableList<SchedulerDecision>
+    ) {
+        val work = state.queue.find(requestId) ?: return
+        if (!work.request.isSuspect && state.mayGrant(work.request.tier, nowMs)) {
+            val position = state.queue.countThrough(work.request.tier) - 1
+            giveWay.consider(work, position, nowMs, out)
+        }
+        shed.onQueued(work, nowMs, out)
+    }
+
+    private fun onAvailabilityChanged(nowMs: Long, out: MutableList<SchedulerDecision>) {
+        refusals.refuseUnplaceable(out)
+        dispatcher.run(nowMs, out)
+    }
+
+    private fun learnFromEnd(work: RunningWork, report: GrantReport, nowMs: Long) {
+        when (report.end) {
+            GrantEnd.COMPLETED -> {
+                LoadCorrection.applyEnd(work, report, nowMs)
+                val organisation = work.request.organisation
+                val estimatedTokens = work.request.outputTokens
+                state.outputs.observe(organisation, estimatedTokens, report.outputTokens)
+            }
+
+            GrantEnd.CANCELLED -> LoadCorrection.applyEnd(work, report, nowMs)
+
+            GrantEnd.UNUSED -> forgetPrompt(work)
+
+            GrantEnd.FAILED -> Unit
+        }
+    }
+
+    /** Takes back the effect of a grant whose prompt was never sent to the endpoint. */
+    private fun forgetPrompt(work: RunningWork) {
+        val endpoint = work.endpoint
+        endpoint.prefillBusyUntilMs -= work.uncachedTokens * endpoint.msPerPrefillToken
+        val knownBlocks = work.cachedTokens / CapacityRequest.PREFIX_BLOCK_TOKENS
+        for (block in work.request.prefixBlocks.drop(knownBlocks)) {
+            state.endpoints.prefixes.evict(endpoint.index, block)
+        }
+    }
+
+    private fun end(work: RunningWork, nowMs: Long) {
+        state.grants.remove(work, nowMs)
+        if (work.request.isSuspect) isolation.onEnded(work, nowMs)
+    }
+
+    private fun keepUp(nowMs: Long) {
+        for (endpoint in state.endpoints.all) {
+            endpoint.prefillSpeed.relax(nowMs)
+            endpoint.decodeSpeed.relax(nowMs)
+            endpoint.expireForeign(nowMs)
+        }
+        voiding.findUnconfirmed().forEach { end(it, nowMs) }
+        state.endpoints.refreshAll()
+    }
+
+    private companion object {
+        const val UPKEEP_INTERVAL_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/PrefixIndex.kt
@@ -0,0 +1,128 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.PrefixBlock
+import kotlin.math.max
+
+/**
+ * Which endpoint holds which prefix blocks. Each endpoint keeps its most recently used blocks up to
+ * a limit; each block has a bit set of its holders, so that one pass over the blocks of a request
+ * finds the cached depth at all endpoints.
+ */
+internal class PrefixIndex {
+    private val holders = HashMap<PrefixBlock, LongArray>()
+    private val spareSets = ArrayDeque<LongArray>()
+    private val caches = ArrayList<Cache?>()
+    private var wordCount = 1
+    private var alive = LongArray(1)
+
+    /** Cached leading blocks by endpoint index, as of the last [findDepths]. */
+    var depths: IntArray = IntArray(0)
+        private set
+
+    /** Adds an endpoint without known blocks, or changes its limit. */
+    fun resize(index: Int, blockLimit: Int) {
+        while (caches.size <= index) caches += null
+        if (depths.size < caches.size) depths = IntArray(caches.size)
+        val words = (caches.size + Long.SIZE_BITS - 1) / Long.SIZE_BITS
+        if (words > wordCount) widen(words)
+        val cache = caches[index] ?: Cache(index).also { caches[index] = it }
+        cache.blockLimit = max(1, blockLimit)
+        cache.evictSurplus()
+    }
+
+    /** Forgets all blocks of an endpoint. */
+    fun clear(index: Int) {
+        val cache = caches[index] ?: return
+        cache.blocks.keys.forEach { clearBit(it, index) }
+        cache.blocks.clear()
+    }
+
+    /** Fills [depths] with the number of leading [blocks] that each endpoint holds. */
+    fun findDepths(blocks: List<PrefixBlock>) {
+        depths.fill(0)
+        alive.fill(-1L)
+        for (position in blocks.indices) {
+            val set = holders[blocks[position]] ?: return
+            var isAnyAlive = false
+            for (word in 0 until wordCount) {
+                val remaining = alive[word] and set[word]
+                alive[word] = remaining
+                if (remaining != 0L) {
+                    isAnyAlive = true
+                    raise(word, remaining, position + 1)
+                }
+            }
+            if (!isAnyAlive) return
+        }
+    }
+
+    /** Records that the endpoint reads a prompt with [blocks]. */
+    fun touch(index: Int, blocks: List<PrefixBlock>) {
+        val cache = caches[index] ?: return
+        // From the end, so that the start of a prefix is evicted last, as engines do.
+        for (position in minOf(blocks.size, cache.blockLimit) - 1 downTo 0) {
+            add(cache, blocks[position])
+        }
+    }
+
+    /** Records that the endpoint stored a block. */
+    fun store(index: Int, block: PrefixBlock) {
+        caches[index]?.let { add(it, block) }
+    }
+
+    /** Records that the endpoint does not hold a block. */
+    fun evict(index: Int, block: PrefixBlock) {
+        if (caches[index]?.blocks?.remove(block) != null) clearBit(block, index)
+    }
+
+    private fun raise(word: Int, bits: Long, depth: Int) {
+        var rest = bits
+        while (rest != 0L) {
+            val index = word * Long.SIZE_BITS + rest.countTrailingZeroBits()
+            if (index < depths.size) depths[index] = depth
+            rest = rest and (rest - 1)
+        }
+    }
+
+    private fun add(cache: Cache, block: PrefixBlock) {
+        if (cache.blocks.put(block, Unit) == null) {
+            val set = holders.getOrPut(block) {
+                spareSets.removeLastOrNull() ?: LongArray(wordCount)
+            }
+            val word = cache.index / Long.SIZE_BITS
+            set[word] = set[word] or (1L shl cache.index)
+        }
+        cache.evictSurplus()
+    }
+
+    private fun clearBit(block: PrefixBlock, index: Int) {
+        val set = holders[block] ?: return
+        val word = index / Long.SIZE_BITS
+        set[word] = set[word] and (1L shl index).inv()
+        if (set.all { it == 0L }) {
+            holders.remove(block)
+            spareSets.addLast(set)
+        }
+    }
+
+    private fun widen(words: Int) {
+        wordCount = words
+        alive = LongArray(words)
+        spareSets.clear()
+        holders.entries.forEach { it.setValue(it.value.copyOf(words)) }
+    }
+
+    /** Blocks of one endpoint, least recently used first. */
+    private inner class Cache(val index: Int) {
+        val blocks = LinkedHashMap<PrefixBlock, Unit>(16, 0.75f, true)
+        var blockLimit = 1
+
+        fun evictSurplus() {
+            while (blocks.size > blockLimit) {
+                val eldest = blocks.keys.first()
+                blocks.remove(eldest)
+                clearBit(eldest, index)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/RefusalRule.kt
@@ -0,0 +1,83 @@
+package cowslipcart.core.capacity
+
+/** Refuses requests that cannot run: stopped tier, no endpoint, or not before the deadline. */
+internal class RefusalRule(
+    private val state: ShardState,
+    private val placement: Placement,
+    private val isolation: IsolationRule
+) {
+    /** Returns why [work] cannot run, or null; sets the time of the next check. */
+    fun findReason(work: QueuedWork, nowMs: Long): RefusalReason? = when {
+        isStopped(work) -> RefusalReason.TIER_STOPPED
+        !hasEndpoint(work) -> RefusalReason.NO_ENDPOINT
+        !canFinish(work, nowMs) -> RefusalReason.DEADLINE
+        else -> null
+    }
+
+    /** Refusal of a request that cannot run; [ShedRule] refuses for lack of capacity. */
+    fun decision(work: QueuedWork, reason: RefusalReason): SchedulerDecision.Refuse {
+        val retryAfterMs = when (reason) {
+            RefusalReason.TIER_STOPPED -> RETRY_STOPPED_MS
+
+            RefusalReason.NO_ENDPOINT -> RETRY_NO_ENDPOINT_MS.takeIf {
+                work.request.resumeOn == null
+            }
+
+            RefusalReason.DEADLINE, RefusalReason.SHARD_FULL -> null
+        }
+        return SchedulerDecision.Refuse(work.request, reason, retryAfterMs)
+    }
+
+    /** Removes a queued request. */
+    fun withdraw(work: QueuedWork) {
+        state.queue.remove(work)
+        isolation.forget(work)
+    }
+
+    /** Refuses queued requests that can no longer finish before their deadline. */
+    fun refuseOverdue(nowMs: Long, out: MutableList<SchedulerDecision>) {
+        while (true) {
+            val work = state.queue.pollDueCheck(nowMs) ?: return
+            if (canFinish(work, nowMs)) {
+                state.queue.scheduleCheck(work, work.nextCheckMs.coerceAtLeast(nowMs + 1))
+            } else {
+                withdraw(work)
+                out += decision(work, RefusalReason.DEADLINE)
+            }
+        }
+    }
+
+    /** Refuses queued requests whose tier was stopped or whose endpoints are gone. */
+    fun refuseUnplaceable(out: MutableList<SchedulerDecision>) {
+        for (work in state.queue.filter { isStopped(it) || !hasEndpoint(it) }) {
+            val reason = when {
+                isStopped(work) -> RefusalReason.TIER_STOPPED
+                else -> RefusalReason.NO_ENDPOINT
+            }
+            withdraw(work)
+            out += decision(work, reason)
+        }
+    }
+
+    // A stream that was interrupted may finish in a stopped tier, as its caller has a part of it.
+    private fun isStopped(work: QueuedWork): Boolean =
+        work.request.resumeOn == null && state.maxQueued(work.request.tier) <= 0
+
+    private fun hasEndpoint(work: QueuedWork): Boolean {
+        val resumeOn = work.request.resumeOn ?: return state.endpoints.hasAvailable
+        return state.endpoints.find(resumeOn)?.isAvailable ?: false
+    }
+
+    private fun canFinish(work: QueuedWork, nowMs: Long): Boolean {
+        if (work.deadlineMs == QueuedWork.NO_DEADLINE) return true
+        val bestCaseMs = placement.bestCaseMs(work)
+        val latestStartMs = work.deadlineMs - bestCaseMs
+        if (work.deadlineMs <= nowMs || latestStartMs < nowMs) return false
+        work.nextCheckMs = latestStartMs.toLong() + 1
+        return true
+    }
+
+    private companion object {
+        const val RETRY_STOPPED_MS = 10_000L
+    }
+}
--- a/core/src/main/kotlin/cowslipcart/core/capacity/Schedulers.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Schedulers.kt
@@ -19,5 +19,5 @@
     SchedulerPolicy.RoundRobin -> BaselineScheduler(config, random, RoundRobinChoice())
     SchedulerPolicy.LeastReportedLoad -> BaselineScheduler(config, random, LeastReportedChoice())
     SchedulerPolicy.TwoRandomChoices -> BaselineScheduler(config, random, TwoRandomChoice(random))
-    SchedulerPolicy.CowslipCart -> QueueScheduler(config, random, rebuild)
+    SchedulerPolicy.CowslipCart -> CowslipCartScheduler(config, random, rebuild)
 }
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
@@ -0,0 +1,154 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.Tier
+import java.util.TreeSet
+import kotlin.math.max
+
+/**
+ * Queue of one tier: start-time fair queueing between organisations, earliest deadline within one.
+ *
+ * The head of each backlogged organisation has a start tag; the lowest tag is served next. Serving
+ * moves the organisation's tag by the tokens of the request divided by the organisation's weight.
+ * Requests that missed the time for their first token come after those of the same organisation
+ * that can still meet it; otherwise, under overload, every request would be served late.
+ *
+ * Suspects are kept apart, because they wait for an endpoint to become empty and must not hold up
+ * their organisation.
+ */
+internal class TierQueue(val tier: Tier) {
+    private val flows = HashMap<OrganisationId, Flow>()
+    private val backlogged = TreeSet(FLOW_ORDER)
+    private val suspectQueue = TreeSet(QueuedWork.DEADLINE_ORDER)
+    private var virtualTime = 0.0
+    private var flowCount = 0L
+
+    /** Number of queued requests, suspects included. */
+    var size: Int = 0
+        private set
+
+    val suspectCount: Int get() = suspectQueue.size
+    val hasNormal: Boolean get() = backlogged.isNotEmpty()
+    val firstSuspect: QueuedWork? get() = if (suspectQueue.isEmpty()) null else suspectQueue.first()
+
+    /** Adds a new request. */
+    fun add(work: QueuedWork) {
+        size++
+        if (work.request.isSuspect) {
+            suspectQueue += work
+            return
+        }
+        val flow = flows.getOrPut(work.request.organisation) { Flow(flowCount++) }
+        if (flow.isEmpty) flow.startTag = max(flow.startTag, virtualTime)
+        enqueue(flow, work)
+    }
+
+    /** Puts back a request taken by [poll]; its organisation keeps its place. */
+    fun putBack(work: QueuedWork) {
+        size++
+        enqueue(flows.getValue(work.request.organisation), work)
+    }
+
+    /** Removes a queued request; it must be in the queue. */
+    fun remove(work: QueuedWork) {
+        size--
+        if (work.request.isSuspect) {
+            suspectQueue -= work
+            return
+        }
+        val flow = flows.getValue(work.request.organisation)
+        backlogged -= flow
+        flow.remove(work)
+        if (!flow.isEmpty) backlogged += flow
+    }
+
+    /** Takes the next request, suspects excluded, or null. */
+    fun poll(nowMs: Long): QueuedWork? {
+        if (backlogged.isEmpty()) return null
+        val flow = backlogged.pollFirst()
+        val work = flow.poll(nowMs)
+        size--
+        if (!flow.isEmpty) backlogged += flow
+        return work
+    }
+
+    /** Charges the organisation of a request that was taken by [poll] and starts. */
+    fun charge(work: QueuedWork, weight: Double) {
+        if (work.isCharged) return
+        val flow = flows.getValue(work.request.organisation)
+        if (!flow.isEmpty) backlogged -= flow
+        virtualTime = max(virtualTime, flow.startTag)
+        flow.startTag += work.reservedTokens / weight
+        if (!flow.isEmpty) backlogged += flow
+        if (flows.size > MOST_IDLE_FLOWS + backlogged.size) forgetIdleFlows()
+    }
+
+    /**
+     * Returns the request to shed: the last one of the organisation with the most queued requests.
+     * Streams that wait to resume are shed only if there is nothing else, as their callers have
+     * part of the answer.
+     */
+    fun findShedVictim(): QueuedWork? {
+        val flow = backlogged.maxByOrNull { it.size }
+        return flow?.lastOrNull { it.request.resumeOn == null }
+            ?: backlogged.firstNotNullOfOrNull { other ->
+                other.lastOrNull { it.request.resumeOn == null }
+            }
+            ?: suspectQueue.lastOrNull()
+            ?: flow?.lastOrNull { true }
+    }
+
+    private fun enqueue(flow: Flow, work: QueuedWork) {
+        if (!flow.isEmpty) backlogged -= flow
+        flow.add(work)
+        backlogged += flow
+    }
+
+    // The tag of an organisation that the virtual time has passed equals that of a new one.
+    private fun forgetIdleFlows() {
+        flows.values.removeIf { it.isEmpty && it.startTag <= virtualTime }
+    }
+
+    private class Flow(val number: Long) {
+        private val inTime = TreeSet(QueuedWork.DEADLINE_ORDER)
+        private val late = TreeSet(QueuedWork.DEADLINE_ORDER)
+
+        var startTag: Double = 0.0
+        val size: Int get() = inTime.size + late.size
+        val headDeadlineMs: Long
+            get() = (if (inTime.isEmpty()) late.first() else inTime.first()).deadlineMs
+        val isEmpty: Boolean get() = inTime.isEmpty() && late.isEmpty()
+
+        fun add(work: QueuedWork) {
+            if (work.isLate) late += work else inTime += work
+        }
+
+        fun remove(work: QueuedWork) {
+            if (work.isLate) late -= work else inTime -= work
+        }
+
+        fun poll(nowMs: Long): QueuedWork {
+            while (inTime.isNotEmpty()) {
+                val work = inTime.pollFirst()
+                if (work.firstTokenDueMs > nowMs) return work
+                work.isLate = true
+                late += work
+            }
+            return late.pollFirst()
+        }
+
+        fun lastOrNull(predicate: (QueuedWork) -> Boolean): QueuedWork? =
+            late.descendingSet().firstOrNull(predicate)
+                ?: inTime.descendingSet().firstOrNull(predicate)
+    }
+
+    private companion object {
+        const val MOST_IDLE_FLOWS = 1_024
+
+        val FLOW_ORDER: Comparator<Flow> = Comparator { left, right ->
+            var order = left.startTag.compareTo(right.startTag)
+            if (order == 0) order = left.headDeadlineMs.compareTo(right.headDeadlineMs)
+            if (order == 0) left.number.compareTo(right.number) else order
+        }
+    }
+}
