--- a/core/src/main/kotlin/cowslipcart/core/capacity/SpeedEstimate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/SpeedEstimate.kt
@@ -8,8 +8,8 @@
  * Learned rate of an endpoint in tokens a second, an exponentially weighted mean of samples.
  *
  * Two means are kept. The slow one follows the noise of single samples little; when the fast one
- * falls below half of it or rises above twice of it, the speed has changed and the slow one is
- * reset to it. A tenfold drop shows after 1 to 2 s of samples.
+ * falls below half of it or rises above twice of it, the speed has changed and the slow one follows
+ * it for a while. A tenfold drop shows after 1 to 2 s of samples.
  *
  * @param declaredPerS rate before the first sample
  */
@@ -18,6 +18,7 @@
     private var fastPerS = declaredPerS
     private var lastSampleMs = nowMs
     private var lastRelaxMs = nowMs
+    private var followUntilMs = Long.MIN_VALUE
 
     /** Current estimate; 0.0 if the endpoint has no such rate, as with plain services. */
     val perS: Double get() = slowPerS
@@ -37,8 +38,9 @@
         slowPerS += (bounded - slowPerS) * (1 - exp(-weightMs / SLOW_TIME_CONSTANT_MS))
         fastPerS += (bounded - fastPerS) * (1 - exp(-weightMs / FAST_TIME_CONSTANT_MS))
         if (fastPerS < slowPerS / CHANGE_FACTOR || fastPerS > slowPerS * CHANGE_FACTOR) {
-            slowPerS = fastPerS
+            followUntilMs = nowMs + FOLLOW_MS
         }
+        if (nowMs <= followUntilMs) slowPerS = fastPerS
     }
 
     /**
@@ -67,6 +69,9 @@
         const val RELAX_TIME_CONSTANT_MS = 30_000.0
         const val CHANGE_FACTOR = 2.0
 
+        // Three fast time constants, after which the fast mean has reached the new speed.
+        const val FOLLOW_MS = 3_000L
+
         // Bounds on samples, so that one wrong report cannot take an endpoint out of use.
         const val LEAST_SHARE = 0.01
         const val MOST_SHARE = 20.0
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
@@ -0,0 +1,160 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.PrefixBlock
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against grants on the wrong endpoint or beyond what an endpoint can take. */
+class PlacementTest {
+    private val prefix = (1..40).toList()
+
+    @Nested
+    inner class FirstToken {
+        @Test
+        fun `takes the endpoint that reads the prompt sooner`() {
+            val scheduler = schedulerOf(config(endpoint("a"), endpoint("b", prefillPerS = 4_000.0)))
+            assertEquals("b", scheduler.submit(request("r", prefill = 1_000), 0).grantedEndpoint)
+        }
+
+        @Test
+        fun `counts prompts that the endpoint still has to read`() {
+            val fast = endpoint("b", slots = 9, prefillPerS = 4_000.0)
+            val scheduler = schedulerOf(config(endpoint("a"), fast))
+            scheduler.submit(request("first", prefill = 8_000), 0)
+            assertEquals("a", scheduler.submit(request("r", prefill = 1_000), 0).grantedEndpoint)
+        }
+
+        @Test
+        fun `spreads equal work over equal endpoints`() {
+            val scheduler = schedulerOf(config(endpoint("a"), endpoint("b")))
+            val chosen = List(4) { scheduler.submit(request("r$it"), 0).grantedEndpoint }
+            assertEquals(listOf("a", "b", "a", "b"), chosen)
+        }
+    }
+
+    @Nested
+    inner class Prefix {
+        private val scheduler =
+            schedulerOf(config(endpoint("a", slots = 1), endpoint("b", slots = 1)))
+
+        private fun warmUpB() = scheduler.reportCache(
+            prefix.map { CacheEvent(EndpointId("b"), PrefixBlock(it.toLong()), isStored = true) },
+            0
+        )
+
+        @Test
+        fun `goes to the endpoint that holds it`() {
+            warmUpB()
+            val decisions = scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            assertEquals("b", decisions.grantedEndpoint)
+            assertEquals("prefix", decisions.grants.single().reason)
+        }
+
+        @Test
+        fun `waits for a busy endpoint when that saves more than it costs`() {
+            warmUpB()
+            val short = scheduler.submit(
+                request("short", prefill = 0, output = 10, resumeOn = "b"),
+                0
+            )
+            assertEquals(
+                emptyList(),
+                scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            )
+            val next = scheduler.release(report(short.grants.single().grantId), 200)
+            assertEquals("b", next.grantedEndpoint)
+        }
+
+        @Test
+        fun `does not wait when the wait costs more than it saves`() {
+            warmUpB()
+            scheduler.submit(request("long", prefill = 0, output = 500, resumeOn = "b"), 0)
+            val decisions = scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            assertEquals("a", decisions.grantedEndpoint)
+        }
+
+        @Test
+        fun `stops waiting when the endpoint takes longer than estimated`() {
+            warmUpB()
+            scheduler.submit(request("short", prefill = 0, output = 10, resumeOn = "b"), 0)
+            scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            assertEquals("a", scheduler.tick(1_000).grantedEndpoint)
+        }
+
+        @Test
+        fun `is forgotten when the grant was not used`() {
+            val first = scheduler.submit(
+                request("first", prefill = 2_560, prefix = prefix),
+                0
+            ).grants.single()
+            scheduler.release(report(first.grantId, GrantEnd.UNUSED), 10)
+            val second = scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 10)
+            assertEquals("least-wait", second.grants.single().reason)
+        }
+    }
+
+    @Nested
+    inner class Limits {
+        @Test
+        fun `no more requests than slots`() {
+            val scheduler = schedulerOf(config(endpoint("a", slots = 2)))
+            val granted = (1..5).sumOf { scheduler.submit(request("r$it"), 0).grants.size }
+            assertEquals(2, granted)
+        }
+
+        @Test
+        fun `no more tokens than the budget`() {
+            val scheduler = schedulerOf(config(endpoint("a", slots = 9, budgetTokens = 500)))
+            val granted = (1..5).sumOf { scheduler.submit(request("r$it"), 0).grants.size }
+            assertEquals(2, granted)
+        }
+
+        @Test
+        fun `a request above every budget runs on an empty endpoint`() {
+            val scheduler = schedulerOf(config(endpoint("a", budgetTokens = 50)))
+            assertEquals("a", scheduler.submit(request("r"), 0).grantedEndpoint)
+        }
+
+        @Test
+        fun `reserved slots are kept from lower tiers`() {
+            val scheduler = schedulerOf(config(endpoint("a", slots = 4), reservedShare = 0.5))
+            val lower = (1..4).sumOf { scheduler.submit(request("l$it", tier = 1), 0).grants.size }
+            val top = (1..4).sumOf { scheduler.submit(request("t$it", tier = 0), 0).grants.size }
+            assertEquals(2 to 2, lower to top)
+        }
+
+        @Test
+        fun `a large request is not passed by smaller ones of a lower tier`() {
+            val scheduler = schedulerOf(config(endpoint("a", slots = 9, budgetTokens = 1_000)))
+            val first = scheduler.submit(request("first", tier = 0), 0).grants.single()
+            scheduler.submit(request("large", tier = 0, prefill = 900), 0)
+            assertEquals(emptyList(), scheduler.submit(request("small", tier = 1), 0).grants)
+            assertEquals("large", scheduler.release(report(first.grantId), 50).grants.ids.first())
+        }
+    }
+
+    @Test
+    fun `tiers are served in order`() {
+        val scheduler = schedulerOf(config(endpoint("a", slots = 1)))
+        var grant = scheduler.submit(request("first", tier = 0), 0).grants.single()
+        for (tier in listOf(2, 0, 1)) scheduler.submit(request("t$tier", tier), 0)
+        val order = List(3) {
+            grant = scheduler.release(report(grant.grantId), 10L * it).grants.single()
+            grant.request.requestId.value
+        }
+        assertEquals(listOf("t0", "t1", "t2"), order)
+    }
+
+    @Test
+    fun `the log gets the nearest candidates only`() {
+        val many = Array(50) { endpoint("e$it") }
+        val grant = schedulerOf(config(*many)).submit(request("r"), 0).grants.single()
+        assertTrue(
+            grant.candidates.size in 1..4,
+            "expected 1 to 4 candidates, got ${grant.candidates}"
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/ShedRuleTest.kt
@@ -0,0 +1,112 @@
+package cowslipcart.core.capacity
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against shedding a request while work of a lower tier runs or waits. */
+class ShedRuleTest {
+    private fun full(maxQueued: Int) =
+        schedulerOf(config(endpoint("a", slots = 1), maxQueued = maxQueued))
+
+    private fun List<SchedulerDecision>.shed() =
+        refusals.filter { it.reason == RefusalReason.SHARD_FULL }.ids
+
+    @Test
+    fun `a queued request of a lower tier is evicted first`() {
+        val scheduler = full(maxQueued = 1)
+        scheduler.submit(request("running", tier = 0), 0)
+        scheduler.submit(request("lower", tier = 2), 0)
+        scheduler.submit(request("top-1", tier = 0), 0)
+        assertEquals(listOf("lower"), scheduler.submit(request("top-2", tier = 0), 0).shed())
+    }
+
+    @Test
+    fun `running work of a lower tier gives way and nothing is shed`() {
+        val scheduler = full(maxQueued = 1)
+        scheduler.submit(request("lower", tier = 2, output = 10), 0)
+        scheduler.submit(request("top-1", tier = 0), 0)
+        val decisions = scheduler.submit(request("top-2", tier = 0), 0)
+        assertEquals(listOf("lower"), decisions.giveWays.ids)
+        assertEquals(emptyList(), decisions.refusals)
+    }
+
+    @Test
+    fun `nothing is shed while a lower tier runs that cannot be interrupted`() {
+        val scheduler = full(maxQueued = 1)
+        scheduler.submit(request("lower", tier = 2, isInterruptible = false), 0)
+        val refused = (1..5).flatMap { scheduler.submit(request("top-$it", tier = 0), 0).refusals }
+        assertEquals(emptyList(), refused)
+    }
+
+    @Test
+    fun `a request is shed when only its own tier is left`() {
+        val scheduler = full(maxQueued = 1)
+        scheduler.submit(request("running", tier = 0), 0)
+        scheduler.submit(request("top-1", tier = 0), 0)
+        val refusal = scheduler.submit(request("top-2", tier = 0), 0).refusals.single()
+        assertEquals(RefusalReason.SHARD_FULL, refusal.reason)
+        assertTrue((refusal.retryAfterMs ?: 0) > 0, "expected a retry time, got $refusal")
+    }
+
+    @Test
+    fun `lower work on an endpoint that takes no new work does not count`() {
+        val scheduler = full(maxQueued = 1)
+        scheduler.submit(request("lower", tier = 2), 0)
+        val endpoints = arrayOf(endpoint("a", slots = 1), endpoint("b", slots = 1))
+        scheduler.reconfigure(config(*endpoints, unavailable = setOf("a"), maxQueued = 1), 0)
+        scheduler.submit(request("running", tier = 0), 0)
+        scheduler.submit(request("top-1", tier = 0), 0)
+        assertEquals(listOf("top-2"), scheduler.submit(request("top-2", tier = 0), 0).shed())
+    }
+
+    @Test
+    fun `a stopped tier is refused`() {
+        val refusal = full(maxQueued = 0).submit(request("r", tier = 1), 0).refusals.single()
+        assertEquals(RefusalReason.TIER_STOPPED, refusal.reason)
+    }
+
+    @Nested
+    inner class RandomLoad {
+        /** Checks the rule from outside, with its own table of what runs and waits. */
+        private fun checkSeed(seed: Int) {
+            val random = Random(seed)
+            val scheduler = full(maxQueued = 2)
+            val waiting = LinkedHashMap<String, Int>()
+            val running = LinkedHashMap<String, SchedulerDecision.Grant>()
+            repeat(60) { step ->
+                val nowMs = step * 50L
+                val ended = running.values.randomOrNull(random).takeIf { random.nextInt(3) == 0 }
+                val decisions = if (ended == null) {
+                    val tier = random.nextInt(3)
+                    waiting["r$step"] = tier
+                    scheduler.submit(request("r$step", tier, output = 20), nowMs)
+                } else {
+                    running -= ended.request.requestId.value
+                    scheduler.release(report(ended.grantId), nowMs)
+                }
+                for (decision in decisions) {
+                    val id = decision.request.requestId.value
+                    if (decision is SchedulerDecision.Grant) running[id] = decision
+                    if (decision !is SchedulerDecision.GiveWay) waiting -= id
+                    if (decision is SchedulerDecision.Refuse) {
+                        val rank = decision.request.tier.rank
+                        val lower = waiting.filterValues { it > rank }.keys +
+                            running.filterValues { it.request.tier.rank > rank }.keys
+                        assertTrue(
+                            lower.isEmpty(),
+                            "seed $seed: expected no shedding of $id while $lower run or wait"
+                        )
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `sheds no request above running or queued work`() {
+            for (seed in 1..200) checkSeed(seed)
+        }
+    }
+}
