--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/claims/ClaimHistoriesTest.kt
@@ -0,0 +1,54 @@
+package cowslipcart.core.claims
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against two dispatches of a key, a dispatch after "not run" and dishonest verdicts. */
+class ClaimHistoriesTest {
+    @Nested
+    inner class LogBatcher {
+        @Test
+        fun `keeps every guarantee in every generated history`() {
+            val histories = historySeeds(HISTORY_COUNT).map { seed ->
+                ClaimHistory(seed) { createClaimBatcher(partition = 0) }
+                    .also { it.run() }
+                    .also { assertNoViolation(it.world, it.checker) }
+                    .let { listOf(it.checker.dispatchCount, it.log.lostAnswers, it.log.lateWrites) }
+            }.toList()
+
+            val (dispatches, lostAnswers, lateWrites) = List(3) { i -> histories.sumOf { it[i] } }
+            println(
+                "claim histories: ${histories.size}, dispatches: $dispatches, " +
+                    "lost answers: $lostAnswers, late writes: $lateWrites"
+            )
+            assertTrue(dispatches > 0 && lostAnswers > 0, "expected faults and dispatches")
+        }
+    }
+
+    @Nested
+    inner class Baselines {
+        @Test
+        fun `memory of one host fails the same histories`() {
+            assertFails("memory of one host") { ::MemoryBatcher }
+        }
+
+        @Test
+        fun `a lease fails the same histories`() {
+            assertFails("lease") { LeaseTable()::Batcher }
+        }
+
+        private fun assertFails(name: String, batcherFactory: () -> () -> ClaimBatcher) {
+            val failed = (1L..HISTORY_COUNT).filter { seed ->
+                val history = ClaimHistory(seed, batcherFactory()).also { it.run() }
+                history.checker.violations.any { "one dispatch" in it }
+            }
+            println("$name: two dispatches of a key in ${failed.size} of $HISTORY_COUNT histories")
+            assertTrue(failed.isNotEmpty(), "expected two dispatches of a key, found none")
+        }
+    }
+
+    private companion object {
+        const val HISTORY_COUNT = 1_000
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/claims/DispatchChecker.kt
@@ -0,0 +1,99 @@
+package cowslipcart.core.claims
+
+import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.Fingerprint
+
+/** Knows only what was claimed, answered and dispatched, and none of the rules of the log. */
+internal class DispatchChecker(private val world: World) {
+    private val attempts = LinkedHashMap<AttemptId, Watched>()
+    val violations = ArrayList<String>()
+    var dispatchCount = 0
+        private set
+
+    /** Tells whether the history leaves room to refuse a key as expired. */
+    var mayExpire: (RequestKey, claimedAtMs: Long) -> Boolean = { _, _ -> false }
+
+    class Watched(val claim: ClaimItem.Claim, val claimedAtMs: Long) {
+        var isOver = false
+        var reportedNotRun = false
+        var isDispatched = false
+        var answer: RecordedAnswer? = null
+        val verdicts = HashSet<ClaimVerdict>()
+    }
+
+    fun onClaimed(claim: ClaimItem.Claim) {
+        attempts[claim.attempt] = Watched(claim, world.nowMs)
+        world.note("claim ${claim.attempt} of ${claim.key.uuid} ${claim.fingerprint}")
+    }
+
+    /** The origin decided that [attempt] will not run. */
+    fun onOver(attempt: AttemptId, reportedNotRun: Boolean) {
+        val watched = attempts.getValue(attempt)
+        watched.isOver = true
+        watched.reportedNotRun = watched.reportedNotRun || reportedNotRun
+        if (watched.isDispatched) fail("$attempt: expected no end without run, found a dispatch")
+        world.note("over $attempt, reported not run: $reportedNotRun")
+    }
+
+    fun onDispatched(attempt: AttemptId, answer: RecordedAnswer) {
+        val watched = attempts.getValue(attempt)
+        val others = sameKey(watched).filter { it.isDispatched }
+        if (others.isNotEmpty()) {
+            fail("$attempt: expected one dispatch of the key, found ${ids(others)} before")
+        }
+        if (watched.reportedNotRun) fail("$attempt: expected none after 'not run', found dispatch")
+        watched.isDispatched = true
+        watched.answer = answer
+        dispatchCount++
+        world.note("dispatch $attempt")
+    }
+
+    fun onVerdict(attempt: AttemptId, verdict: ClaimVerdict) {
+        val watched = attempts.getValue(attempt)
+        world.note("verdict $attempt $verdict")
+        watched.verdicts += verdict
+        val isHonest = when (verdict) {
+            ClaimVerdict.Won -> isOnlyWinner(watched)
+
+            is ClaimVerdict.Held -> isHonest(verdict, watched)
+
+            ClaimVerdict.ContentMismatch ->
+                sameKey(watched).any { it.fingerprint() != watched.fingerprint() }
+
+            ClaimVerdict.Expired -> mayExpire(watched.claim.key, watched.claimedAtMs)
+
+            ClaimVerdict.FromFuture ->
+                watched.claim.key.keyTimeMs > watched.claimedAtMs + 5 * 60_000
+
+            is ClaimVerdict.Undecided -> true
+        }
+        if (!isHonest) fail("$attempt: expected an honest verdict, found $verdict")
+        val isLost = watched.verdicts.any {
+            it is ClaimVerdict.Held || it == ClaimVerdict.ContentMismatch
+        }
+        if (isLost && ClaimVerdict.Won in watched.verdicts) {
+            fail("$attempt: expected verdicts that agree, found ${watched.verdicts}")
+        }
+    }
+
+    private fun isOnlyWinner(watched: Watched): Boolean = watched.isOver ||
+        sameKey(watched).all { it.isOver || ClaimVerdict.Won !in it.verdicts }
+
+    private fun isHonest(held: ClaimVerdict.Held, watched: Watched): Boolean {
+        val holder = sameKey(watched).singleOrNull { it.claim.attempt == held.holder }
+        return holder != null && holder.claim.origin == held.origin &&
+            (held.answer == null || (holder.isDispatched && holder.answer == held.answer))
+    }
+
+    private fun sameKey(watched: Watched): List<Watched> =
+        attempts.values.filter { it !== watched && it.claim.key == watched.claim.key }
+
+    private fun ids(watched: List<Watched>): List<AttemptId> = watched.map { it.claim.attempt }
+
+    private fun Watched.fingerprint(): Fingerprint = claim.fingerprint
+
+    private fun fail(text: String) {
+        world.note("VIOLATION $text")
+        violations += text
+    }
+}
