--- a/core/src/main/kotlin/cowslipcart/core/claims/BatchQueue.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/BatchQueue.kt
@@ -10,14 +10,13 @@
     private var notBeforeMs = Long.MIN_VALUE
     private var failureCount = 0
 
-    /** Adds [item]; returns false if the queue for items of its kind is full. */
-    fun add(item: ClaimItem, nowMs: Long): Boolean {
+    /** Adds [item]. A release or outcome beyond the limit of the settings is dropped. */
+    fun add(item: ClaimItem, nowMs: Long) {
         val isClaim = item is ClaimItem.Claim
         val recordCount = waiting.size - waitingClaimCount
-        if (!isClaim && recordCount >= settings.maxQueuedRecords) return false
+        if (!isClaim && recordCount >= settings.maxQueuedRecords) return
         if (waiting.isEmpty()) waitingSinceMs = nowMs
         if (waiting.add(item) && isClaim) waitingClaimCount++
-        return true
     }
 
     /** Drops [item], which is in the log or no longer wanted, so that it is not appended again. */
--- a/core/src/main/kotlin/cowslipcart/core/claims/LogClaimBatcher.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/LogClaimBatcher.kt
@@ -72,7 +72,7 @@
     override fun onAppendFailed(batch: Long, error: LogError, nowMs: Long): List<BatcherEffect> {
         queue.onFailed(batch, nowMs)
         when (error) {
-            is LogError.Unavailable -> Unit
+            is LogError.Unavailable -> refusalsInRow++
 
             // The append may have taken effect; what is found in the log is not appended again.
             is LogError.Unknown -> reader.requestCatchUp()
