Ask every listed host before a key is called unseen

Cause: on three daemons whose host list was empty, a resend got not-run although the first host had run the key: the inquiry asked only the hosts that were known to run, which was none. Change: the inquiry covers all listed hosts, and a host that is not listed itself concludes nothing. Ruled out: a fault of key epochs (the owner was another process).

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -218,6 +218,7 @@
 
     private fun onHostList(input: NodeInput.HostListRead, nowMs: Long) {
         applyMembership(membership.onHostList(input.list, nowMs), nowMs)
+        inquiries.onHostList(input.list)
         val peers = input.list.hosts
             .filter { !it.isLeaving && it.host != self.host }
             .mapTo(mutableSetOf()) { it.host }
@@ -267,7 +268,7 @@
                     outbox.send(effect.via, PeerMessage.PingRequest(effect.target))
 
                 is MembershipEffect.HostDied -> {
-                    inquiries.onHostDied()
+                    inquiries.onHostDied(effect.identity.host)
                     shards.onHostDied(effect.identity.host, nowMs)
                     outbox.emit(NodeEffect.ForgetPeer(effect.identity.host))
                 }
--- a/core/src/main/kotlin/cowslipcart/core/node/KeyInquiryDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/KeyInquiryDesk.kt
@@ -1,15 +1,17 @@
 package cowslipcart.core.node
 
 import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.membership.HostList
 import cowslipcart.core.membership.MembershipView
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.origin.KeyStanding
 
 /**
- * Asks all hosts whether they know a key. "Unseen" is only concluded if every live host said so and
- * no host that could have dispatched the key is gone: none has died, and this host did not start,
- * since the time of the key.
+ * Asks all hosts whether they know a key. "Unseen" is only concluded if every host that the platform
+ * lists or that is known to run said so, and no host that could have dispatched the key is gone:
+ * none has died, and this host did not start, since the time of the key. A host that is not on the
+ * platform's list itself cannot know who else is there, so it concludes nothing.
  */
 internal class KeyInquiryDesk(
     private val self: HostId,
@@ -19,6 +21,9 @@
     private class Inquiry(val missing: MutableSet<HostId>, var standing: KeyStanding)
 
     private val inquiries = HashMap<RequestId, Inquiry>()
+    private var listed: Set<HostId> = emptySet()
+    private val dead = HashSet<HostId>()
+    private var isListed = false
     private var isStarted = false
     private var wallNowMs = 0L
 
@@ -33,15 +38,24 @@
         }
     }
 
-    fun onHostDied() {
+    fun onHostList(list: HostList) {
+        isListed = list.hosts.any { it.host == self }
+        listed = list.hosts.mapTo(mutableSetOf()) { it.host }
+        dead.removeAll { it in membership.liveHosts }
+    }
+
+    fun onHostDied(host: HostId) {
+        dead += host
         blindUntilWallMs = maxOf(blindUntilWallMs, wallNowMs)
     }
 
     /** Starts an inquiry; returns its result if nobody has to be asked. */
     fun begin(requestId: RequestId, key: RequestKey, own: KeyStanding): KeyStanding? {
-        val isBlind = key.keyTimeMs <= blindUntilWallMs + CLOCK_ALLOWANCE_MS
+        val isBlind = !isListed ||
+            key.keyTimeMs <= blindUntilWallMs + CLOCK_ALLOWANCE_MS
         val standing = if (isBlind) maxOf(own, KeyStanding.UNKNOWN) else own
-        val others = membership.liveHosts.keys.filterTo(mutableSetOf()) { it != self }
+        val live = membership.liveHosts.keys
+        val others = (live + (listed - dead) - self).toMutableSet()
         if (others.isEmpty()) return standing
         inquiries[requestId] = Inquiry(others, standing)
         others.forEach { outbox.send(it, PeerMessage.KeyQuery(requestId, key)) }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
@@ -33,7 +33,7 @@
 internal class ModelExchange(
     private val context: EndpointContext,
     private val requestId: RequestId,
-    private val body: String,
+    private val requestBody: String,
     private val answer: ModelAnswer,
     private val recorder: AnswerRecorder?,
     private val promptTokens: Int
@@ -102,7 +102,7 @@
             // A stale kept-alive connection would end the request as unknown.
             header(HttpHeaders.Connection, "close")
             contentType(ContentType.Application.Json)
-            if (!start.isResume) setBody(body)
+            if (!start.isResume) setBody(requestBody)
         }
     }
 
