Encode byte arrays as CBOR byte strings

Cause: frames between hosts took about 300 bytes on average: the body of each envelope was an array of numbers, two bytes for each byte. Change: both codecs write byte strings and definite lengths.

--- a/wire/src/main/kotlin/cowslipcart/wire/log/LogCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/log/LogCodec.kt
@@ -21,7 +21,11 @@
     /** Version of the records. */
     public const val VERSION: Int = 1
 
-    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val cbor = Cbor {
+        ignoreUnknownKeys = true
+        alwaysUseByteString = true
+        useDefiniteLengthEncoding = true
+    }
     private val claimItems = ListSerializer(ClaimItemDocument.serializer())
 
     @Serializable
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
@@ -23,7 +23,11 @@
     /** Largest frame that is sent or accepted. */
     public const val MAX_FRAME_BYTES: Int = 1024 * 1024
 
-    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val cbor = Cbor {
+        ignoreUnknownKeys = true
+        alwaysUseByteString = true
+        useDefiniteLengthEncoding = true
+    }
 
     @Serializable
     private class Envelope(
