Compare the main policy with a plain version

Cause: an error in the totals, bit sets or claims of the main policy would only show as a worse choice. Conclusion: choices are checked; time and allocation follow.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -28,7 +28,7 @@
             end(running, nowMs)
         }
         val refused = enqueue(request, isCharged = false, nowMs)
-        if (refused != null) return listOf(refused)
+        if (refused != null) return listOf(refused) + decide(nowMs)
         return decide(nowMs) { out -> afterQueued(request.requestId, nowMs, out) }
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -0,0 +1,195 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PrefixBlock
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Tier
+import kotlin.math.ceil
+import kotlin.math.max
+
+/**
+ * Plain version of queue order, placement, reserve, deadline checks and prefix index, without
+ * learning, interruption and isolation. It searches lists and keeps no totals, so an error in the
+ * data structures of the main policy shows as another choice.
+ */
+internal class PlainScheduler(private val config: ShardConfig, private val targetMs: Long) {
+    private class Waiting(
+        val request: CapacityRequest,
+        val number: Int,
+        nowMs: Long,
+        targetMs: Long
+    ) {
+        val deadlineMs = request.timeLeftMs?.let { nowMs + it } ?: Long.MAX_VALUE
+        val dueMs = nowMs + targetMs
+        var checkMs = Long.MAX_VALUE
+        var passOverUntilMs = Long.MAX_VALUE
+        var isLate = false
+        val cost get() = request.prefillTokens.toLong() + request.outputTokens
+    }
+
+    private class Runs(val request: CapacityRequest, val endpoint: EndpointId, val uncached: Int)
+
+    private class Share(val number: Int, var tag: Double = 0.0)
+
+    private val waiting = ArrayList<Waiting>()
+    private val running = ArrayList<Runs>()
+    private val shares = HashMap<Pair<Tier, OrganisationId>, Share>()
+    private val times = HashMap<Tier, Double>()
+    private val cached = config.endpoints.associate { it.id to ArrayList<PrefixBlock>() }
+    private val busyUntilMs = config.endpoints.associate { it.id to 0.0 }.toMutableMap()
+    private var number = 0
+
+    fun submit(request: CapacityRequest, nowMs: Long): List<String> {
+        val work = Waiting(request, number++, nowMs, targetMs)
+        if (!canFinish(work, nowMs)) return listOf("refuse ${request.requestId}") + dispatch(nowMs)
+        val key = request.tier to request.organisation
+        val share = shares.getOrPut(key) { Share(shares.keys.count { it.first == request.tier }) }
+        if (waiting.none { it.request.tier to it.request.organisation == key }) {
+            share.tag = max(share.tag, times[request.tier] ?: 0.0)
+        }
+        waiting += work
+        return dispatch(nowMs)
+    }
+
+    fun cancel(id: RequestId, nowMs: Long): List<String> {
+        waiting.removeIf { it.request.requestId == id }
+        return dispatch(nowMs)
+    }
+
+    fun release(id: RequestId, isUsed: Boolean, nowMs: Long): List<String> {
+        val ended = running.single { it.request.requestId == id }
+        running -= ended
+        if (!isUsed) {
+            val spec = config.endpoints.single { it.id == ended.endpoint }
+            busyUntilMs.merge(
+                spec.id,
+                -(ended.uncached * 1_000.0 / spec.prefillTokensPerS),
+                Double::plus
+            )
+            val known = (ended.request.prefillTokens - ended.uncached) / 64
+            cached.getValue(spec.id) -= ended.request.prefixBlocks.drop(known).toSet()
+        }
+        return dispatch(nowMs)
+    }
+
+    fun dispatch(nowMs: Long): List<String> {
+        val out = ArrayList<String>()
+        for (work in waiting.filter { it.checkMs <= nowMs }.sortedBy { it.checkMs }) {
+            if (canFinish(work, nowMs)) continue
+            waiting -= work
+            out += "refuse ${work.request.requestId}"
+        }
+        val claimed = HashSet<EndpointId>()
+        for (tier in waiting.map { it.request.tier }.distinct().sorted()) {
+            val deferred = HashSet<Waiting>()
+            while (config.endpoints.any { isOpen(it, tier, claimed) }) {
+                val work = next(tier, deferred, nowMs) ?: break
+                val (spec, isNow) = choose(work, claimed, nowMs) ?: (null to false)
+                if (spec != null && isNow) out += start(work, spec, nowMs) else deferred += work
+                if (spec != null && !isNow) claimed += spec.id
+            }
+        }
+        return out
+    }
+
+    private fun next(tier: Tier, deferred: Set<Waiting>, nowMs: Long): Waiting? {
+        val inOrganisation = compareBy<Waiting>({ it.isLate }, { it.deadlineMs }, { it.number })
+        val heads = waiting.filter { it.request.tier == tier && it !in deferred }
+            .groupBy { it.request.organisation }.values.map { it.sortedWith(inOrganisation) }
+        val chosen = heads.minWithOrNull(
+            compareBy({ shareOf(it[0]).tag }, { it[0].deadlineMs }, { shareOf(it[0]).number })
+        ) ?: return null
+        for (work in chosen) {
+            if (work.isLate || work.dueMs > nowMs) break
+            work.isLate = true
+        }
+        return chosen.sortedWith(inOrganisation)[0]
+    }
+
+    private fun shareOf(work: Waiting) =
+        shares.getValue(work.request.tier to work.request.organisation)
+
+    private fun start(work: Waiting, spec: EndpointSpec, nowMs: Long): String {
+        val share = shareOf(work)
+        times.merge(work.request.tier, share.tag, ::maxOf)
+        share.tag += work.cost / (config.weights[work.request.organisation] ?: 1.0)
+        waiting -= work
+        val uncached = uncached(work, spec)
+        running += Runs(work.request, spec.id, uncached)
+        val waitMs = max(0.0, busyUntilMs.getValue(spec.id) - nowMs)
+        busyUntilMs[spec.id] = nowMs + waitMs + uncached * (1_000.0 / spec.prefillTokensPerS)
+        val blocks = cached.getValue(spec.id)
+        val limit = (spec.cacheTokens / 64).toInt()
+        for (block in work.request.prefixBlocks.take(limit).reversed()) {
+            blocks -= block
+            blocks += block
+            if (blocks.size > limit) blocks.removeAt(0)
+        }
+        return "grant ${work.request.requestId} on ${spec.id}"
+    }
+
+    private fun choose(
+        work: Waiting,
+        claimed: Set<EndpointId>,
+        nowMs: Long
+    ): Pair<EndpointSpec, Boolean>? {
+        val costs = config.endpoints.filter { it.id !in config.unavailable }.mapNotNull { spec ->
+            val own = running.filter { it.endpoint == spec.id }
+            val isNow = isOpen(spec, work.request.tier, claimed) && hasBudget(spec, work)
+            val claimFactor = if (spec.id in claimed) 2 else 1
+            val firstTokenMs = max(0.0, busyUntilMs.getValue(spec.id) - nowMs) +
+                uncached(work, spec) * (1_000.0 / spec.prefillTokensPerS) +
+                if (isNow) 0.0 else slotWaitMs(spec) * claimFactor
+            val finishMs =
+                firstTokenMs + work.request.outputTokens * 1_000.0 / spec.decodeTokensPerS
+            val costMs = firstTokenMs + own.size.toDouble() / spec.slotCount * 100
+            Triple(spec, isNow, costMs).takeIf { work.deadlineMs - nowMs >= finishMs }
+        }
+        val now = costs.filter { it.second }.minByOrNull { it.third }
+        val later = costs.filter { !it.second }.minByOrNull { it.third }
+        if (now == null || later == null) return (now ?: later)?.let { it.first to it.second }
+        if (later.third + 20 >= now.third) return now.first to true
+        val untilMs = nowMs + (slotWaitMs(later.first) * 2).toLong()
+        if (work.passOverUntilMs == Long.MAX_VALUE) work.passOverUntilMs = untilMs
+        return if (nowMs < work.passOverUntilMs) later.first to false else now.first to true
+    }
+
+    private fun isOpen(spec: EndpointSpec, tier: Tier, claimed: Set<EndpointId>): Boolean {
+        val own = running.filter { it.endpoint == spec.id }
+        val reserved = ceil(spec.slotCount * config.preset!!.reservedShare).toInt()
+        val lowerLimit = max(1, spec.slotCount - reserved)
+        return spec.id !in config.unavailable && spec.id !in claimed && own.size < spec.slotCount &&
+            (tier.rank == 0 || own.count { it.request.tier.rank > 0 } < lowerLimit)
+    }
+
+    private fun hasBudget(spec: EndpointSpec, work: Waiting): Boolean {
+        val own = running.filter { it.endpoint == spec.id }
+        val usedTokens = own.sumOf { it.request.prefillTokens + it.request.outputTokens }
+        return own.isEmpty() || usedTokens + work.cost <= spec.budgetTokens
+    }
+
+    private fun slotWaitMs(spec: EndpointSpec): Double {
+        val own = running.filter { it.endpoint == spec.id }
+        val count = max(1, own.size)
+        val tokens = own.sumOf { it.request.outputTokens }
+        return max(20.0, tokens * (1_000.0 / spec.decodeTokensPerS) / count * 2 / (count + 1))
+    }
+
+    private fun uncached(work: Waiting, spec: EndpointSpec): Int {
+        val depth = work.request.prefixBlocks.takeWhile { it in cached.getValue(spec.id) }.size
+        return max(0, work.request.prefillTokens - depth * 64)
+    }
+
+    private fun canFinish(work: Waiting, nowMs: Long): Boolean {
+        if (work.deadlineMs == Long.MAX_VALUE) return true
+        val bestMs = config.endpoints.filter { it.id !in config.unavailable }.minOf {
+            uncached(work, it) * (1_000.0 / it.prefillTokensPerS) +
+                work.request.outputTokens * (1_000.0 / it.decodeTokensPerS)
+        }
+        val latestMs = work.deadlineMs - bestMs
+        work.checkMs = max(latestMs.toLong() + 1, nowMs + 1)
+        return work.deadlineMs > nowMs && latestMs >= nowMs
+    }
+}
