Park requests that wait by choice for the endpoint with their prefix

Cause: requests that waited for a busy endpoint were placed anew in every call; with 600 endpoints and 4 hot prefixes a submit and a release took 0.55 ms together. Change: such a request is set aside until its endpoint can take it, at most 100 ms at a time. Conclusion: the scan over the endpoints is what remains to be made cheaper.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
@@ -29,12 +29,16 @@
         out: MutableList<SchedulerDecision>
     ): Boolean {
         val isTop = queue.tier.rank == 0
+        queue.wake(nowMs)
         while (deferred.size < MOST_DEFERRED && state.endpoints.hasOpen(isTop)) {
             val work = queue.poll(nowMs) ?: break
             placement.choose(work, nowMs)
             val endpoint = placement.endpoint
             if (endpoint != null && placement.canStart) {
                 grant(queue, work, endpoint, nowMs, out)
+            } else if (endpoint != null && placement.isByChoice) {
+                val untilMs = minOf(nowMs + PARK_MS, work.passOverUntilMs ?: nowMs)
+                queue.park(work, endpoint, untilMs)
             } else {
                 deferred += work
                 // Less urgent work must not take the place that this request waits for.
@@ -81,5 +85,9 @@
     private companion object {
         // Bounds the work of one pass; more requests rarely wait while an endpoint is open.
         const val MOST_DEFERRED = 32
+
+        // How long a request may overlook a better endpoint than the one that it waits for. With
+        // 600 endpoints and hot prefixes, choosing anew in each call took 0.5 ms a call.
+        const val PARK_MS = 100L
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
@@ -14,7 +14,8 @@
         for (queue in state.queue.tiers) {
             if (!state.grants.hasInterruptibleBelow(queue.tier)) return
             if (!state.mayGrant(queue.tier, nowMs)) return
-            while (queue.hasNormal && position < MOST_REVIEWED) {
+            for (work in queue.parked()) consider(work, position++, nowMs, out)
+            while (position < MOST_REVIEWED) {
                 val work = queue.poll(nowMs) ?: break
                 taken += work
                 consider(work, position++, nowMs, out)
--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -22,6 +22,10 @@
     var canStart: Boolean = false
         private set
 
+    /** Whether the request waits for [endpoint] although it could start elsewhere. */
+    var isByChoice: Boolean = false
+        private set
+
     /** The endpoints with the least cost, best first. */
     val candidates: List<EndpointId> get() = nearest.toList()
 
@@ -104,6 +108,7 @@
         val later = bestLater
         endpoint = now ?: later
         canStart = now != null
+        isByChoice = false
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
         val untilMs = work.passOverUntilMs
             ?: (nowMs + (later.slotWaitMs() * PASS_OVER_FACTOR).toLong())
@@ -111,6 +116,7 @@
         if (nowMs >= untilMs) return
         endpoint = later
         canStart = false
+        isByChoice = true
     }
 
     // Time lost beyond the target between tokens, so that a slow endpoint is the last choice.
--- a/core/src/main/kotlin/cowslipcart/core/capacity/QueuedWork.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/QueuedWork.kt
@@ -25,6 +25,12 @@
     /** Until when the request may pass over free endpoints; null if it has not done so. */
     var passOverUntilMs: Long? = null
 
+    /** Endpoint that the request waits for although it could start elsewhere; null if none. */
+    var parkedOn: EndpointState? = null
+
+    /** When the choice to wait for [parkedOn] is made anew. */
+    var parkedUntilMs: Long = 0
+
     /** Whether the request has missed the time for its first token. */
     var isLate: Boolean = false
 
--- a/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
@@ -20,6 +20,7 @@
     private val flows = HashMap<OrganisationId, Flow>()
     private val backlogged = TreeSet(FLOW_ORDER)
     private val suspectQueue = TreeSet(QueuedWork.DEADLINE_ORDER)
+    private val parked = LinkedHashSet<QueuedWork>()
     private var virtualTime = 0.0
     private var flowCount = 0L
 
@@ -28,7 +29,7 @@
         private set
 
     val suspectCount: Int get() = suspectQueue.size
-    val hasNormal: Boolean get() = backlogged.isNotEmpty()
+    val hasNormal: Boolean get() = size > suspectQueue.size
     val firstSuspect: QueuedWork? get() = if (suspectQueue.isEmpty()) null else suspectQueue.first()
 
     /** Adds a new request. */
@@ -38,7 +39,7 @@
             suspectQueue += work
             return
         }
-        val flow = flows.getOrPut(work.request.organisation) { Flow(flowCount++) }
+        val flow = flowOf(work)
         if (flow.isEmpty) flow.startTag = max(flow.startTag, virtualTime)
         enqueue(flow, work)
     }
@@ -46,17 +47,36 @@
     /** Puts back a request taken by [poll]; its organisation keeps its place. */
     fun putBack(work: QueuedWork) {
         size++
-        enqueue(flows.getValue(work.request.organisation), work)
+        enqueue(flowOf(work), work)
+    }
+
+    /** Sets a request taken by [poll] aside until [wake] finds a reason to choose anew. */
+    fun park(work: QueuedWork, endpoint: EndpointState, untilMs: Long) {
+        size++
+        work.parkedOn = endpoint
+        work.parkedUntilMs = untilMs
+        parked += work
+    }
+
+    /** Puts back parked requests whose endpoint can take them or is gone, or whose time is over. */
+    fun wake(nowMs: Long) {
+        if (parked.isEmpty()) return
+        val iterator = parked.iterator()
+        while (iterator.hasNext()) {
+            val work = iterator.next()
+            if (!work.hasReasonToWake(nowMs)) continue
+            iterator.remove()
+            work.parkedOn = null
+            enqueue(flowOf(work), work)
+        }
     }
 
     /** Removes a queued request; it must be in the queue. */
     fun remove(work: QueuedWork) {
         size--
-        if (work.request.isSuspect) {
-            suspectQueue -= work
-            return
-        }
-        val flow = flows.getValue(work.request.organisation)
+        work.parkedOn = null
+        if (suspectQueue.remove(work) || parked.remove(work)) return
+        val flow = flowOf(work)
         backlogged -= flow
         flow.remove(work)
         if (!flow.isEmpty) backlogged += flow
@@ -75,7 +95,7 @@
     /** Charges the organisation of a request that was taken by [poll] and starts. */
     fun charge(work: QueuedWork, weight: Double) {
         if (work.isCharged) return
-        val flow = flows.getValue(work.request.organisation)
+        val flow = flowOf(work)
         if (!flow.isEmpty) backlogged -= flow
         virtualTime = max(virtualTime, flow.startTag)
         flow.startTag += work.reservedTokens / weight
@@ -94,10 +114,23 @@
             ?: backlogged.firstNotNullOfOrNull { other ->
                 other.lastOrNull { it.request.resumeOn == null }
             }
+            ?: parked.lastOrNull()
             ?: suspectQueue.lastOrNull()
             ?: flow?.lastOrNull { true }
     }
 
+    /** Parked requests, longest parked first. */
+    fun parked(): List<QueuedWork> = parked.toList()
+
+    private fun flowOf(work: QueuedWork): Flow =
+        flows.getOrPut(work.request.organisation) { Flow(flowCount++) }
+
+    private fun QueuedWork.hasReasonToWake(nowMs: Long): Boolean {
+        val endpoint = parkedOn ?: return true
+        return nowMs >= parkedUntilMs || !endpoint.isAvailable ||
+            endpoint.admits(isTop, reservedTokens)
+    }
+
     private fun enqueue(flow: Flow, work: QueuedWork) {
         if (!flow.isEmpty) backlogged -= flow
         flow.add(work)
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -26,6 +26,8 @@
         var checkMs = Long.MAX_VALUE
         var passOverUntilMs = Long.MAX_VALUE
         var isLate = false
+        var parkedOn: EndpointSpec? = null
+        var parkedUntilMs = 0L
         val cost get() = request.prefillTokens.toLong() + request.outputTokens
     }
 
@@ -46,7 +48,8 @@
         if (!canFinish(work, nowMs)) return listOf("refuse ${request.requestId}") + dispatch(nowMs)
         val key = request.tier to request.organisation
         val share = shares.getOrPut(key) { Share(shares.keys.count { it.first == request.tier }) }
-        if (waiting.none { it.request.tier to it.request.organisation == key }) {
+        val others = waiting.filter { it.request.tier to it.request.organisation == key }
+        if (others.all { it.parkedOn != null }) {
             share.tag = max(share.tag, times[request.tier] ?: 0.0)
         }
         waiting += work
@@ -84,11 +87,16 @@
         val claimed = HashSet<EndpointId>()
         for (tier in waiting.map { it.request.tier }.distinct().sorted()) {
             val deferred = HashSet<Waiting>()
+            waiting.filter { it.request.tier == tier }.forEach { wake(it, claimed, nowMs) }
             while (config.endpoints.any { isOpen(it, tier, claimed) }) {
                 val work = next(tier, deferred, nowMs) ?: break
                 val (spec, isNow) = choose(work, claimed, nowMs) ?: (null to false)
-                if (spec != null && isNow) out += start(work, spec, nowMs) else deferred += work
-                if (spec != null && !isNow) claimed += spec.id
+                when {
+                    spec != null && isNow -> out += start(work, spec, nowMs)
+                    work.parkedOn != null -> Unit
+                    else -> deferred += work
+                }
+                if (spec != null && !isNow && work.parkedOn == null) claimed += spec.id
             }
         }
         return out
@@ -96,7 +104,10 @@
 
     private fun next(tier: Tier, deferred: Set<Waiting>, nowMs: Long): Waiting? {
         val inOrganisation = compareBy<Waiting>({ it.isLate }, { it.deadlineMs }, { it.number })
-        val heads = waiting.filter { it.request.tier == tier && it !in deferred }
+        val heads = waiting.filter {
+            it.request.tier == tier && it !in deferred &&
+                it.parkedOn == null
+        }
             .groupBy { it.request.organisation }.values.map { it.sortedWith(inOrganisation) }
         val chosen = heads.minWithOrNull(
             compareBy({ shareOf(it[0]).tag }, { it[0].deadlineMs }, { shareOf(it[0]).number })
@@ -153,7 +164,16 @@
         if (later.third + 20 >= now.third) return now.first to true
         val untilMs = nowMs + (slotWaitMs(later.first) * 2).toLong()
         if (work.passOverUntilMs == Long.MAX_VALUE) work.passOverUntilMs = untilMs
-        return if (nowMs < work.passOverUntilMs) later.first to false else now.first to true
+        if (nowMs >= work.passOverUntilMs) return now.first to true
+        work.parkedOn = later.first
+        work.parkedUntilMs = minOf(nowMs + 100, work.passOverUntilMs)
+        return later.first to false
+    }
+
+    private fun wake(work: Waiting, claimed: Set<EndpointId>, nowMs: Long) {
+        val spec = work.parkedOn ?: return
+        val canStart = isOpen(spec, work.request.tier, claimed) && hasBudget(spec, work)
+        if (nowMs >= work.parkedUntilMs || canStart) work.parkedOn = null
     }
 
     private fun isOpen(spec: EndpointSpec, tier: Tier, claimed: Set<EndpointId>): Boolean {
