--- /dev/null
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineRuntime.kt
@@ -0,0 +1,210 @@
+package cowslipcart.standins.http
+
+import arrow.core.Either
+import arrow.core.left
+import cowslipcart.core.model.RequestId
+import cowslipcart.standins.engine.CancelledStream
+import cowslipcart.standins.engine.ChatPrompt
+import cowslipcart.standins.engine.EngineError
+import cowslipcart.standins.engine.EngineEvent
+import cowslipcart.standins.engine.EngineJournal
+import cowslipcart.standins.engine.EngineModel
+import cowslipcart.standins.engine.EngineRequest
+import cowslipcart.standins.engine.JournalOutcome
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
+
+/** Token counts of a stream as its last chunk reports them. */
+internal data class StreamUsage(
+    val promptTokens: Int,
+    val cachedTokens: Int,
+    val completionTokens: Int
+)
+
+/** What the connection of a stream has to write. */
+internal sealed interface StreamItem {
+    data class Token(val sequence: Int) : StreamItem
+
+    data class Finished(val usage: StreamUsage) : StreamItem
+
+    data class Cancelled(val usage: StreamUsage) : StreamItem
+}
+
+/** Output of one run of a stream; [items] ends after the last item, or fails if the engine crashes. */
+internal class StreamOutput(val id: RequestId, val prompt: ChatPrompt) {
+    val channel = Channel<StreamItem>(Channel.UNLIMITED)
+    val items: ReceiveChannel<StreamItem> get() = channel
+}
+
+/** Times of a stand-in. */
+internal class StandinClock(val monotonicMs: () -> Long, val wallMs: () -> Long)
+
+/**
+ * Runs an [EngineModel] in real time and passes its events to the streams' connections.
+ *
+ * @param onCrash called on the state thread when the engine crashes
+ */
+internal class EngineRuntime(
+    model: EngineModel,
+    private val poisonMarker: String,
+    private val clock: StandinClock,
+    private val onCrash: () -> Unit
+) : AutoCloseable {
+    private class State(val model: EngineModel) {
+        val journal = EngineJournal()
+        val outputs = HashMap<RequestId, StreamOutput>()
+
+        /** Prompts of cancelled streams, for their resume. */
+        val cancelled = object : LinkedHashMap<RequestId, ChatPrompt>() {
+            override fun removeEldestEntry(eldest: Map.Entry<RequestId, ChatPrompt>) =
+                size > MAX_CANCELLED
+        }
+    }
+
+    private val state = Confined(State(model))
+    private val scope = CoroutineScope(SupervisorJob() + state.dispatcher)
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+
+    init {
+        scope.launch { pump() }
+    }
+
+    /** Starts a request of [outputTokens] tokens. */
+    suspend fun start(
+        id: RequestId,
+        prompt: ChatPrompt,
+        outputTokens: Int
+    ): Either<EngineError, StreamOutput> = change { state, nowMs ->
+        val request = EngineRequest(
+            id,
+            prompt.words.size,
+            outputTokens,
+            prompt.prefixBlocks,
+            isPoison = poisonMarker in prompt.words
+        )
+        state.model.submit(request, nowMs)
+            .onRight { state.journal.start(id, clock.wallMs()) }
+            .onLeft { state.journal.refuse(id, clock.wallMs()) }
+            .map { state.open(id, prompt) }
+    }
+
+    /** Continues a cancelled stream from output token [fromSequence] on. */
+    suspend fun resume(id: RequestId, fromSequence: Int): Either<EngineError, StreamOutput> =
+        change { state, nowMs ->
+            val prompt = state.cancelled[id] ?: return@change EngineError.NotResumable(id).left()
+            state.model.resume(id, fromSequence, nowMs).map {
+                state.journal.change(id, JournalOutcome.RUNNING, clock.wallMs())
+                state.open(id, prompt)
+            }
+        }
+
+    /** Cancels a stream; its connection gets [StreamItem.Cancelled]. */
+    suspend fun cancel(id: RequestId): Either<EngineError, CancelledStream> =
+        change { state, nowMs -> state.cancelStream(id, nowMs) }
+
+    /** Cancels the stream of [output] if it still runs for this connection. */
+    suspend fun abandon(output: StreamOutput) {
+        change { state, nowMs ->
+            if (state.outputs[output.id] === output) state.cancelStream(output.id, nowMs)
+        }
+    }
+
+    /** Reads or changes the model at the present time. */
+    suspend fun <R> withModel(block: (model: EngineModel, nowMs: Long) -> R): R =
+        change { state, nowMs -> block(state.model, nowMs) }
+
+    /** Crashes the engine. */
+    suspend fun crash() = change { state, nowMs ->
+        state.model.crash(nowMs)?.let { state.dispatch(it) }
+    }
+
+    suspend fun journal() = state.use { it.journal.entries }
+
+    override fun close() {
+        scope.cancel()
+        state.close()
+    }
+
+    private suspend fun <R> change(block: (State, Long) -> R): R {
+        val result = state.use { state ->
+            val nowMs = clock.monotonicMs()
+            state.advance(nowMs)
+            block(state, nowMs)
+        }
+        wake.trySend(Unit)
+        return result
+    }
+
+    /** Advances the model at each of its events and sleeps between them. */
+    private suspend fun pump() {
+        while (true) {
+            val nextMs = state.use { state ->
+                state.advance(clock.monotonicMs())
+                state.model.nextEventMs
+            }
+            val waitMs = nextMs?.let { it - clock.monotonicMs() }
+            when {
+                waitMs == null -> wake.receive()
+                waitMs > 0 -> withTimeoutOrNull(waitMs) { wake.receive() }
+                else -> yield()
+            }
+        }
+    }
+
+    private fun State.open(id: RequestId, prompt: ChatPrompt): StreamOutput {
+        cancelled.remove(id)
+        return StreamOutput(id, prompt).also { outputs[id] = it }
+    }
+
+    private fun State.cancelStream(
+        id: RequestId,
+        nowMs: Long
+    ): Either<EngineError, CancelledStream> = model.cancel(id, nowMs).onRight { stream ->
+        journal.change(id, JournalOutcome.CANCELLED, clock.wallMs())
+        val output = outputs.remove(id) ?: return@onRight
+        cancelled[id] = output.prompt
+        val usage = StreamUsage(stream.prefillTokens, stream.cachedTokens, stream.outputTokens)
+        output.channel.trySend(StreamItem.Cancelled(usage))
+        output.channel.close()
+    }
+
+    private fun State.advance(nowMs: Long) = model.advance(nowMs).forEach { dispatch(it) }
+
+    private fun State.dispatch(event: EngineEvent) {
+        when (event) {
+            is EngineEvent.Token ->
+                outputs[event.requestId]?.channel?.trySend(StreamItem.Token(event.sequence))
+
+            is EngineEvent.Finished -> finish(event)
+
+            is EngineEvent.Crashed -> {
+                event.lost.forEach { journal.change(it, JournalOutcome.CRASHED, clock.wallMs()) }
+                outputs.values.forEach { it.channel.close(IOException("engine crashed")) }
+                outputs.clear()
+                cancelled.clear()
+                onCrash()
+            }
+
+            is EngineEvent.OrderApplied -> Unit
+        }
+    }
+
+    private fun State.finish(event: EngineEvent.Finished) {
+        journal.change(event.requestId, JournalOutcome.FINISHED, clock.wallMs())
+        val output = outputs.remove(event.requestId) ?: return
+        val usage = StreamUsage(event.prefillTokens, event.cachedTokens, event.outputTokens)
+        output.channel.trySend(StreamItem.Finished(usage))
+        output.channel.close()
+    }
+
+    private companion object {
+        const val MAX_CANCELLED = 10_000
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/JournalFile.kt
@@ -0,0 +1,25 @@
+package cowslipcart.standins.http
+
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+
+/** Copy of a journal in a file, one JSON object a line, so that it outlives a crash. */
+internal class JournalFile(private val path: Path) {
+    private val mutex = Mutex()
+
+    suspend fun append(line: String) = mutex.withLock {
+        withContext(Dispatchers.IO) {
+            Files.writeString(
+                path,
+                line + "\n",
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND
+            )
+        }
+    }
+}
