Add the experiment tool: workloads, simulation, checkers, comparison

Cause: placement decisions have to be compared with baselines under equal load. Change: workload format, discrete event loop, origin and owner fakes, checkers, results, comparison, report.

--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Experiment.kt
@@ -0,0 +1,33 @@
+package cowslipcart.experiment
+
+import cowslipcart.core.capacity.SchedulerPolicy
+import cowslipcart.core.capacity.createShardScheduler
+import cowslipcart.core.model.Tier
+import cowslipcart.experiment.result.ExperimentResult
+import cowslipcart.experiment.result.buildResult
+import cowslipcart.experiment.sim.SchedulerFactory
+import cowslipcart.experiment.sim.policyName
+import cowslipcart.experiment.sim.simulate
+import cowslipcart.experiment.workload.Workload
+import cowslipcart.experiment.workload.generateArrivals
+
+/** The scheduler of this project. */
+internal val coreSchedulerFactory: SchedulerFactory = SchedulerFactory(::createShardScheduler)
+
+/**
+ * Runs [workload] under [policy] with [seed] in virtual time.
+ *
+ * @param onlyTier if given, only the arrivals of this tier, at the same times as with all tiers
+ */
+public fun runExperiment(
+    workload: Workload,
+    policy: SchedulerPolicy,
+    seed: Long,
+    onlyTier: Tier? = null,
+    factory: SchedulerFactory = coreSchedulerFactory
+): ExperimentResult {
+    val arrivals = generateArrivals(workload, seed)
+        .filter { onlyTier == null || it.tier.tier == onlyTier }
+    val recorder = simulate(workload, arrivals, policy, seed, factory)
+    return buildResult(workload, policy.policyName, seed, recorder)
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/sim/ShardOwner.kt
@@ -0,0 +1,91 @@
+package cowslipcart.experiment.sim
+
+import cowslipcart.core.capacity.CacheEvent
+import cowslipcart.core.capacity.LoadReport
+import cowslipcart.core.capacity.SchedulerDecision
+import cowslipcart.core.capacity.ShardScheduler
+import cowslipcart.core.model.HostId
+
+/**
+ * Runs one scheduler and delivers its decisions.
+ *
+ * @property isShared whether all hosts use this scheduler over the network; otherwise it belongs to
+ * one host, which calls it without delay or messages
+ */
+internal class ShardOwner(
+    private val scheduler: ShardScheduler,
+    val isShared: Boolean,
+    private val run: RunContext,
+    private val deliver: (HostId, SchedulerDecision) -> Unit
+) {
+    var isAlive = true
+    private val delayMs = if (isShared) run.workload.delays.hostToOwnerMs else 0L
+
+    /** Sends [message] from an origin host. */
+    fun send(message: OwnerMessage) {
+        if (isShared) run.recorder.controlBytes += ControlBytes.of(message)
+        run.queue.scheduleIn(delayMs) { if (isAlive) receive(message) }
+    }
+
+    fun reportLoad(report: LoadReport) = act { reportLoad(report, it) }
+
+    fun reportCache(events: List<CacheEvent>) {
+        if (isAlive) scheduler.reportCache(events, run.queue.nowMs)
+    }
+
+    fun dropOrigin(host: HostId) = act { dropOrigin(host, it) }
+
+    fun tick() = act { tick(it) }
+
+    private fun receive(message: OwnerMessage) {
+        val nowMs = run.queue.nowMs
+        when (message) {
+            is OwnerMessage.Ask -> {
+                val request = message.request
+                run.recorder.add(
+                    TraceEvent.Asked(
+                        nowMs,
+                        request.requestId,
+                        request.origin,
+                        request.tier,
+                        request.isInterruptible
+                    )
+                )
+                act { submit(request, it) }
+            }
+
+            is OwnerMessage.CancelAsk -> act { cancel(message.requestId, it) }
+
+            is OwnerMessage.Released -> {
+                run.recorder.add(TraceEvent.Released(nowMs, message.requestId))
+                act { release(message.report, it) }
+            }
+
+            is OwnerMessage.GaveWay -> {
+                val place = message.resume?.resumeOn
+                run.recorder.add(TraceEvent.GaveWay(nowMs, message.requestId, place))
+                act { gaveWay(message.report, message.resume, it) }
+            }
+
+            is OwnerMessage.Progress -> act { progress(message.reports, it) }
+
+            is OwnerMessage.Running -> act { adopt(message.running, it) }
+        }
+    }
+
+    private fun act(action: ShardScheduler.(nowMs: Long) -> List<SchedulerDecision>) {
+        if (!isAlive) return
+        for (decision in scheduler.action(run.queue.nowMs)) {
+            run.recorder.decisionCount++
+            run.recorder.add(decision.toTraceEvent(run.queue.nowMs))
+            if (isShared) run.recorder.controlBytes += ControlBytes.of(decision)
+            run.queue.scheduleIn(delayMs) { deliver(decision.request.origin, decision) }
+        }
+    }
+}
+
+private fun SchedulerDecision.toTraceEvent(atMs: Long): TraceEvent = when (this) {
+    is SchedulerDecision.Grant -> TraceEvent.Granted(atMs, request.requestId, endpoint)
+    is SchedulerDecision.Refuse -> TraceEvent.Refused(atMs, request.requestId, reason)
+    is SchedulerDecision.GiveWay -> TraceEvent.GiveWayOrdered(atMs, request.requestId)
+}
