--- a/experiment/src/main/kotlin/cowslipcart/experiment/sim/EventQueue.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/sim/EventQueue.kt
@@ -36,6 +36,6 @@
     private class Entry(val atMs: Long, val sequence: Long, val action: () -> Unit) :
         Comparable<Entry> {
         override fun compareTo(other: Entry): Int =
-            compareValuesBy(this, other, Entry::atMs, Entry::sequence)
+            if (atMs != other.atMs) atMs.compareTo(other.atMs) else sequence.compareTo(other.sequence)
     }
 }
