Carry the ping number in the peer protocol

Cause: membership confirms restarts by the number of a ping, which the wire form did not carry. Change: one field in the ping document.

--- a/wire/src/main/kotlin/cowslipcart/wire/peer/MembershipDocuments.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/MembershipDocuments.kt
@@ -59,6 +59,7 @@
 @Serializable
 internal class PingDocument(
     @SerialName("f") val from: IdentityDocument,
+    @SerialName("n") val pingNumber: Long,
     @SerialName("s") val state: HostState,
     @SerialName("c") val refutationCount: Long,
     @SerialName("o") val configOffset: Long,
@@ -66,6 +67,7 @@
 ) {
     fun toPing() = PingContent(
         from.toIdentity(),
+        pingNumber,
         state,
         refutationCount,
         LogOffset(configOffset),
@@ -75,6 +77,7 @@
 
 internal fun PingContent.toDocument() = PingDocument(
     from.toDocument(),
+    pingNumber,
     state,
     refutationCount,
     configOffset.value,
