--- a/standins/src/main/kotlin/cowslipcart/standins/http/ChatJson.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/ChatJson.kt
@@ -76,7 +76,11 @@
     private val prompt: ChatPrompt,
     private val createdS: Long
 ) {
-    fun build(item: StreamItem): ChunkJson = when (item) {
+    /**
+     * Returns null for a cancelled stream: it ends without a chunk, as an additional sequence number
+     * would leave a gap between the last token and the first one after a resume.
+     */
+    fun build(item: StreamItem): ChunkJson? = when (item) {
         is StreamItem.Token -> ChunkJson(
             id = id.value,
             created = createdS,
@@ -84,16 +88,14 @@
             sequence = item.sequence
         )
 
-        is StreamItem.Finished -> last(item.usage, "stop")
+        is StreamItem.Finished -> ChunkJson(
+            id = id.value,
+            created = createdS,
+            choices = listOf(ChunkChoiceJson(delta = DeltaJson(), finishReason = "stop")),
+            sequence = item.usage.completionTokens,
+            usage = item.usage.toJson()
+        )
 
-        is StreamItem.Cancelled -> last(item.usage, "cancelled")
+        StreamItem.Cancelled -> null
     }
-
-    private fun last(usage: StreamUsage, reason: String) = ChunkJson(
-        id = id.value,
-        created = createdS,
-        choices = listOf(ChunkChoiceJson(delta = DeltaJson(), finishReason = reason)),
-        sequence = usage.completionTokens,
-        usage = usage.toJson()
-    )
 }
--- a/standins/src/main/kotlin/cowslipcart/standins/http/EngineRoutes.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineRoutes.kt
@@ -103,7 +103,7 @@
         val builder = ChunkBuilder(output.id, output.prompt, clock.wallMs() / MS_PER_S)
         call.respondBytesWriter(ContentType.Text.EventStream) {
             for (item in output.items) {
-                writeEvent(standinJson.encodeToString(builder.build(item)))
+                builder.build(item)?.let { writeEvent(standinJson.encodeToString(it)) }
                 if (item is StreamItem.Finished) writeEvent("[DONE]")
             }
         }
@@ -129,7 +129,7 @@
                     )
                 )
 
-                is StreamItem.Cancelled ->
+                StreamItem.Cancelled ->
                     return call.respondError(HttpStatusCode.Conflict, "cancelled")
             }
         }
