--- a/cli/src/main/kotlin/cowslipcart/cli/Declarations.kt
+++ b/cli/src/main/kotlin/cowslipcart/cli/Declarations.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import com.charleskorn.kaml.EmptyYamlDocumentException
+import com.charleskorn.kaml.InvalidPropertyValueException
 import com.charleskorn.kaml.MissingRequiredPropertyException
 import com.charleskorn.kaml.UnknownPropertyException
 import com.charleskorn.kaml.Yaml
@@ -21,6 +23,8 @@
 import cowslipcart.wire.admin.PresetDocument
 import cowslipcart.wire.admin.TierDocument
 import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.MissingFieldException
 
 /**
  * A fault in a declaration file.
@@ -104,18 +108,28 @@
             }
         }
 
+        @OptIn(ExperimentalSerializationApi::class)
         private fun parseItem(
             serializer: DeserializationStrategy<DeclarationDocument>,
             node: YamlNode
         ) = catchFaults {
-            val document = Yaml.default.decodeFromYamlNode(serializer, node)
-            findDocumentFaults(document).forEach { addFault(node, it) }
-            items += Item(file, node.location.line, fieldOf(node), document.toDeclaration())
+            try {
+                val document = Yaml.default.decodeFromYamlNode(serializer, node)
+                findDocumentFaults(document).forEach { addFault(node, it) }
+                items += Item(file, node.location.line, fieldOf(node), document.toDeclaration())
+            } catch (e: MissingFieldException) {
+                // Thrown instead of a YamlException when more than one field is missing.
+                faults += e.missingFields.map {
+                    ParseFault(file, node.location.line, "${fieldOf(node)}.$it", MISSING)
+                }
+            }
         }
 
         private fun catchFaults(parse: () -> Unit) {
             try {
                 parse()
+            } catch (e: EmptyYamlDocumentException) {
+                return
             } catch (e: YamlException) {
                 faults += ParseFault(file, e.line, fieldOf(e), describeFault(e))
             }
@@ -152,8 +166,17 @@
         is UnknownPropertyException ->
             "expected one of ${fault.validPropertyNames.sorted()}, found '${fault.propertyName}'"
 
-        is MissingRequiredPropertyException -> "expected a value, found none"
+        is MissingRequiredPropertyException -> MISSING
 
-        else -> fault.message
+        is InvalidPropertyValueException -> describeReason(fault.reason)
+
+        else -> describeReason(fault.message)
     }
+
+    private fun describeReason(reason: String): String = WRONG_TYPE.matchEntire(reason)
+        ?.let { "expected a ${it.groupValues[2]} value, found '${it.groupValues[1]}'" }
+        ?: reason
+
+    private const val MISSING = "expected a value, found none"
+    private val WRONG_TYPE = Regex("Value '(.*)' is not a valid (.*) value\\.")
 }
