--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginFixture.kt
@@ -0,0 +1,54 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+
+/** One origin with one request `r1` and the usual replies of others. */
+internal class OriginFixture(shardCount: Int = 1) {
+    val self = AttemptOrigin(HostId("a"), IncarnationId(1))
+    val origin = createOriginController(self) { shardCount }
+    val requestId = RequestId("r1")
+    val shard = ShardId(PoolId("pool"), 0)
+    val grantId = GrantId("g1")
+    val endpoint = EndpointId("e1")
+
+    fun request(key: String? = null, isRepeatable: Boolean = true, timeLeftMs: Long? = null) =
+        CallerRequest(
+            requestId = requestId,
+            organisation = OrganisationId("org"),
+            tier = Tier(0),
+            pool = PoolId("pool"),
+            key = key?.let { RequestKey(OrganisationId("org"), it, 1_000) },
+            isRepeatable = isRepeatable,
+            isInterruptible = true,
+            fingerprint = Fingerprint("f"),
+            timeLeftMs = timeLeftMs,
+            prefillTokens = 100,
+            outputTokens = 10,
+            prefixBlocks = emptyList()
+        )
+
+    fun start(request: CallerRequest = request(), nowMs: Long = 0): List<OriginEffect> =
+        origin.start(request, isSuspect = false, nowMs)
+
+    fun grant(askCount: Long = 1, id: GrantId = grantId) =
+        ReceivedGrant(shard, requestId, id, endpoint, askCount)
+
+    fun report(end: GrantEnd = GrantEnd.COMPLETED) = GrantReport(grantId, end, 100, 0, 10, 5, 50)
+}
+
+internal inline fun <reified T> List<OriginEffect>.only(): T = filterIsInstance<T>().single()
+
+internal fun List<OriginEffect>.rejection(): Rejection = only<OriginEffect.Reject>().rejection
--- /dev/null
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
@@ -0,0 +1,197 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.capacity.RefusalReason
+import cowslipcart.core.capacity.RunningGrant
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.claims.ClaimItem
+import cowslipcart.core.claims.ClaimVerdict
+import cowslipcart.core.claims.RecordedAnswer
+import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.config.ConfigState
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.membership.HostState
+import cowslipcart.core.membership.PingContent
+import cowslipcart.core.membership.Rumor
+import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.PrefixBlock
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.origin.KeyStanding
+import cowslipcart.core.origin.RequestOutcome
+import cowslipcart.core.origin.StoredAnswer
+import cowslipcart.core.quarantine.CrashReport
+import cowslipcart.wire.WireError
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against fields that are lost on the wire and against frames that crash the decoder. */
+class PeerCodecTest {
+    private val from = HostId("a")
+    private val shard = ShardId(PoolId("p"), 2)
+    private val process = AttemptOrigin(from, IncarnationId(-5))
+    private val key = RequestKey(OrganisationId("o"), "uuid", 99)
+    private val claim = ClaimItem.Claim(key, AttemptId("t"), Fingerprint("f"), process)
+    private val answer = RecordedAnswer(201, "text/plain", "b")
+    private val request = CapacityRequest(
+        requestId = RequestId("r"),
+        origin = from,
+        organisation = OrganisationId("o"),
+        tier = Tier(1),
+        pool = PoolId("p"),
+        timeLeftMs = 7,
+        prefillTokens = 8,
+        outputTokens = 9,
+        prefixBlocks = listOf(PrefixBlock(1), PrefixBlock(-1)),
+        isSuspect = true,
+        isInterruptible = false,
+        resumeOn = EndpointId("e")
+    )
+    private val report = GrantReport(GrantId("g"), GrantEnd.CANCELLED, 1, 2, 3, 4, 5)
+    private val identity = HostIdentity(from, IncarnationId(3), DomainId("d"), "127.0.0.1:1")
+    private val ping = PingContent(
+        identity,
+        pingNumber = 4,
+        HostState.LEAVING,
+        refutationCount = 2,
+        LogOffset(17),
+        listOf(
+            Rumor.Host(identity, HostState.SUSPECT, 1),
+            Rumor.EndpointLeaving(EndpointId("e"), 30)
+        )
+    )
+    private val messages: List<PeerMessage> = listOf(
+        PeerMessage.Ping(ping, isReady = true),
+        PeerMessage.PingAck(ping, isReady = false),
+        PeerMessage.PingRequest(HostId("b")),
+        PeerMessage.AskCapacity(shard, request, 3),
+        PeerMessage.CapacityGranted(shard, RequestId("r"), GrantId("g"), EndpointId("e"), 3),
+        PeerMessage.CapacityRefused(shard, RequestId("r"), RefusalReason.DEADLINE, null),
+        PeerMessage.CapacityReleased(shard, report),
+        PeerMessage.CapacityProgress(shard, listOf(GrantProgress(GrantId("g"), 4))),
+        PeerMessage.CancelAsk(shard, RequestId("r")),
+        PeerMessage.GiveWay(shard, RequestId("r"), GrantId("g")),
+        PeerMessage.GaveWay(shard, report, request),
+        PeerMessage.RunningReport(
+            shard,
+            listOf(RunningGrant(GrantId("g"), EndpointId("e"), request, 6))
+        ),
+        PeerMessage.ClaimRequest(5, claim),
+        PeerMessage.ClaimReply(AttemptId("t"), ClaimVerdict.Won),
+        PeerMessage.ClaimReply(
+            AttemptId("t"),
+            ClaimVerdict.Held(AttemptId("h"), process, answer)
+        ),
+        PeerMessage.ClaimReply(AttemptId("t"), ClaimVerdict.ContentMismatch),
+        PeerMessage.ClaimReply(AttemptId("t"), ClaimVerdict.Expired),
+        PeerMessage.ClaimReply(AttemptId("t"), ClaimVerdict.FromFuture),
+        PeerMessage.ClaimReply(AttemptId("t"), ClaimVerdict.Undecided("x")),
+        PeerMessage.ClaimNotice(null, ClaimItem.Release(key, AttemptId("t"))),
+        PeerMessage.ClaimNotice(1, ClaimItem.Outcome(key, AttemptId("t"), answer)),
+        PeerMessage.OutcomeQuery(null, RequestId("r"), IncarnationId(1)),
+        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.Running),
+        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.NotRun),
+        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.Unknown),
+        PeerMessage.OutcomeReply(
+            RequestId("r"),
+            RequestOutcome.Answered(StoredAnswer(200, "t", "b"))
+        ),
+        PeerMessage.KeyQuery(RequestId("r"), key),
+        PeerMessage.KeyReply(RequestId("r"), KeyStanding.RUNNING),
+        PeerMessage.CrashNotice(
+            CrashReport("c", EndpointId("e"), listOf(Fingerprint("f")), true)
+        ),
+        PeerMessage.CrashAck("c"),
+        PeerMessage.ConfigFetch,
+        PeerMessage.ConfigReply(ConfigState(LogOffset(9), Configuration.EMPTY), true),
+        PeerMessage.QuotaAsk(OrganisationId("o"), 10),
+        PeerMessage.QuotaGranted(OrganisationId("o"), 10)
+    )
+
+    @Nested
+    inner class RoundTrip {
+        @Test
+        fun `each message comes back as it was`() {
+            for (message in messages) {
+                val decoded = PeerCodec.decode(PeerCodec.encode(from, message)).getOrNull()
+
+                assertEquals(message, decoded?.message)
+                assertEquals(from, decoded?.from)
+            }
+        }
+
+        @Test
+        fun `the list has each kind of message`() {
+            val kinds = PeerMessage::class.java.permittedSubclasses?.toSet().orEmpty()
+
+            assertEquals(kinds, messages.mapTo(mutableSetOf()) { it.javaClass })
+        }
+    }
+
+    @Nested
+    inner class BadFrames {
+        @Test
+        fun `a truncated frame is an error and not an exception`() {
+            for (message in messages) {
+                val frame = PeerCodec.encode(from, message)
+                for (length in 0 until frame.size) {
+                    assertTrue(PeerCodec.decode(frame.copyOf(length)).isLeft())
+                }
+            }
+        }
+
+        @Test
+        fun `random bytes are an error and not an exception`() {
+            val random = Random(SEED)
+            repeat(RANDOM_FRAMES) {
+                val frame = random.nextBytes(random.nextInt(64))
+                assertTrue(PeerCodec.decode(frame).isLeft(), "seed $SEED, frame $it")
+            }
+        }
+
+        @Test
+        fun `a changed byte is an error or another message and not an exception`() {
+            val random = Random(SEED)
+            for (message in messages) {
+                val frame = PeerCodec.encode(from, message)
+                repeat(200) {
+                    val changed = frame.copyOf()
+                    changed[random.nextInt(frame.size)] = random.nextInt().toByte()
+                    PeerCodec.decode(changed)
+                }
+            }
+        }
+
+        @Test
+        fun `an error report is not a message`() {
+            val frame = PeerCodec.encodeError(from, WireError.Malformed("x"))
+
+            assertEquals(null, PeerCodec.decode(frame).getOrNull()?.message)
+            assertIs<HostId>(PeerCodec.decode(frame).getOrNull()?.from)
+        }
+    }
+
+    private companion object {
+        const val SEED = 20_261_204
+        const val RANDOM_FRAMES = 5_000
+    }
+}
