Do not let one unreadable record stop the configuration

Cause: the log adapter dropped records that it could not decode; the replica takes the hole for a gap and stops there for ever, and a new host never becomes ready. Change: unreadable bytes are passed on as a record without entry, which is void on every host alike. A record of a newer version is not skipped: the host stops before it, and claims of a newer version count as a failed read, since an unseen claim could be run twice. Before: no record behind the unreadable one was applied; after: the next record is accepted (new spec). The stream epochs still stops at an unreadable record until its next checkpoint.

--- a/core/src/main/kotlin/cowslipcart/core/config/ConfigEntry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/ConfigEntry.kt
@@ -31,11 +31,15 @@
     ) : ConfigEntry
 }
 
-/** A [ConfigEntry] with its place in the log. */
+/**
+ * A [ConfigEntry] with its place in the log.
+ *
+ * @property entry null if the bytes are not a record of any version; every host skips it alike
+ */
 public data class ConfigRecord(
     public val offset: LogOffset,
     public val appendedAtMs: Long,
-    public val entry: ConfigEntry
+    public val entry: ConfigEntry?
 )
 
 /**
--- a/core/src/main/kotlin/cowslipcart/core/config/ReplayingConfigReplica.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/ReplayingConfigReplica.kt
@@ -56,6 +56,8 @@
                 if (isValid) replayStart = ReplayStart.At(record.appendedAtMs)
                 ConfigVerdict.CheckpointSeen(record.offset, isValid)
             }
+
+            null -> ConfigVerdict.Invalid(record.offset, listOf("expected a readable record"))
         }
         if (replayStart == ReplayStart.NothingToReplay) {
             replayStart = ReplayStart.At(record.appendedAtMs)
--- a/core/src/test/kotlin/cowslipcart/core/config/ConfigReplicaTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ConfigReplicaTest.kt
@@ -95,6 +95,16 @@
             assertEquals(emptyList(), apply(record(0, publish(0, draftsPool))))
         }
 
+        @Test
+        fun `an unreadable record does not stop the stream`() {
+            val unreadable = ConfigRecord(start, appendedAtMs = 0, entry = null)
+
+            val verdicts = apply(unreadable, record(1, publish(0, chatTier)))
+
+            assertIs<ConfigVerdict.Invalid>(verdicts[0])
+            assertIs<ConfigVerdict.Accepted>(verdicts[1])
+        }
+
         @Test
         fun `does not apply records behind an untrimmed gap`() {
             assertEquals(emptyList(), apply(record(1, publish(0, chatTier))))
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
@@ -118,14 +118,26 @@
         return found?.offset?.right() ?: error.left()
     }
 
-    private fun configInput(page: LogPage) = NodeInput.ConfigRead(
-        page.records.mapNotNull { record ->
-            decoded(record, LogCodec.decodeConfig(record.payload))
-                ?.let { ConfigRecord(record.offset, record.appendedAtMs, it) }
-        },
-        page.firstKeptOffset,
-        page.endOffset
-    )
+    /**
+     * Bytes that no version can read are skipped by every host alike. A record of a newer version is
+     * not: this host stops before it, since skipping it would put another configuration in force
+     * than on the hosts that can read it.
+     */
+    private fun configInput(page: LogPage): NodeInput.ConfigRead {
+        val decoded = page.records.map { it to LogCodec.decodeConfig(it.payload) }
+        val readable = decoded.takeWhile { (_, result) -> !isNewerVersion(result) }
+        val records = readable.map { (record, result) ->
+            ConfigRecord(record.offset, record.appendedAtMs, decoded(record, result))
+        }
+        if (readable.size < decoded.size) {
+            val (record, result) = decoded[readable.size]
+            decoded(record, result)
+        }
+        return NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset)
+    }
+
+    private fun isNewerVersion(result: Either<WireError, *>) =
+        result.leftOrNull() is WireError.UnknownVersion
 
     private fun epochsInput(page: LogPage) = NodeInput.EpochsRead(
         page.records.mapNotNull { record ->
@@ -133,15 +145,18 @@
         }
     )
 
-    private fun claimsInput(partition: Int, page: LogPage) = NodeInput.ClaimsRead(
-        partition,
-        page.records.map { record ->
-            val items = decoded(record, LogCodec.decodeClaims(record.payload)).orEmpty()
-            ClaimRecord(record.offset, record.appendedAtMs, items)
-        },
-        page.firstKeptOffset,
-        page.endOffset
-    )
+    /** A claim of a newer version that is not seen could be run a second time. */
+    private fun claimsInput(partition: Int, page: LogPage): NodeInput {
+        val decoded = page.records.map { it to LogCodec.decodeClaims(it.payload) }
+        if (decoded.any { (_, result) -> isNewerVersion(result) }) {
+            val error = LogError.Unavailable("expected readable claims, found a newer version")
+            return NodeInput.ClaimsReadFailed(partition, error)
+        }
+        val records = decoded.map { (record, result) ->
+            ClaimRecord(record.offset, record.appendedAtMs, decoded(record, result).orEmpty())
+        }
+        return NodeInput.ClaimsRead(partition, records, page.firstKeptOffset, page.endOffset)
+    }
 
     /** A record that cannot be decoded is skipped by every host alike, and reported. */
     private fun <T> decoded(record: LogRecord, result: Either<WireError, T>): T? = result.fold(
