Compute owners only after a change, and tighten the configuration histories

Cause: the view computed its owners at each tick. Mutations of the readiness gate were found by unit specs only, as the histories always adopted a peer's state together with its offset. A page that a replica has applied in part was not tested. Change: a flag marks stale owners. The histories read the host list on its own, receive offsets without state, and require a ready peer for readiness without the log.

--- a/core/src/main/kotlin/cowslipcart/core/membership/MembershipView.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/MembershipView.kt
@@ -45,7 +45,7 @@
     /** Announces that this host leaves; it stays live, but owns nothing from now on. */
     public fun leave(nowMs: Long): List<MembershipEffect>
 
-    /** Sends due pings and declares silent hosts dead. To be called at least every 250 ms. */
+    /** Sends due pings and declares silent hosts dead. To be called at least every 100 ms. */
     public fun tick(configOffset: LogOffset, nowMs: Long): List<MembershipEffect>
 
     public companion object {
--- a/core/src/main/kotlin/cowslipcart/core/membership/ProbeSchedule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/ProbeSchedule.kt
@@ -75,6 +75,7 @@
     fun onAnswer(host: HostId) {
         probes -= host
         streaks -= host
+        unconfirmed -= host
     }
 
     /** Forgets what is unanswered, after this host itself did not run for a while. */
--- a/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
@@ -27,6 +27,9 @@
     private var ownRefutationCount = 0L
     private var ownConfigOffset = LogOffset(0)
     private var lastTickMs: Long? = null
+
+    /** Whether [owners] has to be computed again; ticks are frequent and rarely change it. */
+    private var isOwnersStale = false
     private var nextRoundMs = Long.MIN_VALUE
 
     override var owners: Set<HostId> = setOf(self.host)
@@ -44,6 +47,7 @@
 
     override fun onHostList(list: HostList, nowMs: Long) = collect { _ ->
         this.list = list
+        isOwnersStale = true
         listedByHost = list.hosts.filter { it.host != self.host }.associateBy { it.host }
         listedByHost.values.filter { table.find(it.host) == null }
             .forEach { schedule.confirm(it.host, it.peerAddress) }
@@ -79,6 +83,7 @@
     override fun leave(nowMs: Long) = collect { effects ->
         if (ownState == HostState.LEAVING) return@collect
         ownState = HostState.LEAVING
+        isOwnersStale = true
         ownRefutationCount++
         // The balancer and other hosts learn of it faster than by the next round of pings.
         table.peers.filter { it.state != HostState.DEAD }.shuffled(random).take(LEAVE_PINGS)
@@ -209,6 +214,7 @@
                 schedule.confirm(merge.identity.host, merge.identity.peerAddress)
 
             is Merge.Changed -> {
+                isOwnersStale = true
                 rumors.refresh(RumorTopic.OfHost(merge.peer.identity.host))
                 merge.died?.let {
                     schedule.onDeath(it.host)
@@ -262,7 +268,8 @@
     ): List<MembershipEffect> {
         val effects = mutableListOf<MembershipEffect>()
         change(effects)
-        val newOwners = selectOwners()
+        val newOwners = if (isOwnersStale) selectOwners() else owners
+        isOwnersStale = false
         if (newOwners != owners) {
             owners = newOwners
             effects += MembershipEffect.OwnersChanged
--- a/core/src/test/kotlin/cowslipcart/core/config/ConfigHistory.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ConfigHistory.kt
@@ -49,6 +49,7 @@
     var wasReady = false
     var logEnd = LogEnd.NONE
     val silentPeers = mutableSetOf<HostId>()
+    var hasAskedReadyPeer = false
 
     /**
      * The newest offset that this host has to know. A current log end covers all peers. Without it,
@@ -90,7 +91,7 @@
             host.isPaused = random.nextInt(4) != 0
             return
         }
-        when (random.nextInt(12)) {
+        when (random.nextInt(13)) {
             0, 1 -> change(host)
             2, 3 -> read(host, count = random.nextInt(1, 6), isStale = random.nextInt(4) == 0)
             4 -> read(host, count = log.records.size, isStale = random.nextInt(4) == 0)
@@ -100,6 +101,7 @@
             8 -> pass(random.nextLong(4_000))
             9 -> if (random.nextInt(3) == 0) restart(host)
             10 -> if (random.nextInt(6) == 0) host.isPaused = true
+            11 -> host.gate.onListedPeers(listed.toSet())
             else -> askPeers(host)
         }
     }
@@ -154,7 +156,9 @@
                 host.gate.onPeerSilent(peer.id)
             } else {
                 host.silentPeers -= peer.id
-                host.replica.adopt(peer.replica.state)
+                host.hasAskedReadyPeer = host.hasAskedReadyPeer || peer.gate.isReady
+                // A peer's offset may arrive in a ping, before its state.
+                if (random.nextBoolean()) host.replica.adopt(peer.replica.state)
                 val offset = peer.replica.state.nextOffset
                 host.gate.onPeerOffset(peer.id, offset, peer.gate.isReady)
             }
@@ -194,6 +198,9 @@
         if (!host.gate.isReady || host.wasReady) return
         host.wasReady = true
         readyCount++
+        check(host.logEnd != LogEnd.NONE || host.hasAskedReadyPeer) {
+            "${host.id}: expected a host without the log to be ready after a ready peer only"
+        }
         val required = host.requiredOffset(hosts.values)
         check(state.nextOffset >= required) {
             "${host.id}: expected a ready host at offset $required or later, as a peer had it in " +
@@ -208,6 +215,8 @@
         hosts.values.forEach { it.isPaused = false }
         hosts.values.forEach { it.reachesLog = true }
         repeat(2) {
+            val newest = hosts.values.map { it.replica.state }.maxBy { it.nextOffset }
+            hosts.values.forEach { it.replica.adopt(newest) }
             hosts.values.forEach(::askPeers)
             hosts.values.forEach { read(it, log.records.size, isStale = false) }
         }
--- a/core/src/test/kotlin/cowslipcart/core/config/ConfigReplicaTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ConfigReplicaTest.kt
@@ -95,6 +95,14 @@
             assertEquals(emptyList(), apply(record(0, publish(0, draftsPool))))
         }
 
+        @Test
+        fun `applies the rest of a page that it has applied in part`() {
+            val first = record(0, publish(0, chatTier))
+            apply(first)
+
+            assertEquals(1, apply(first, record(1, publish(1, draftsPool))).size)
+        }
+
         @Test
         fun `does not apply records behind an untrimmed gap`() {
             assertEquals(emptyList(), apply(record(1, publish(0, chatTier))))
--- a/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulation.kt
+++ b/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulation.kt
@@ -27,7 +27,7 @@
         private set
     val processes = mutableListOf<SimulatedHost>()
     private val unlisted = mutableSetOf<HostId>()
-    val live get() = processes.filter { it.diedAtMs == null }
+    val live = mutableListOf<SimulatedHost>()
 
     init {
         repeat(hostCount) { start(HostId("h$it")) }
@@ -39,6 +39,7 @@
         val identity = HostIdentity(host, incarnation, DomainId("d"), address)
         val process = SimulatedHost(identity, Random(random.nextLong()))
         processes += process
+        live += process
         unlisted -= host
         every(process, TICK_MS) { process.view.tick(LogOffset(0), nowMs) }
         every(process, LIST_MS) {
@@ -49,6 +50,7 @@
     /** Ends the process; the platform's list drops it [listLagMs] later. */
     fun kill(process: SimulatedHost, listLagMs: Long) {
         process.diedAtMs = nowMs
+        live -= process
         val host = process.identity.host
         at(nowMs + listLagMs) { if (live.none { it.identity.host == host }) unlisted += host }
     }
@@ -103,12 +105,12 @@
                     it.view.onPing(effect.ping, nowMs)
                 }
 
-                is MembershipEffect.SendPingAck -> deliver(addressOf(from, effect.to)) {
+                is MembershipEffect.SendPingAck -> deliver(addressOf(effect.to)) {
                     checkRumorCount(effect.ack)
                     it.view.onPingAck(effect.ack, nowMs)
                 }
 
-                is MembershipEffect.SendPingRequest -> deliver(addressOf(from, effect.via)) {
+                is MembershipEffect.SendPingRequest -> deliver(addressOf(effect.via)) {
                     it.view.onPingRequest(from.identity.host, effect.target, nowMs)
                 }
 
@@ -119,9 +121,8 @@
         }
     }
 
-    private fun addressOf(from: SimulatedHost, host: HostId) =
-        from.view.liveHosts[host]?.peerAddress
-            ?: live.firstOrNull { it.identity.host == host }?.identity?.peerAddress
+    private fun addressOf(host: HostId) =
+        live.lastOrNull { it.identity.host == host }?.identity?.peerAddress
 
     private fun deliver(address: String?, receive: (SimulatedHost) -> List<MembershipEffect>) {
         val target = live.firstOrNull { it.identity.peerAddress == address } ?: return
