--- a/experiment/src/main/kotlin/cowslipcart/experiment/check/DispatchChecker.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/check/DispatchChecker.kt
@@ -4,13 +4,6 @@
 import cowslipcart.core.model.RequestId
 import cowslipcart.experiment.sim.TraceEvent
 
-/** A dispatch that breaks the rule of at most one dispatch to an endpoint. */
-public data class DispatchBreach(
-    public val atMs: Long,
-    public val requestId: RequestId,
-    public val detail: String
-)
-
 /**
  * Checks that each request is dispatched at most once. A resume is no new dispatch, but it must
  * follow a dispatch and continue on the same endpoint.
--- a/experiment/src/main/kotlin/cowslipcart/experiment/check/ShedRuleChecker.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/check/ShedRuleChecker.kt
@@ -7,15 +7,6 @@
 import cowslipcart.core.model.Tier
 import cowslipcart.experiment.sim.TraceEvent
 
-/** A request that was shed while less urgent work could have given way. */
-public data class ShedRuleBreach(
-    public val atMs: Long,
-    public val requestId: RequestId,
-    public val tier: Tier,
-    public val lowerRequestId: RequestId,
-    public val lowerTier: Tier
-)
-
 /**
  * Checks the shed rule against the trace of a run, without any code of the policy. A request counts
  * as shed if it was refused for lack of capacity or if its deadline passed while it waited.
--- a/experiment/src/main/kotlin/cowslipcart/experiment/result/ResultBuilder.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/result/ResultBuilder.kt
@@ -65,9 +65,7 @@
 
 private fun refusalReason(record: RequestRecord): String? = when (val outcome = record.outcome) {
     is Outcome.Refused -> outcome.reason.name.lowercase()
-
     Outcome.ExpiredWaiting -> EXPIRED_WAITING
-
     Outcome.Answered, Outcome.MissedDeadline, Outcome.Unknown, Outcome.Lost, null -> null
 }
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/sim/EventQueue.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/sim/EventQueue.kt
@@ -35,7 +35,12 @@
 
     private class Entry(val atMs: Long, val sequence: Long, val action: () -> Unit) :
         Comparable<Entry> {
-        override fun compareTo(other: Entry): Int =
-            if (atMs != other.atMs) atMs.compareTo(other.atMs) else sequence.compareTo(other.sequence)
+        override fun compareTo(other: Entry): Int = if (atMs !=
+            other.atMs
+        ) {
+            atMs.compareTo(other.atMs)
+        } else {
+            sequence.compareTo(other.sequence)
+        }
     }
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/sim/Simulation.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/sim/Simulation.kt
@@ -161,6 +161,7 @@
         const val OWNER_CHANGE_JITTER_MS = 200L
         const val PROGRESS_INTERVAL_MS = 1_000L
         const val TICK_INTERVAL_MS = 50L
+
         /** Each poll scans the whole event log of an engine, so shorter intervals cost much time. */
         const val CACHE_POLL_MS = 500L
         const val SCHEDULER_SALT = 0x5C4ED01EL
--- a/experiment/src/main/kotlin/cowslipcart/experiment/workload/IdSerializers.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/workload/IdSerializers.kt
@@ -15,8 +15,7 @@
     override val descriptor: SerialDescriptor =
         PrimitiveSerialDescriptor("EndpointId", PrimitiveKind.STRING)
 
-    override fun serialize(encoder: Encoder, value: EndpointId) =
-        encoder.encodeString(value.value)
+    override fun serialize(encoder: Encoder, value: EndpointId) = encoder.encodeString(value.value)
 
     override fun deserialize(decoder: Decoder): EndpointId = EndpointId(decoder.decodeString())
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/workload/Workload.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/workload/Workload.kt
@@ -163,11 +163,7 @@
 
 /** Arrivals at [load] times the capacity from [fromMs] until [untilMs]. */
 @Serializable
-public data class Burst(
-    public val fromMs: Long,
-    public val untilMs: Long,
-    public val load: Double
-)
+public data class Burst(public val fromMs: Long, public val untilMs: Long, public val load: Double)
 
 /** A fault during the run. */
 @Serializable
--- a/experiment/src/main/kotlin/cowslipcart/experiment/workload/WorkloadParser.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/workload/WorkloadParser.kt
@@ -9,19 +9,6 @@
 import com.charleskorn.kaml.YamlException
 import kotlin.math.abs
 
-/** Why a workload file was rejected. */
-public sealed interface WorkloadError {
-    /** The file is not valid YAML of the documented format. [line] counts from 1. */
-    public data class Malformed(public val line: Int, public val detail: String) : WorkloadError
-
-    /** A value is outside its range. */
-    public data class Invalid(
-        public val field: String,
-        public val expected: String,
-        public val actual: String
-    ) : WorkloadError
-}
-
 private val yaml = Yaml(
     configuration = YamlConfiguration(
         strictMode = true,
