--- a/experiment/src/main/kotlin/cowslipcart/experiment/Commands.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Commands.kt
@@ -38,12 +38,17 @@
         .int().restrictTo(1..MAX_HOSTS)
     private val onlyTier by option("--only-tier", help = "runs the arrivals of one tier only")
         .int()
-    private val output by option("--output").choice("json", "text").default("json")
+    private val output by option("--output").choice("json", "text", "trace").default("json")
 
     override fun run() {
         val loaded = loadWorkload(workload)
         val sized = hosts?.let { loaded.copy(hosts = it) } ?: loaded
-        val result = runExperiment(sized, policy, seed, onlyTier?.let(::Tier))
+        val tier = onlyTier?.let(::Tier)
+        if (output == "trace") {
+            traceExperiment(sized, policy, seed, tier).forEach { echo(it) }
+            return
+        }
+        val result = runExperiment(sized, policy, seed, tier)
         echo(if (output == "json") encodeResult(result) else renderText(result))
     }
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/Experiment.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Experiment.kt
@@ -3,8 +3,11 @@
 import cowslipcart.core.capacity.SchedulerPolicy
 import cowslipcart.core.capacity.createShardScheduler
 import cowslipcart.core.model.Tier
+import cowslipcart.experiment.check.findDispatchBreaches
+import cowslipcart.experiment.check.findShedRuleBreaches
 import cowslipcart.experiment.result.ExperimentResult
 import cowslipcart.experiment.result.buildResult
+import cowslipcart.experiment.sim.RunRecorder
 import cowslipcart.experiment.sim.SchedulerFactory
 import cowslipcart.experiment.sim.policyName
 import cowslipcart.experiment.sim.simulate
@@ -26,8 +29,29 @@
     onlyTier: Tier? = null,
     factory: SchedulerFactory = coreSchedulerFactory
 ): ExperimentResult {
+    val recorder = record(workload, policy, seed, onlyTier, factory)
+    return buildResult(workload, policy.policyName, seed, recorder)
+}
+
+/** Runs like [runExperiment] and returns the trace, followed by the breaches found in it. */
+internal fun traceExperiment(
+    workload: Workload,
+    policy: SchedulerPolicy,
+    seed: Long,
+    onlyTier: Tier?
+): List<String> {
+    val trace = record(workload, policy, seed, onlyTier, coreSchedulerFactory).trace
+    return (trace + findShedRuleBreaches(trace) + findDispatchBreaches(trace)).map { "$it" }
+}
+
+private fun record(
+    workload: Workload,
+    policy: SchedulerPolicy,
+    seed: Long,
+    onlyTier: Tier?,
+    factory: SchedulerFactory
+): RunRecorder {
     val arrivals = generateArrivals(workload, seed)
         .filter { onlyTier == null || it.tier.tier == onlyTier }
-    val recorder = simulate(workload, arrivals, policy, seed, factory)
-    return buildResult(workload, policy.policyName, seed, recorder)
+    return simulate(workload, arrivals, policy, seed, factory)
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/result/ExperimentResult.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/result/ExperimentResult.kt
@@ -40,10 +40,15 @@
 @Serializable
 public data class Percentiles(public val p50: Long, public val p95: Long, public val p99: Long)
 
-/** Prompt tokens that engines read, took from their cache, and read without use. */
+/**
+ * Prompt tokens that engines read, took from their cache, and read without use.
+ *
+ * @property wastedByCause parts of [wastedTokens]
+ */
 @Serializable
 public data class PrefillResult(
     @SerialName("read_tokens") public val readTokens: Long,
     @SerialName("reused_tokens") public val reusedTokens: Long,
-    @SerialName("wasted_tokens") public val wastedTokens: Long
+    @SerialName("wasted_tokens") public val wastedTokens: Long,
+    @SerialName("wasted_by_cause") public val wastedByCause: Map<String, Long> = emptyMap()
 )
--- a/experiment/src/main/kotlin/cowslipcart/experiment/result/ResultBuilder.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/result/ResultBuilder.kt
@@ -30,11 +30,7 @@
             val ofTier = records.filter { it.arrival.tier.tier == tier.tier }
             tier.name to buildTier(workload, tier, ofTier, recorder)
         },
-        prefill = PrefillResult(
-            readTokens = records.sumOf { it.readTokens },
-            reusedTokens = records.sumOf { it.reusedTokens },
-            wastedTokens = records.sumOf { it.wastedTokens }
-        ),
+        prefill = buildPrefill(records),
         decisions = recorder.decisionCount,
         controlBytes = recorder.controlBytes,
         shedRuleBreaches = findShedRuleBreaches(recorder.trace).size,
@@ -42,6 +38,20 @@
     )
 }
 
+private fun buildPrefill(records: Collection<RequestRecord>): PrefillResult {
+    val (answered, unanswered) = records.partition { it.outcome == Outcome.Answered }
+    return PrefillResult(
+        readTokens = records.sumOf { it.readTokens },
+        reusedTokens = records.sumOf { it.reusedTokens },
+        wastedTokens = records.sumOf { it.wastedTokens },
+        wastedByCause = mapOf(
+            "cached_elsewhere" to answered.sumOf { it.missedCacheTokens },
+            "read_again" to answered.sumOf { it.wastedTokens - it.missedCacheTokens },
+            "not_answered" to unanswered.sumOf { it.wastedTokens }
+        )
+    )
+}
+
 private fun buildTier(
     workload: Workload,
     tier: TierLoad,
