Add the measurement of slopes for the capacity page

Cause: docs/CAPACITY.md needs measured slopes. Change: bin/slopes measures control time and peer bytes of requests and of idle hosts, configuration with many organisations, claim streams and decisions, each at three sizes or more, by processor time.

--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
@@ -0,0 +1,121 @@
+package cowslipcart.experiment.slopes
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.config.ConfigEntry
+import cowslipcart.core.config.ConfigRecord
+import cowslipcart.core.membership.HostList
+import cowslipcart.core.membership.ListedHost
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.node.NodeController
+import cowslipcart.core.node.NodeEffect
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.node.createNodeController
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.wire.peer.PeerCodec
+import kotlin.random.Random
+
+/**
+ * Some whole hosts that pass messages to each other at once; endpoints answer at once. Counts the
+ * processor time and the encoded bytes of each host.
+ */
+internal class DirectNetwork(hostCount: Int) {
+    private class Delivery(val from: HostId, val to: HostId, val message: PeerMessage)
+
+    private val identities = (0 until hostCount).map { Samples.identity(it) }
+    private val nodes: Map<HostId, NodeController> = identities.associate {
+        it.host to createNodeController(it, Random(it.incarnation.value))
+    }
+    private val deliveries = ArrayDeque<Delivery>()
+    val hosts: List<HostId> = identities.map { it.host }
+    val cpuUs = HashMap<HostId, Double>()
+    val sentBytes = HashMap<HostId, Long>()
+    val sentMessages = HashMap<HostId, Long>()
+    var answeredCount = 0
+        private set
+    var nowMs = 0L
+
+    fun join() {
+        val list = HostList(
+            identities.map { ListedHost(it.host, it.peerAddress, false) },
+            emptySet()
+        )
+        hosts.forEach { input(it, NodeInput.HostListRead(list)) }
+    }
+
+    fun publish(vararg entries: ConfigEntry) {
+        val records = entries.mapIndexed { index, entry ->
+            ConfigRecord(LogOffset(index.toLong()), WALL_START_MS, entry)
+        }
+        val end = LogOffset(entries.size.toLong())
+        hosts.forEach { input(it, NodeInput.ConfigRead(records, LogOffset(0), end)) }
+    }
+
+    /** Advances by [durationMs], with a tick of each host every 20 ms. */
+    fun advance(durationMs: Long) {
+        val endMs = nowMs + durationMs
+        while (nowMs < endMs) {
+            nowMs += TICK_MS
+            hosts.forEach { input(it, NodeInput.Tick(WALL_START_MS + nowMs)) }
+        }
+    }
+
+    fun input(host: HostId, input: NodeInput) {
+        handle(host, input)
+        while (true) {
+            val next = deliveries.removeFirstOrNull() ?: return
+            handle(next.to, NodeInput.FromPeer(next.from, next.message))
+        }
+    }
+
+    fun resetCounters() {
+        cpuUs.clear()
+        sentBytes.clear()
+        sentMessages.clear()
+        answeredCount = 0
+    }
+
+    private fun handle(host: HostId, input: NodeInput) {
+        var effects = emptyList<NodeEffect>()
+        val spentUs = Meter.cpuUs { effects = nodes.getValue(host).handle(input, nowMs) }
+        cpuUs.merge(host, spentUs, Double::plus)
+        effects.forEach { perform(host, it) }
+    }
+
+    private fun perform(host: HostId, effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.SendPeer -> {
+                if (effect.to !in nodes) return
+                val size = PeerCodec.encode(host, effect.message).size + FRAME_HEADER_BYTES
+                sentBytes.merge(host, size.toLong(), Long::plus)
+                sentMessages.merge(host, 1, Long::plus)
+                deliveries += Delivery(host, effect.to, effect.message)
+            }
+
+            is NodeEffect.Dispatch -> {
+                answeredCount++
+                val report = GrantReport(
+                    effect.grantId,
+                    GrantEnd.COMPLETED,
+                    prefillTokens = 640,
+                    cachedTokens = 0,
+                    outputTokens = 200,
+                    firstTokenMs = 80,
+                    durationMs = 5_000
+                )
+                val end = StreamEnd.Completed(report, null)
+                handle(host, NodeInput.StreamEnded(effect.requestId, end))
+            }
+
+            else -> Unit
+        }
+    }
+
+    companion object {
+        const val WALL_START_MS = 1_796_000_000_000L
+        private const val TICK_MS = 20L
+        private const val FRAME_HEADER_BYTES = 4
+    }
+}
