--- a/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
@@ -41,6 +41,12 @@
             assertEquals(KeyOwner.NotYetCovered, epochs.ownerAt(MINUTE_MS))
         }
 
+        @Test
+        fun `the first epoch has number 1`() {
+            epochs.applyAll(nextEpoch)
+            assertEquals(KeyOwner.NotYetCovered, epochs.ownerAt(MINUTE_MS))
+        }
+
         @Test
         fun `an extension applies to the last epoch only and never shortens it`() {
             epochs.applyAll(
