Give the measured requests room in their limits

Cause: bin/slopes stopped, since its requests exceeded the organisations' limit in virtual time. Change: higher limit in the samples, 1 ms between requests.

--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
@@ -44,6 +44,7 @@
     network.advance(4_000)
     network.resetCounters()
     repeat(count) { number ->
+        network.nowMs++
         val index = number % REQUEST_HOSTS
         val id = requestIdOf(Samples.origin(index), number.toLong())
         network.input(network.hosts[index], NodeInput.Start(Samples.request(id, number % 100)))
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
@@ -46,7 +46,8 @@
         "%064x".format(number),
         Tier(0),
         weight = 1.0,
-        limitTokensPerS = 5_000
+        // High enough for the requests of a measurement, which come faster than in service.
+        limitTokensPerS = 1_000_000
     )
 
     fun endpoint(number: Int) = EndpointSpec(
