Keep prompts at the owner and resume interrupted streams first

Change: an endpoint gets no further prompt of a lower tier while it reads for more than 50 ms (500 ms for tier 0); lower tiers weigh reading threefold against waiting and may wait longer; interrupted streams resume before new requests of their tier; a late request that has to start within 8 s goes first in its organisation while lower work exists; a load report is replayed with the grants since its time.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
@@ -29,9 +29,11 @@
         out: MutableList<SchedulerDecision>
     ): Boolean {
         val isTop = queue.tier.rank == 0
+        val hasLower = state.hasBelow(queue.tier)
         queue.wake(nowMs)
+        resumeInterrupted(queue, nowMs, out)
         while (deferred.size < MOST_DEFERRED && state.endpoints.hasOpen(isTop)) {
-            val work = queue.poll(nowMs) ?: break
+            val work = queue.poll(nowMs, hasLower) ?: break
             placement.choose(work, nowMs)
             val endpoint = placement.endpoint
             if (endpoint != null && placement.canStart) {
@@ -52,6 +54,24 @@
         return mayGoOn
     }
 
+    private fun resumeInterrupted(
+        queue: TierQueue,
+        nowMs: Long,
+        out: MutableList<SchedulerDecision>
+    ) {
+        if (!state.endpoints.hasOpen(queue.tier.rank == 0)) return
+        for (work in queue.interrupted()) {
+            val endpoint = work.request.resumeOn?.let(state.endpoints::find) ?: continue
+            if (endpoint.admits(work.isTop, work.reservedTokens, nowMs)) {
+                state.queue.remove(work)
+                val running = issuer.issue(work, endpoint, 0, nowMs)
+                out += issuer.decision(running, listOf(endpoint.spec.id), "resume")
+            } else if (endpoint.isOpen(work.isTop)) {
+                state.endpoints.claim(endpoint)
+            }
+        }
+    }
+
     private fun grant(
         queue: TierQueue,
         work: QueuedWork,
@@ -64,7 +84,6 @@
         val uncachedTokens = placement.uncachedTokens(work, endpoint)
         val running = issuer.issue(work, endpoint, uncachedTokens, nowMs)
         val reason = when {
-            work.request.resumeOn != null -> "resume"
             uncachedTokens < work.request.prefillTokens -> "prefix"
             else -> "least-wait"
         }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
@@ -110,7 +110,11 @@
         emptyingFor == null && hasSlot(isTop, 0)
 
     /** Whether a request that needs [tokens] can start now. */
-    fun admits(isTop: Boolean, tokens: Long): Boolean = isOpen(isTop) && hasBudget(tokens, 0, 0)
+    fun admits(isTop: Boolean, tokens: Long, nowMs: Long): Boolean =
+        hasRoom(isTop, tokens) && hasReadEnough(isTop, nowMs)
+
+    /** Whether a request that needs [tokens] has a slot and fits in the budget. */
+    fun hasRoom(isTop: Boolean, tokens: Long): Boolean = isOpen(isTop) && hasBudget(tokens, 0, 0)
 
     /** Whether a request could start after [count] running ones with [freedTokens] have ended. */
     fun admitsAfter(isTop: Boolean, tokens: Long, count: Int, freedTokens: Long): Boolean =
@@ -179,6 +183,14 @@
         return expectedPerS / decodeSpeed.perS
     }
 
+    /**
+     * Whether the prompts that the endpoint was given are nearly read. Engines read prompts first
+     * come first served, so one that waits there can no longer be overtaken by more urgent work; it
+     * waits at the owner instead.
+     */
+    fun hasReadEnough(isTop: Boolean, nowMs: Long): Boolean =
+        prefillBusyUntilMs - nowMs <= if (isTop) MOST_TOP_BACKLOG_MS else MOST_LOWER_BACKLOG_MS
+
     private fun hasSlot(isTop: Boolean, freedCount: Int): Boolean =
         occupiedCount - freedCount < slotLimit &&
             (isTop || lowerCount + foreignCount - freedCount < lowerSlotLimit)
@@ -196,6 +208,9 @@
         const val FOREIGN_LIFETIME_MS = 5_000L
         const val LEAST_SLOT_WAIT_MS = 20.0
 
+        const val MOST_TOP_BACKLOG_MS = 500.0
+        const val MOST_LOWER_BACKLOG_MS = 50.0
+
         // Keeps 0.3 * 10 from being rounded up to 4.
         const val ROUNDING_SLACK = 1e-9
     }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
@@ -14,9 +14,9 @@
         for (queue in state.queue.tiers) {
             if (!state.grants.hasInterruptibleBelow(queue.tier)) return
             if (!state.mayGrant(queue.tier, nowMs)) return
-            for (work in queue.parked()) consider(work, position++, nowMs, out)
+            for (work in queue.setAside()) consider(work, position++, nowMs, out)
             while (position < MOST_REVIEWED) {
-                val work = queue.poll(nowMs) ?: break
+                val work = queue.poll(nowMs, hasLower = true) ?: break
                 taken += work
                 consider(work, position++, nowMs, out)
             }
@@ -41,7 +41,7 @@
         if (missingSlots <= 0) return
         val expectedMs = missingSlots / state.endpoints.slotsPerMs
         if (expectedMs <= (work.firstTokenDueMs - nowMs) * WAIT_SHARE) return
-        if (!placement.canStartNow(work)) makeRoom(work, nowMs, out)
+        if (!placement.canStartNow(work, nowMs)) makeRoom(work, nowMs, out)
     }
 
     /** Tells the running work that loses least to give way until [work] fits on its endpoint. */
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GrantTable.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GrantTable.kt
@@ -63,9 +63,12 @@
     fun hasInterruptibleBelow(tier: Tier): Boolean =
         interruptible.isNotEmpty() && interruptible.first().request.tier > tier
 
+    /** Whether work below [tier] runs anywhere. */
+    fun hasAnyBelow(tier: Tier): Boolean = countByTier.isNotEmpty() && countByTier.lastKey() > tier
+
     /** Whether work below [tier] runs on an endpoint that takes new work. */
     fun hasRunningBelow(tier: Tier): Boolean {
-        if (countByTier.isEmpty() || countByTier.lastKey() <= tier) return false
+        if (!hasAnyBelow(tier)) return false
         return endpoints.all.any { state ->
             state.isAvailable && state.running.any { it.request.tier > tier }
         }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/LoadCorrection.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/LoadCorrection.kt
@@ -20,10 +20,12 @@
         endpoint.isLeaving = report.isLeaving
         val atMs = nowMs - report.ageMs
         val perMs = endpoint.prefillSpeed.perS / 1_000.0
-        if (perMs > 0.0) {
-            val grantedTokens = endpoint.history.tokensGrantedSince(atMs - DISPATCH_DELAY_MS)
-            val backlogTokens = report.waitingTokens + grantedTokens - perMs * report.ageMs
-            endpoint.prefillBusyUntilMs = nowMs + max(0.0, backlogTokens) / perMs
+        val grantedSinceMs = atMs - DISPATCH_DELAY_MS
+        if (perMs > 0.0 && endpoint.history.covers(grantedSinceMs)) {
+            val reported = report.waitingTokens.toDouble()
+            val waiting = endpoint.history
+                .waitingTokensAt(nowMs, atMs, grantedSinceMs, reported, perMs)
+            endpoint.prefillBusyUntilMs = nowMs + waiting / perMs
         }
         // Upper bound of own requests in the figure, so that delays do not look like foreign load.
         val ownAtReport = endpoint.running.size - endpoint.history.grantsSince(atMs) +
--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -13,6 +13,7 @@
     private var bestNowMs = 0.0
     private var bestLater: EndpointState? = null
     private var bestLaterMs = 0.0
+    private var bestLaterWaitMs = 0.0
 
     /** The chosen endpoint; null if none can finish the request before its deadline. */
     var endpoint: EndpointState? = null
@@ -29,29 +30,24 @@
     /** The endpoints with the least cost, best first. */
     val candidates: List<EndpointId> get() = nearest.toList()
 
-    /** Chooses the endpoint with the least estimated time to first token. */
+    /** Chooses the endpoint with the least estimated time to first token for a new request. */
     fun choose(work: QueuedWork, nowMs: Long) {
         bestNow = null
         bestLater = null
         nearest.clear()
-        val resumeOn = work.request.resumeOn
-        if (resumeOn != null) {
-            table.find(resumeOn)?.let { consider(it, work, nowMs) }
-        } else {
-            table.prefixes.findDepths(work.request.prefixBlocks)
-            val all = table.all
-            for (position in all.indices) consider(all[position], work, nowMs)
-        }
+        table.prefixes.findDepths(work.request.prefixBlocks)
+        val all = table.all
+        for (position in all.indices) consider(all[position], work, nowMs)
         decide(work, nowMs)
     }
 
     /** Whether the request could start somewhere now. */
-    fun canStartNow(work: QueuedWork): Boolean {
+    fun canStartNow(work: QueuedWork, nowMs: Long): Boolean {
         val resumeOn = work.request.resumeOn
         if (resumeOn != null) {
-            return table.find(resumeOn)?.admits(work.isTop, work.reservedTokens) ?: false
+            return table.find(resumeOn)?.admits(work.isTop, work.reservedTokens, nowMs) ?: false
         }
-        return table.all.any { it.admits(work.isTop, work.reservedTokens) }
+        return table.all.any { it.admits(work.isTop, work.reservedTokens, nowMs) }
     }
 
     /** Time to finish the request on the best endpoint if that were empty; infinite without one. */
@@ -83,16 +79,17 @@
 
     private fun consider(state: EndpointState, work: QueuedWork, nowMs: Long) {
         if (!state.isAvailable || state.isIsolated || state.emptyingFor != null) return
-        val canStartHere = state.admits(work.isTop, work.reservedTokens)
-        var firstTokenMs = state.prefillWaitMs(nowMs) +
-            uncachedTokens(work, state) * state.msPerPrefillToken
+        val hasRoom = state.hasRoom(work.isTop, work.reservedTokens)
+        val canStartHere = hasRoom && state.hasReadEnough(work.isTop, nowMs)
+        var waitMs = state.prefillWaitMs(nowMs)
         // A claimed endpoint serves another request first.
-        if (!canStartHere) firstTokenMs += state.slotWaitMs * if (state.isClaimed) 2 else 1
-        val finishMs = firstTokenMs + work.outputTokens * state.msPerOutputToken
+        if (!hasRoom) waitMs += state.slotWaitMs * if (state.isClaimed) 2 else 1
+        val readMs = uncachedTokens(work, state) * state.msPerPrefillToken
+        val finishMs = waitMs + readMs + work.outputTokens * state.msPerOutputToken
         if (work.deadlineMs - nowMs < finishMs) return
         // Time lost beyond the target between tokens makes a slow endpoint the last choice.
-        val costMs = firstTokenMs + work.outputTokens * state.lateMsPerOutputToken +
-            state.loadShare * SPREAD_MS
+        val costMs = waitMs + readMs * (if (work.isTop) 1.0 else LOWER_READ_WEIGHT) +
+            work.outputTokens * state.lateMsPerOutputToken + state.loadShare * SPREAD_MS
         nearest.offer(state, costMs)
         if (canStartHere && (bestNow == null || costMs < bestNowMs)) {
             bestNow = state
@@ -101,6 +98,7 @@
         if (!canStartHere && (bestLater == null || costMs < bestLaterMs)) {
             bestLater = state
             bestLaterMs = costMs
+            bestLaterWaitMs = waitMs
         }
     }
 
@@ -112,8 +110,7 @@
         canStart = now != null
         isByChoice = false
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
-        val untilMs = work.passOverUntilMs
-            ?: (nowMs + (later.slotWaitMs * PASS_OVER_FACTOR).toLong())
+        val untilMs = work.passOverUntilMs ?: (nowMs + passOverMs(work, nowMs))
         work.passOverUntilMs = untilMs
         if (nowMs >= untilMs) return
         endpoint = later
@@ -121,7 +118,18 @@
         isByChoice = true
     }
 
+    private fun passOverMs(work: QueuedWork, nowMs: Long): Long {
+        val waitMs = (bestLaterWaitMs * PASS_OVER_FACTOR).toLong()
+        if (work.isTop) return waitMs
+        return max(waitMs, ((work.firstTokenDueMs - nowMs) * LOWER_PASS_OVER_SHARE).toLong())
+    }
+
     private companion object {
+        // Lower tiers have time to wait for a cached prefix, and reading it again elsewhere takes
+        // prefill capacity from others and evicts their prefixes.
+        const val LOWER_READ_WEIGHT = 3.0
+        const val LOWER_PASS_OVER_SHARE = 0.25
+
         // Spreads work over endpoints whose first token would come at about the same time, since
         // a larger batch slows all its streams.
         const val SPREAD_MS = 100.0
--- a/core/src/main/kotlin/cowslipcart/core/capacity/ShardState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/ShardState.kt
@@ -35,6 +35,9 @@
         return nowMs - (startMs ?: nowMs) >= REBUILD_WAIT_MS
     }
 
+    /** Whether work below [tier] runs or waits. */
+    fun hasBelow(tier: Tier): Boolean = queue.lowestBelow(tier) != null || grants.hasAnyBelow(tier)
+
     fun weightOf(organisation: OrganisationId): Double =
         (config.weights[organisation] ?: 1.0).coerceAtLeast(LEAST_WEIGHT)
 
--- a/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
@@ -13,7 +13,8 @@
  * Requests that missed the time for their first token come after those of the same organisation
  * that can still meet it; otherwise, under overload, every request would be served late.
  *
- * Suspects are kept apart, because they wait for an endpoint to become empty and must not hold up
+ * Interrupted streams are kept apart and resume before new requests start: they are paid for, can
+ * run on one endpoint only, and their prompts would have to be read again. Suspects are kept apart, because they wait for an endpoint to become empty and must not hold up
  * their organisation.
  */
 internal class TierQueue(val tier: Tier) {
@@ -21,6 +22,7 @@
     private val backlogged = TreeSet(FLOW_ORDER)
     private val suspectQueue = TreeSet(QueuedWork.DEADLINE_ORDER)
     private val parked = LinkedHashSet<QueuedWork>()
+    private val interrupted = TreeSet(QueuedWork.DEADLINE_ORDER)
     private var virtualTime = 0.0
     private var flowCount = 0L
 
@@ -39,6 +41,10 @@
             suspectQueue += work
             return
         }
+        if (work.request.resumeOn != null) {
+            interrupted += work
+            return
+        }
         val flow = flowOf(work)
         if (flow.isEmpty) flow.startTag = max(flow.startTag, virtualTime)
         enqueue(flow, work)
@@ -75,18 +81,23 @@
     fun remove(work: QueuedWork) {
         size--
         work.parkedOn = null
-        if (suspectQueue.remove(work) || parked.remove(work)) return
+        if (suspectQueue.remove(work) || parked.remove(work) || interrupted.remove(work)) return
         val flow = flowOf(work)
         backlogged -= flow
         flow.remove(work)
         if (!flow.isEmpty) backlogged += flow
     }
 
-    /** Takes the next request, suspects excluded, or null. */
-    fun poll(nowMs: Long): QueuedWork? {
+    /**
+     * Takes the next request that is not kept apart, or null.
+     *
+     * @param hasLower whether less urgent work exists; a late request that has to start soon to
+     * meet its deadline then goes first in its organisation, so that it is not lost to that work
+     */
+    fun poll(nowMs: Long, hasLower: Boolean): QueuedWork? {
         if (backlogged.isEmpty()) return null
         val flow = backlogged.pollFirst()
-        val work = flow.poll(nowMs)
+        val work = flow.poll(nowMs, hasLower)
         size--
         if (!flow.isEmpty) backlogged += flow
         return work
@@ -108,19 +119,16 @@
      * Streams that wait to resume are shed only if there is nothing else, as their callers have
      * part of the answer.
      */
-    fun findShedVictim(): QueuedWork? {
-        val flow = backlogged.maxByOrNull { it.size }
-        return flow?.lastOrNull { it.request.resumeOn == null }
-            ?: backlogged.firstNotNullOfOrNull { other ->
-                other.lastOrNull { it.request.resumeOn == null }
-            }
-            ?: parked.lastOrNull()
-            ?: suspectQueue.lastOrNull()
-            ?: flow?.lastOrNull { true }
-    }
+    fun findShedVictim(): QueuedWork? = backlogged.maxByOrNull { it.size }?.last()
+        ?: parked.lastOrNull()
+        ?: suspectQueue.lastOrNull()
+        ?: interrupted.lastOrNull()
+
+    /** Interrupted streams, earliest deadline first. */
+    fun interrupted(): List<QueuedWork> = interrupted.toList()
 
-    /** Parked requests, longest parked first. */
-    fun parked(): List<QueuedWork> = parked.toList()
+    /** Requests that are kept apart, suspects excluded. */
+    fun setAside(): List<QueuedWork> = interrupted.toList() + parked
 
     private fun flowOf(work: QueuedWork): Flow =
         flows.getOrPut(work.request.organisation) { Flow(flowCount++) }
@@ -128,7 +136,7 @@
     private fun QueuedWork.hasReasonToWake(nowMs: Long): Boolean {
         val endpoint = parkedOn ?: return true
         return nowMs >= parkedUntilMs || !endpoint.isAvailable ||
-            endpoint.admits(isTop, reservedTokens)
+            endpoint.admits(isTop, reservedTokens, nowMs)
     }
 
     private fun enqueue(flow: Flow, work: QueuedWork) {
@@ -160,7 +168,11 @@
             if (work.isLate) late -= work else inTime -= work
         }
 
-        fun poll(nowMs: Long): QueuedWork {
+        fun poll(nowMs: Long, hasLower: Boolean): QueuedWork {
+            if (hasLower && late.isNotEmpty()) {
+                val first = late.first()
+                if (first.nextCheckMs - nowMs < START_SOON_MS) return late.pollFirst()
+            }
             while (inTime.isNotEmpty()) {
                 val work = inTime.pollFirst()
                 if (work.firstTokenDueMs > nowMs) return work
@@ -170,14 +182,15 @@
             return late.pollFirst()
         }
 
-        fun lastOrNull(predicate: (QueuedWork) -> Boolean): QueuedWork? =
-            late.descendingSet().firstOrNull(predicate)
-                ?: inTime.descendingSet().firstOrNull(predicate)
+        fun last(): QueuedWork = if (late.isEmpty()) inTime.last() else late.last()
     }
 
     private companion object {
         const val MOST_IDLE_FLOWS = 1_024
 
+        // Time in which a slot and the reading of other prompts can be awaited.
+        const val START_SOON_MS = 8_000L
+
         val FLOW_ORDER: Comparator<Flow> = Comparator { left, right ->
             var order = left.startTag.compareTo(right.startTag)
             if (order == 0) order = left.headDeadlineMs.compareTo(right.headDeadlineMs)
