Add scripted scenarios over whole hosts in virtual time

Cause: no test ran several NodeControllers against each other with faults of log, network, host list and endpoints.

--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
@@ -0,0 +1,271 @@
+package cowslipcart.experiment.scenario
+
+import arrow.core.Either
+import cowslipcart.core.claims.ClaimRecord
+import cowslipcart.core.config.ConfigEntry
+import cowslipcart.core.config.ConfigRecord
+import cowslipcart.core.log.LogError
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.node.NodeController
+import cowslipcart.core.node.NodeEffect
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.origin.RequestOutcome
+
+/** One process of an entry host: the real control state with faked input and output. */
+internal class HostProcess(
+    val identity: HostIdentity,
+    private val controller: NodeController,
+    private val world: World
+) {
+    private val time = world.time
+    private val traffic = Traffic(this, world)
+    private val waiting = ArrayDeque<() -> Unit>()
+    private var watched = emptyList<EndpointSpec>()
+    private var watchNumber = 0
+    private var configNext = LogOffset(0)
+    private var epochsNext = LogOffset(0)
+
+    val host: HostId get() = identity.host
+    var isPaused = false
+        private set
+    var isAlive = true
+        private set
+    var isReady = false
+        private set
+    var isDraining = false
+        private set
+    var configuration: Configuration = Configuration.EMPTY
+        private set
+
+    /** Results of [NodeInput.FindOutcome] by query id. */
+    val outcomes = HashMap<Long, RequestOutcome>()
+
+    val openRequestCount: Int get() = controller.openRequestCount
+
+    fun start() {
+        tick()
+        pollList()
+        followConfig()
+        followEpochs()
+        reportProgress()
+    }
+
+    fun call(requestId: RequestId, record: CallerRecord) = deliver {
+        traffic.begin(requestId, record)?.let { handle(NodeInput.Start(it)) }
+    }
+
+    fun breakStream(requestId: RequestId) = deliver { traffic.breakStream(requestId) }
+
+    fun drain(limitMs: Long) = deliver {
+        isDraining = true
+        handle(NodeInput.Drain(limitMs))
+    }
+
+    /** Hands an input over; a paused process handles it when it wakes. */
+    fun input(input: NodeInput) = deliver { handle(input) }
+
+    /** Runs [action] in the process: now, when it wakes, or never if it is killed. */
+    fun deliver(action: () -> Unit) {
+        when {
+            !isAlive -> Unit
+            isPaused -> waiting.addLast(action)
+            else -> action()
+        }
+    }
+
+    fun pause() {
+        isPaused = true
+    }
+
+    fun wake() {
+        isPaused = false
+        while (!isPaused && isAlive) (waiting.removeFirstOrNull() ?: return).invoke()
+    }
+
+    fun kill() {
+        isAlive = false
+        waiting.clear()
+    }
+
+    private fun handle(input: NodeInput) {
+        controller.handle(input, time.nowMs).forEach { perform(it) }
+    }
+
+    private fun perform(effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.SendPeer -> world.network.send(host, effect.to, effect.message)
+
+            is NodeEffect.Dispatch -> traffic.dispatch(effect)
+
+            is NodeEffect.InterruptStream -> traffic.interrupt(effect.requestId)
+
+            is NodeEffect.CancelStream -> traffic.cancel(effect.requestId)
+
+            is NodeEffect.Reject -> traffic.reject(effect.requestId, effect.rejection)
+
+            is NodeEffect.Replay -> traffic.replay(effect.requestId, effect.answer)
+
+            is NodeEffect.AppendClaims -> appendClaims(effect)
+
+            is NodeEffect.ReadClaims -> readClaims(effect)
+
+            is NodeEffect.AppendEpoch ->
+                world.log.append(world.log.epochs, effect.entry, host) {}
+
+            is NodeEffect.AppendConfig ->
+                world.log.append(world.log.config, effect.entry, host) {}
+
+            is NodeEffect.ConfigDecided -> world.operators.onVerdict(effect.verdict)
+
+            is NodeEffect.PublishConfiguration -> publish(effect.configuration)
+
+            is NodeEffect.PublishReadiness -> publishReadiness(effect)
+
+            is NodeEffect.WatchEndpoints -> watch(effect.endpoints)
+
+            is NodeEffect.OutcomeFound -> outcomes[effect.queryId] = effect.outcome
+
+            is NodeEffect.LogDecision -> time.note(
+                "$host: ${effect.decision.requestId} ${effect.decision.choice}, " +
+                    effect.decision.reason
+            )
+
+            NodeEffect.ReadConfigNow,
+            is NodeEffect.PublishHosts,
+            is NodeEffect.ForgetPeer
+            -> Unit
+        }
+    }
+
+    private fun publish(configuration: Configuration) {
+        this.configuration = configuration
+        time.note("$host: revision ${configuration.revision}, ${configuration.presetInForce}")
+        world.revisions.onPublished(this)
+    }
+
+    private fun publishReadiness(effect: NodeEffect.PublishReadiness) {
+        isReady = effect.isReady
+        time.note("$host: ready ${effect.isReady} ${effect.missing}")
+        world.revisions.onPublished(this)
+    }
+
+    private fun tick() {
+        if (!isAlive) return
+        if (!isPaused) handle(NodeInput.Tick(time.wallNowMs))
+        time.after(TICK_MS) { tick() }
+    }
+
+    private fun pollList() {
+        if (!isAlive) return
+        val list = world.hostList.read()
+        input(NodeInput.HostListRead(list))
+        time.after(LIST_POLL_MS) { deliver { pollList() } }
+    }
+
+    private fun followConfig() {
+        world.log.read(world.log.config, configNext, host) { result ->
+            deliver { onConfigPage(result) }
+        }
+    }
+
+    private fun onConfigPage(result: LogResult<ConfigEntry>) = when (result) {
+        is Either.Left -> {
+            handle(NodeInput.ConfigReadFailed)
+            time.after(READ_RETRY_MS) { deliver { followConfig() } }
+        }
+
+        is Either.Right -> {
+            val page = result.value
+            val records = page.records.map { ConfigRecord(it.offset, it.appendedAtMs, it.entry) }
+            handle(NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset))
+            configNext = page.records.lastOrNull()?.offset?.next()
+                ?: maxOf(configNext, page.firstKeptOffset)
+            time.after(READ_INTERVAL_MS) { deliver { followConfig() } }
+        }
+    }
+
+    private fun followEpochs() {
+        world.log.read(world.log.epochs, epochsNext, host) { result ->
+            deliver {
+                result.onRight { page ->
+                    if (page.records.isNotEmpty()) {
+                        handle(NodeInput.EpochsRead(page.records.map { it.offset to it.entry }))
+                        epochsNext = page.records.last().offset.next()
+                    }
+                }
+                time.after(READ_INTERVAL_MS) { deliver { followEpochs() } }
+            }
+        }
+    }
+
+    private fun appendClaims(effect: NodeEffect.AppendClaims) {
+        val stream = world.log.claims[effect.partition]
+        world.log.append(stream, effect.items, host) { result ->
+            input(
+                result.fold(
+                    { NodeInput.ClaimsAppendFailed(effect.partition, effect.batch, it) },
+                    { NodeInput.ClaimsAppended(effect.partition, effect.batch, it) }
+                )
+            )
+        }
+    }
+
+    private fun readClaims(effect: NodeEffect.ReadClaims) {
+        val stream = world.log.claims[effect.partition]
+        world.log.read(stream, effect.from, host) { result ->
+            input(
+                result.fold(
+                    { NodeInput.ClaimsReadFailed(effect.partition, it) },
+                    { page ->
+                        NodeInput.ClaimsRead(
+                            effect.partition,
+                            page.records.map { ClaimRecord(it.offset, it.appendedAtMs, it.entry) },
+                            page.firstKeptOffset,
+                            page.endOffset
+                        )
+                    }
+                )
+            )
+        }
+    }
+
+    private fun watch(endpoints: List<EndpointSpec>) {
+        if (watched == endpoints) return
+        watched = endpoints
+        val number = ++watchNumber
+        endpoints.forEach { pollLoad(it, number) }
+    }
+
+    private fun pollLoad(spec: EndpointSpec, number: Int) {
+        if (!isAlive || number != watchNumber) return
+        val report = world.endpoint(spec.id).load()
+        input(report?.let { NodeInput.LoadRead(it) } ?: NodeInput.LoadFailed(spec.id))
+        time.after(LOAD_POLL_MS) { deliver { pollLoad(spec, number) } }
+    }
+
+    private fun reportProgress() {
+        if (!isAlive) return
+        val progress = traffic.collectProgress()
+        if (progress.isNotEmpty()) input(NodeInput.StreamProgress(progress))
+        time.after(PROGRESS_MS) { deliver { reportProgress() } }
+    }
+
+    private companion object {
+        /** Intervals of the daemon, but for the tick, which is 20 ms there. */
+        const val TICK_MS = 25L
+        const val LIST_POLL_MS = 1_000L
+        const val LOAD_POLL_MS = 500L
+        const val PROGRESS_MS = 1_000L
+        const val READ_RETRY_MS = 500L
+
+        /** The daemon's reads wait at the log; these come back at once and are repeated. */
+        const val READ_INTERVAL_MS = 50L
+    }
+}
+
+private typealias LogResult<T> = Either<LogError, FakePage<T>>
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/RevisionWitness.kt
@@ -0,0 +1,26 @@
+package cowslipcart.experiment.scenario
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.Revision
+
+/** Notes hosts that serve an older revision than they, or an earlier process of theirs, served. */
+internal class RevisionWitness {
+    private val highest = HashMap<HostId, Revision>()
+    private val published = HashMap<HostProcess, Revision>()
+
+    val violations = mutableListOf<String>()
+
+    fun onPublished(process: HostProcess) {
+        val revision = process.configuration.revision
+        val before = published.put(process, revision)
+        if (before != null && revision < before) note(process.host, before, revision)
+        if (!process.isReady) return
+        val served = highest[process.host]
+        if (served != null && revision < served) note(process.host, served, revision)
+        highest[process.host] = maxOf(served ?: revision, revision)
+    }
+
+    private fun note(host: HostId, before: Revision, after: Revision) {
+        violations += "$host: expected a revision of at least $before, found $after"
+    }
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Traffic.kt
@@ -0,0 +1,187 @@
+package cowslipcart.experiment.scenario
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.claims.parseRequestKey
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.node.NodeEffect
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.core.origin.Rejection
+import cowslipcart.core.origin.StoredAnswer
+import cowslipcart.core.origin.StreamEnd
+
+/** Traffic side of a process: exchanges with endpoints and answers to callers. */
+internal class Traffic(private val process: HostProcess, private val world: World) {
+    private val time = world.time
+    private val sessions = LinkedHashMap<RequestId, Session>()
+
+    /** Registers a call and returns the request for control; null if a key is malformed. */
+    fun begin(requestId: RequestId, record: CallerRecord): CallerRequest? {
+        sessions[requestId] = Session(record)
+        val call = record.call
+        val key = call.keyUuid?.let {
+            parseRequestKey(call.organisation, it).getOrNull() ?: return null
+        }
+        return CallerRequest(
+            requestId = requestId,
+            organisation = call.organisation,
+            tier = Tier(call.tier),
+            pool = PoolId(call.route.pool),
+            key = key,
+            isRepeatable = call.route.isRepeatable,
+            isInterruptible = call.route == Route.CHAT,
+            fingerprint = Fingerprint("${call.organisation}:${call.content}"),
+            timeLeftMs = call.deadlineMs,
+            prefillTokens = call.promptTokens,
+            outputTokens = call.outputTokens,
+            prefixBlocks = emptyList()
+        )
+    }
+
+    /** The first byte leaves a little after control's decision; a pause can lie between them. */
+    fun dispatch(effect: NodeEffect.Dispatch) {
+        val decidedAtMs = time.nowMs
+        time.note("${process.host}: dispatches ${effect.requestId} to ${effect.endpoint.id}")
+        time.after(SEND_DELAY_MS) { process.deliver { send(effect, decidedAtMs) } }
+        world.triggers.onDispatch(process)
+    }
+
+    fun interrupt(requestId: RequestId) {
+        val session = sessions[requestId] ?: return
+        val exchange = session.exchange ?: return
+        val canResume = world.endpoint(exchange.effect.endpoint.id).cancel(requestId)
+        if (!canResume) return
+        end(session, exchange) { StreamEnd.Interrupted(it, session.sentCount, true) }
+    }
+
+    fun cancel(requestId: RequestId) {
+        val session = sessions[requestId] ?: return
+        val exchange = session.exchange ?: return
+        world.endpoint(exchange.effect.endpoint.id).cancel(requestId)
+        end(session, exchange) { StreamEnd.CallerGone(it) }
+    }
+
+    /** The connection to the endpoint breaks while the endpoint goes on. */
+    fun breakStream(requestId: RequestId) {
+        val session = sessions[requestId] ?: return
+        val exchange = session.exchange ?: return
+        end(session, exchange) { StreamEnd.Broken(it, "the connection was lost", false) }
+    }
+
+    fun reject(requestId: RequestId, rejection: Rejection) =
+        tell(requestId, rejection.kind(), rejection.detail)
+
+    fun replay(requestId: RequestId, answer: StoredAnswer) =
+        tell(requestId, ReplyKind.ANSWERED, answer.body)
+
+    fun collectProgress(): Map<ShardId, List<GrantProgress>> = sessions.values
+        .mapNotNull { session -> session.exchange?.let { it to session.sentCount } }
+        .groupBy({ it.first.effect.shard }, { GrantProgress(it.first.effect.grantId, it.second) })
+
+    private fun send(effect: NodeEffect.Dispatch, decidedAtMs: Long) {
+        val session = sessions[effect.requestId] ?: return
+        val exchange = Exchange(effect, time.nowMs)
+        session.exchange = exchange
+        val endpoint = world.endpoint(effect.endpoint.id)
+        val listener = Listener(session, exchange)
+        val call = session.record.endpointCall
+        val isAccepted = if (effect.isResume) {
+            endpoint.resume(call, session.sentCount, listener)
+        } else {
+            endpoint.start(call, decidedAtMs, listener)
+        }
+        if (isAccepted) return
+        end(session, exchange) {
+            if (effect.isResume) {
+                StreamEnd.Broken(it, "no handle", !endpoint.isUp)
+            } else {
+                StreamEnd.ProvenNotRun(it, "connection refused")
+            }
+        }
+    }
+
+    private fun end(session: Session, exchange: Exchange, end: (GrantReport) -> StreamEnd) {
+        session.exchange = null
+        val report = report(exchange, session.sentCount, GrantEnd.FAILED)
+        process.input(NodeInput.StreamEnded(exchange.effect.requestId, end(report)))
+    }
+
+    private fun complete(session: Session, exchange: Exchange) {
+        val isCurrent = session.exchange === exchange
+        session.exchange = null
+        val body = session.received.toString()
+        val requestId = exchange.effect.requestId
+        if (isCurrent) tell(requestId, ReplyKind.ANSWERED, body)
+        // The end of a stream that is not the current one goes to control as well, which has to
+        // drop it.
+        if (!isCurrent) time.note("${process.host}: late answer for $requestId")
+        val report = report(exchange, session.sentCount, GrantEnd.COMPLETED)
+        val answer = StoredAnswer(OK, "text/plain", body)
+        process.input(NodeInput.StreamEnded(requestId, StreamEnd.Completed(report, answer)))
+    }
+
+    private fun tell(requestId: RequestId, kind: ReplyKind, body: String) {
+        val session = sessions[requestId] ?: return
+        val shown = if (kind == ReplyKind.ANSWERED) "${body.length} characters" else body
+        time.note("${process.host}: ${session.record.call.name} is told ${kind.label}: $shown")
+        session.record.replies += Reply(time.nowMs, kind, body)
+    }
+
+    private fun report(exchange: Exchange, sentCount: Int, end: GrantEnd): GrantReport {
+        val durationMs = time.nowMs - exchange.startedAtMs
+        val firstTokenMs = exchange.firstTokenAtMs?.let { it - exchange.startedAtMs }
+        return GrantReport(exchange.grantId, end, 0, 0, sentCount, firstTokenMs, durationMs)
+    }
+
+    private class Session(val record: CallerRecord) {
+        val received = StringBuilder()
+        var sentCount = 0
+        var exchange: Exchange? = null
+    }
+
+    private class Exchange(val effect: NodeEffect.Dispatch, val startedAtMs: Long) {
+        val grantId: GrantId get() = effect.grantId
+        var firstTokenAtMs: Long? = null
+    }
+
+    private inner class Listener(
+        private val session: Session,
+        private val exchange: Exchange
+    ) : StreamListener {
+        override fun onEvent(sequence: Int, text: String) = arrive {
+            if (session.exchange !== exchange) return@arrive
+            if (exchange.firstTokenAtMs == null) exchange.firstTokenAtMs = time.nowMs
+            if (sequence != session.sentCount) {
+                val detail = "expected event ${session.sentCount}, found $sequence"
+                end(session, exchange) { StreamEnd.Broken(it, detail, false) }
+            } else {
+                session.sentCount++
+                session.received.append(text)
+            }
+        }
+
+        override fun onEnd() = arrive { complete(session, exchange) }
+
+        override fun onBroken() = arrive {
+            if (session.exchange !== exchange) return@arrive
+            val hasCrashed = !world.endpoint(exchange.effect.endpoint.id).isUp
+            end(session, exchange) { StreamEnd.Broken(it, "the stream broke off", hasCrashed) }
+        }
+
+        private fun arrive(action: () -> Unit) =
+            time.after(ENDPOINT_DELAY_MS) { process.deliver(action) }
+    }
+
+    private companion object {
+        const val SEND_DELAY_MS = 2L
+        const val ENDPOINT_DELAY_MS = 1L
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
@@ -0,0 +1,149 @@
+package cowslipcart.experiment.scenario
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.node.NodeController
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.node.createNodeController
+import cowslipcart.core.origin.RequestOutcome
+import cowslipcart.core.origin.requestIdOf
+import kotlin.random.Random
+
+/** Creates the control state of a process; tests put a faulty one around the real one. */
+internal typealias ControllerFactory = (HostIdentity, Random) -> NodeController
+
+/** Size and seed of a world. */
+internal data class WorldSetup(
+    val hostCount: Int = 3,
+    val engineCount: Int = 3,
+    val serviceCount: Int = 2,
+    val slotCount: Int = 4,
+    val listLagMs: Long = 1_000,
+    val seed: Long = 1
+)
+
+/** Several hosts with all that they talk to, in one process and virtual time. */
+internal class World(
+    val setup: WorldSetup,
+    private val createController: ControllerFactory = ::createNodeController
+) {
+    private val random = Random(setup.seed)
+    private val processes = sortedMapOf<HostId, HostProcess>()
+    private val requestCounts = HashMap<HostId, Long>()
+    private var queryCount = 0L
+
+    val time = Timeline()
+    val journal = Journal()
+    val log = FakeLog(time)
+    val hostList = FakeHostList(time, setup.listLagMs)
+    val operators = Operators(this)
+    val revisions = RevisionWitness()
+    val triggers = PauseTriggers(time)
+    val network = Network(time, random, ::deliver)
+    val hosts: List<HostId> = (1..setup.hostCount).map { HostId("host-$it") }
+    private val endpoints = Deployment.endpoints(setup).associate { (spec, isModel) ->
+        spec.id to FakeEndpoint(spec, isModel, time, journal)
+    }
+
+    /** All calls in the order in which they were made. */
+    val callers = ArrayList<CallerRecord>()
+
+    /** Running processes, paused ones included. */
+    val running: Collection<HostProcess> get() = processes.values
+
+    val allEndpoints: Collection<FakeEndpoint> get() = endpoints.values
+
+    /** Publishes the deployment, starts all hosts and waits until they can take requests. */
+    fun start() {
+        Deployment.records(setup).forEach { log.config.add(it, time.wallNowMs) }
+        hosts.forEach { hostList.list(it, isLate = false) }
+        hosts.forEach { boot(it) }
+        time.advance(WARM_UP_MS)
+    }
+
+    fun endpoint(id: EndpointId): FakeEndpoint = endpoints.getValue(id)
+
+    fun findEndpoint(id: EndpointId): FakeEndpoint? = endpoints[id]
+
+    /** Returns the process of [host], or null if it was killed. */
+    fun process(host: HostId): HostProcess? = processes[host]
+
+    fun boot(host: HostId) {
+        val identity = HostIdentity(
+            host,
+            IncarnationId(random.nextLong()),
+            DomainId("domain-${host.value.last()}"),
+            FakeHostList.addressOf(host)
+        )
+        val controller = createController(identity, Random(random.nextLong()))
+        val process = HostProcess(identity, controller, this)
+        processes[host] = process
+        requestCounts.remove(host)
+        process.start()
+    }
+
+    /** Ends the process at once; the list shows it later. */
+    fun kill(host: HostId) {
+        time.note("$host: killed")
+        processes.remove(host)?.kill()
+        hostList.remove(host)
+    }
+
+    fun restart(host: HostId) {
+        processes.remove(host)?.kill()
+        time.note("$host: started again")
+        hostList.list(host)
+        boot(host)
+    }
+
+    /** Makes a call; it gets no reply if its host is down. */
+    fun call(call: CallerCall): CallerRecord {
+        val process = processes[call.host]
+        val number = requestCounts.merge(call.host, 1, Long::plus) ?: 1
+        val requestId = process
+            ?.let { requestIdOf(AttemptOrigin(it.host, it.identity.incarnation), number) }
+            ?: RequestId("none")
+        val outputCount = if (call.route == Route.CHAT) call.outputTokens else 1
+        val record = CallerRecord(
+            call,
+            EndpointCall(
+                requestId,
+                call.host,
+                call.scopedKey,
+                call.organisation.value,
+                call.content,
+                call.promptTokens,
+                outputCount
+            )
+        )
+        callers += record
+        time.note("${call.name}: sent to ${call.host} as $requestId, key ${call.keyUuid}")
+        process?.call(requestId, record)
+        return record
+    }
+
+    /** Asks [host] for the outcome of a request and returns a lookup of the answer. */
+    fun ask(host: HostId, organisation: OrganisationId, requestId: RequestId): () -> RequestOutcome? {
+        val queryId = ++queryCount
+        val process = processes[host]
+        process?.input(NodeInput.FindOutcome(queryId, organisation, requestId))
+        return { process?.outcomes?.get(queryId) }
+    }
+
+    private fun deliver(from: HostId, to: HostId, message: PeerMessage) {
+        val process = processes[to] ?: return
+        triggers.onMessage(process, message)
+        process.input(NodeInput.FromPeer(from, message))
+    }
+
+    private companion object {
+        const val WARM_UP_MS = 4_000L
+    }
+}
