Answer each organisation's question about a request by itself

Cause: a host that asked a request's origin for two organisations at the same time kept both questions under the request id, so the first reply, the owner's answer, went to both callers. Change: OutcomeReply repeats the organisation of the query; OutcomeDesk and the origin match it.

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -185,8 +185,8 @@
                 origin.onClaimVerdict(message.attempt, message.verdict, nowMs)
 
             is PeerMessage.OutcomeReply -> {
-                outcomes.onReply(message.requestId, message.outcome)
-                origin.onOutcome(message.requestId, message.outcome, nowMs)
+                outcomes.onReply(message.organisation, message.requestId, message.outcome)
+                origin.onOutcome(message.organisation, message.requestId, message.outcome, nowMs)
             }
 
             else -> error("expected a reply to an origin, found $message")
--- a/core/src/main/kotlin/cowslipcart/core/node/OutcomeDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/OutcomeDesk.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.claims.AttemptOrigin
 import cowslipcart.core.membership.MembershipView
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.origin.OriginController
 import cowslipcart.core.origin.RequestOutcome
@@ -17,7 +18,10 @@
 ) {
     private class Pending(val queryId: Long, val sinceMs: Long)
 
-    private val pending = HashMap<RequestId, MutableList<Pending>>()
+    /** Organisations that ask for the same request must not get each other's answer. */
+    private data class Question(val organisation: OrganisationId?, val requestId: RequestId)
+
+    private val pending = HashMap<Question, MutableList<Pending>>()
 
     fun onFind(input: NodeInput.FindOutcome, nowMs: Long) {
         val process = originOf(input.requestId)
@@ -28,7 +32,8 @@
         ) {
             found(input.queryId, RequestOutcome.Unknown)
         } else {
-            pending.getOrPut(input.requestId) { mutableListOf() } += Pending(input.queryId, nowMs)
+            val question = Question(input.organisation, input.requestId)
+            pending.getOrPut(question) { mutableListOf() } += Pending(input.queryId, nowMs)
             val query = PeerMessage.OutcomeQuery(
                 input.organisation,
                 input.requestId,
@@ -45,18 +50,21 @@
         } else {
             RequestOutcome.Unknown
         }
-        outbox.send(from, PeerMessage.OutcomeReply(query.requestId, outcome))
+        outbox.send(
+            from,
+            PeerMessage.OutcomeReply(query.organisation, query.requestId, outcome)
+        )
     }
 
-    fun onReply(requestId: RequestId, outcome: RequestOutcome) {
-        pending.remove(requestId)?.forEach { found(it.queryId, outcome) }
+    fun onReply(organisation: OrganisationId?, requestId: RequestId, outcome: RequestOutcome) {
+        pending.remove(Question(organisation, requestId))?.forEach { found(it.queryId, outcome) }
     }
 
     fun tick(nowMs: Long) {
-        for (requestId in pending.keys.toList()) {
-            val isOld = pending.getValue(requestId)
+        for (question in pending.keys.toList()) {
+            val isOld = pending.getValue(question)
                 .any { nowMs - it.sinceMs >= OriginController.OUTCOME_TIMEOUT_MS }
-            if (isOld) onReply(requestId, RequestOutcome.Unknown)
+            if (isOld) onReply(question.organisation, question.requestId, RequestOutcome.Unknown)
         }
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -116,8 +116,14 @@
         public val incarnation: IncarnationId
     ) : PeerMessage
 
-    /** Answer to an [OutcomeQuery]. */
+    /**
+     * Answer to an [OutcomeQuery].
+     *
+     * @property organisation the one of the query, so that one organisation's answer is not given
+     * to another that asks for the same request at the same time
+     */
     public data class OutcomeReply(
+        public val organisation: OrganisationId?,
         public val requestId: RequestId,
         public val outcome: RequestOutcome
     ) : PeerMessage
--- a/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
@@ -67,12 +67,14 @@
     }
 
     override fun onOutcome(
+        organisation: OrganisationId?,
         queried: RequestId,
         outcome: RequestOutcome,
         nowMs: Long
     ): List<OriginEffect> = table.open.toList().flatMap { tracked ->
         val state = tracked.state
-        if (state is RequestState.Querying && state.queried == queried) {
+        val isAsker = tracked.request.organisation == organisation
+        if (isAsker && state is RequestState.Querying && state.queried == queried) {
             claims.onOutcome(tracked, state, outcome, nowMs)
         } else {
             emptyList()
--- a/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
@@ -37,8 +37,9 @@
         nowMs: Long
     ): List<OriginEffect>
 
-    /** Takes the answer to an outcome query about [queried]. */
+    /** Takes the answer to an outcome query of [organisation] about [queried]. */
     public fun onOutcome(
+        organisation: OrganisationId?,
         queried: RequestId,
         outcome: RequestOutcome,
         nowMs: Long
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -41,7 +41,11 @@
         IncarnationId(incarnation)
     )
 
-    is OutcomeReplyMessage -> PeerMessage.OutcomeReply(RequestId(requestId), outcome.toOutcome())
+    is OutcomeReplyMessage -> PeerMessage.OutcomeReply(
+        organisation?.let { OrganisationId(it) },
+        RequestId(requestId),
+        outcome.toOutcome()
+    )
 
     is KeyQueryMessage -> PeerMessage.KeyQuery(RequestId(requestId), key.toKey())
 
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -136,6 +136,7 @@
 @Serializable
 @SerialName("outcome-reply")
 internal class OutcomeReplyMessage(
+    @SerialName("g") val organisation: String? = null,
     @SerialName("r") val requestId: String,
     @SerialName("o") val outcome: OutcomeDocument
 ) : PeerMessageDocument
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -31,7 +31,8 @@
     is PeerMessage.OutcomeQuery ->
         OutcomeQueryMessage(organisation?.value, requestId.value, incarnation.value)
 
-    is PeerMessage.OutcomeReply -> OutcomeReplyMessage(requestId.value, outcome.toDocument())
+    is PeerMessage.OutcomeReply ->
+        OutcomeReplyMessage(organisation?.value, requestId.value, outcome.toDocument())
 
     is PeerMessage.KeyQuery -> KeyQueryMessage(requestId.value, key.toDocument())
 
