Bound the pings that ask a restarted host to confirm itself

Cause: each message of an incarnation that is not confirmed was answered with a ping at once, and only the answer to the latest ping confirms. With two answers under way each one was stale and asked for another ping, without end. A single host that restarts before it is declared dead is enough. Change: at most two such pings in 300 ms; further ones wait for the next round of pings.

--- a/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
@@ -18,6 +18,9 @@
     private val relays = PingRelays()
     private val latestPings = mutableMapOf<HostId, Long>()
 
+    /** Times of the latest pings that asked a host to confirm its incarnation. */
+    private val confirmSentAtMs = mutableMapOf<HostId, List<Long>>()
+
     /** Random start, so that no answer to a predecessor's ping is taken for one to this process. */
     private var nextPingNumber = random.nextLong()
 
@@ -127,6 +130,7 @@
         forgotten.forEach {
             table.remove(it)
             latestPings -= it.identity.host
+            confirmSentAtMs -= it.identity.host
             rumors.remove(RumorTopic.OfHost(it.identity.host))
         }
     }
@@ -165,7 +169,7 @@
     ) {
         val merge = table.mergeContact(content, isConfirmed, nowMs)
         if (merge is Merge.Unconfirmed) {
-            sendPing(content.from.host, effects, nowMs, content.from.peerAddress)
+            confirm(content.from, effects, nowMs)
         } else {
             onMerge(merge, effects)
         }
@@ -183,6 +187,26 @@
         }
     }
 
+    /**
+     * Pings [identity] at once, but only a few times before the answers can have come: each ping
+     * makes the answers to earlier ones stale, so that two answers under way would ask for pings
+     * without end.
+     */
+    private fun confirm(
+        identity: HostIdentity,
+        effects: MutableList<MembershipEffect>,
+        nowMs: Long
+    ) {
+        val recent = confirmSentAtMs[identity.host].orEmpty()
+            .filter { nowMs - it < CONFIRM_INTERVAL_MS }
+        if (recent.size >= MAX_CONFIRM_PINGS) {
+            schedule.confirm(identity.host, identity.peerAddress)
+            return
+        }
+        confirmSentAtMs[identity.host] = recent + nowMs
+        sendPing(identity.host, effects, nowMs, identity.peerAddress)
+    }
+
     private fun onHostRumor(
         rumor: Rumor.Host,
         effects: MutableList<MembershipEffect>,
@@ -289,6 +313,12 @@
         const val INDIRECT_PINGS = 2
         const val LEAVE_PINGS = 3
 
+        /** Like the repetition of an unanswered ping; an answer takes a few milliseconds. */
+        const val CONFIRM_INTERVAL_MS = 300L
+
+        /** One for a delayed message of a predecessor and one for a message of its successor. */
+        const val MAX_CONFIRM_PINGS = 2
+
         /** Twice the ping interval: a host whose own clock jumped this far has missed answers. */
         const val PAUSE_MS = 2_000L
 
