--- /dev/null
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -0,0 +1,102 @@
+package cowslipcart.systemtest
+
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.readLines
+import kotlin.io.path.readText
+import kotlin.test.fail
+
+/** Program of a sibling module. */
+internal enum class Program(val module: String) {
+    DAEMON("daemon"),
+    STANDIN("standins"),
+    CLI("cli")
+}
+
+/** A process that a test has started. Only its own process is signalled, by its id. */
+internal class ManagedProcess private constructor(
+    private val name: String,
+    private val process: Process,
+    private val output: Path
+) : AutoCloseable {
+    /** Text that the process has written so far, both streams. */
+    val outputText: String get() = output.readText()
+
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Awaits the line `listening ...` and returns it. */
+    suspend fun awaitListening(): String =
+        awaitValue("$name to print a line 'listening ...'", LONG_BOUND_MS) {
+            if (!isAlive) fail("expected $name to run, found it ended; its output:\n$outputText")
+            output.readLines().firstOrNull { it.startsWith("listening ") }
+        }
+
+    fun pause() = signal("STOP")
+
+    fun resume() = signal("CONT")
+
+    fun terminate() = signal("TERM")
+
+    /** Ends the process like a crash of its host. */
+    fun kill() {
+        process.destroyForcibly()
+        awaitExit()
+    }
+
+    /** Awaits the end of the process and returns its exit status. */
+    fun awaitExit(boundMs: Long = LONG_BOUND_MS): Int {
+        if (!process.waitFor(boundMs, TimeUnit.MILLISECONDS)) {
+            fail("expected $name to end within $boundMs ms; its output:\n$outputText")
+        }
+        return process.exitValue()
+    }
+
+    override fun close() {
+        process.destroyForcibly()
+        process.waitFor(LONG_BOUND_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun signal(signal: String) {
+        val kill = ProcessBuilder("kill", "-$signal", process.pid().toString()).start()
+        val status = kill.waitFor()
+        if (status != 0) fail("expected kill -$signal of $name to succeed, found status $status")
+    }
+
+    companion object {
+        private val workDirectory: Path by lazy {
+            val target = Files.createDirectories(Path.of("target", "system-test"))
+            Files.createTempDirectory(target, "run-")
+        }
+
+        /** Starts [program]; its output goes to a file below `target/system-test`. */
+        fun start(
+            name: String,
+            program: Program,
+            arguments: List<String>,
+            environment: Map<String, String> = emptyMap()
+        ): ManagedProcess {
+            val jar = Path.of(
+                "..",
+                program.module,
+                "target",
+                "cowslipcart-${program.module}-0.1.0-all.jar"
+            )
+            check(Files.exists(jar)) { "expected $jar, found none; run mvn package first" }
+            val output = Files.createTempFile(workDirectory, "$name-", ".out")
+            val command = listOf(javaCommand()) + JVM_OPTIONS + listOf("-jar", jar.toString()) +
+                arguments
+            val builder = ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+            // Settings of the caller's shell must not reach the process.
+            builder.environment().keys.removeIf { it.startsWith("COWSLIPCART_") }
+            builder.environment() += environment
+            return ManagedProcess(name, builder.start(), output)
+        }
+
+        private fun javaCommand() = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+
+        private val JVM_OPTIONS = listOf("-Xmx160m", "-XX:TieredStopAtLevel=1")
+    }
+}
