Keep accepting peers after a connection broke

Cause: the handler of a broken peer connection read the address of the closed socket for its log line. That threw out of the handler and cancelled the accept loop with all other connections. Change: the address is read while the socket is open, and each connection has its own failure scope. Conclusion: a broken connection ends alone.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
 
@@ -37,7 +38,8 @@
         scope.launch { accept(server) }
     }
 
-    private suspend fun CoroutineScope.accept(server: ServerSocket) {
+    /** A fault of one connection must not end the others or the accepting itself. */
+    private suspend fun accept(server: ServerSocket) = supervisorScope {
         while (isActive) {
             val socket = server.accept()
             launch { serve(socket) }
@@ -45,26 +47,29 @@
     }
 
     private suspend fun serve(socket: Socket) {
+        // A closed socket has no address, so the address for the log is read first.
+        var address = "an unknown address"
         try {
             socket.use {
+                address = socket.remoteAddress.toString()
                 val reader = it.openReadChannel()
                 val writer = it.openWriteChannel(autoFlush = false)
                 val peer = withTimeout(HANDSHAKE_TIMEOUT_MS) { authenticate(reader, writer) }
                 if (peer == null) {
                     metrics.peerErrors.labelValues("authentication").inc()
-                    log.warn("peer at {} does not know the shared secret", socket.remoteAddress)
+                    log.warn("peer at {} does not know the shared secret", address)
                 } else {
                     readFrames(peer, reader, writer)
                 }
             }
         } catch (e: FrameLengthException) {
             metrics.peerErrors.labelValues("frame-length").inc()
-            log.warn("peer at {} sent a bad frame: {}", socket.remoteAddress, e.message)
+            log.warn("peer at {} sent a bad frame: {}", address, e.message)
         } catch (e: TimeoutCancellationException) {
             metrics.peerErrors.labelValues("timeout").inc()
-            log.debug("handshake with {} timed out: {}", socket.remoteAddress, e.message)
+            log.debug("handshake with {} timed out: {}", address, e.message)
         } catch (e: IOException) {
-            log.debug("peer at {} closed the connection: {}", socket.remoteAddress, e.message)
+            log.debug("peer at {} closed the connection: {}", address, e.message)
         }
     }
 
