Find duplicate JSON keys that are written with escapes

Cause: keys were compared as written, so 'mod\u0065l' was not seen as a second 'model'. Change: keys with a backslash are decoded before they are compared. Before: BadInputTest 'a key that occurs twice is refused' failed, such a body was answered. Conclusion: a duplicate key is refused however it is written.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/DuplicateKeys.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/DuplicateKeys.kt
@@ -1,5 +1,7 @@
 package cowslipcart.daemon.http
 
+import kotlinx.serialization.json.Json
+
 /**
  * Finds an object of a JSON text that has a key twice. The text must be valid JSON. Readers differ
  * on which of two values counts, so such a document is refused.
@@ -34,11 +36,16 @@
         return null
     }
 
-    /** Returns the raw text of the string at [position] and moves behind it. */
+    /** Returns the string at [position] without escapes and moves behind it. */
     private fun readString(): String {
-        val start = ++position
+        val start = position++
         while (json[position] != '"') position += if (json[position] == '\\') 2 else 1
-        return json.substring(start, position++)
+        val literal = json.substring(start, ++position)
+        return if ('\\' in literal) {
+            Json.decodeFromString<String>(literal)
+        } else {
+            literal.substring(1, literal.length - 1)
+        }
     }
 
     private fun isKey(): Boolean {
