Refuse chat bodies that are nested deeper than 128 levels

Cause: writing a deeply nested document is recursive and overflowed the stack. Change: the depth is checked without recursion before the body is parsed. Before: a body of 64 KB with 32,000 brackets got an empty 500. Conclusion: the depth of a body no longer decides about the stack.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/ChatRequest.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/ChatRequest.kt
@@ -29,9 +29,15 @@
     companion object {
         private const val MAX_OUTPUT_TOKENS = 1_000_000
 
+        /** Tool schemas nest some 20 levels; the recursive writer of JSON fails at some thousands. */
+        private const val MAX_DEPTH = 128
+
         /** Parses a body; the error names the field, what was expected and what was found. */
         fun parse(body: ByteArray): Either<HttpError.BadRequest, ChatRequest> {
             val text = decodeUtf8(body) ?: return bad("expected UTF-8, found other bytes")
+            if (isNestedDeeper(text, MAX_DEPTH)) {
+                return bad("expected at most $MAX_DEPTH nested values, found more")
+            }
             val document = try {
                 Json.parseToJsonElement(text) as? JsonObject
                     ?: return bad("expected a JSON object, found another JSON value")
