Answer bad content types and unknown routes with problem documents

Cause: the content type of a service call was parsed without a check, and the server's own empty answer was used for paths and methods without a route. Change: the content type is checked with the other headers; a call that no route took gets a problem. Before: 500 as text for 'Content-Type: ///', empty 404 and 405. Conclusion: these errors have the documented form.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ServiceExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ServiceExchange.kt
@@ -21,7 +21,7 @@
 internal class ServiceCall(
     val method: String,
     val pathAndQuery: String,
-    val contentType: String?,
+    val contentType: ContentType?,
     val body: ByteArray,
     val idempotencyKey: String?
 )
@@ -60,10 +60,8 @@
         }
     }
 
-    private fun content() = ByteArrayContent(
-        call.body,
-        call.contentType?.let { ContentType.parse(it) } ?: ContentType.Application.OctetStream
-    )
+    private fun content() =
+        ByteArrayContent(call.body, call.contentType ?: ContentType.Application.OctetStream)
 
     private suspend fun read(
         start: ExchangeStart,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
@@ -18,9 +18,8 @@
 import cowslipcart.daemon.session.AnswerRecorder
 import cowslipcart.daemon.session.RequestSession
 import cowslipcart.daemon.session.SessionRegistry
-import io.ktor.http.HttpHeaders
+import io.ktor.http.ContentType
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.request.contentType
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.queryString
 import kotlinx.coroutines.CoroutineScope
@@ -62,7 +61,8 @@
             val configuration = published.configuration.value.configuration
             val request = factory
                 .service(incoming, call.request.headers, organisation, configuration).bind()
-            newSession(request, serviceExchange(call, request, incoming))
+            val contentType = readContentType(call.request.headers).bind()
+            newSession(request, serviceExchange(request, incoming, contentType))
         }
         serve(call, prepared, startMs)
     }
@@ -95,15 +95,14 @@
     }
 
     private fun serviceExchange(
-        call: ApplicationCall,
         request: CallerRequest,
-        incoming: IncomingServiceCall
+        incoming: IncomingServiceCall,
+        contentType: ContentType?
     ): Exchange {
-        val hasType = call.request.headers[HttpHeaders.ContentType] != null
         val serviceCall = ServiceCall(
             incoming.method,
             incoming.pathAndQuery,
-            if (hasType) call.request.contentType().toString() else null,
+            contentType,
             incoming.body,
             request.key?.uuid
         )
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
@@ -10,6 +10,8 @@
 import cowslipcart.core.model.Configuration
 import cowslipcart.core.model.OrganisationSpec
 import cowslipcart.core.model.Tier
+import io.ktor.http.BadContentTypeFormatException
+import io.ktor.http.ContentType
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import java.security.MessageDigest
@@ -76,6 +78,20 @@
     }
 }
 
+/** Reads the content type, null if none was sent. */
+internal fun readContentType(headers: Headers): Either<HttpError, ContentType?> = either {
+    val text = single(headers, HttpHeaders.ContentType).bind()
+    try {
+        text?.let { ContentType.parse(it) }
+    } catch (_: BadContentTypeFormatException) {
+        raise(
+            HttpError.BadRequest(
+                "Content-Type: expected type/subtype, found '${text?.take(MAX_QUOTED)}'"
+            )
+        )
+    }
+}
+
 /** Lower-case hex SHA-256 of [text]. */
 internal fun sha256Hex(text: String): String =
     MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
@@ -9,7 +9,7 @@
 internal sealed interface HttpError {
     val detail: String
 
-    /** The request is wrong; [status] is 400, 404, 413 or 422. */
+    /** The request is wrong; [status] is 400, 404, 405, 413 or 422. */
     data class BadRequest(override val detail: String, val status: Int = 400) : HttpError
 
     data class Unauthenticated(override val detail: String) : HttpError
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
@@ -8,17 +8,22 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.call
+import io.ktor.server.application.isHandled
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingFailureStatusCode
 import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
+import io.ktor.utils.io.InternalAPI
 
 /** The HTTP interface of a daemon: callers, operators, health and metrics. */
 internal class HttpServer(
@@ -43,6 +48,10 @@
                 operatorRoutes()
                 healthRoutes()
             }
+            // Runs after routing and before the engine's own empty answer in the phase Fallback.
+            intercept(ApplicationCallPipeline.Call) {
+                if (!call.isHandled) call.respondProblem(findRouteFault(call).toProblem(), null)
+            }
         }.start(wait = false)
 
     private fun Route.callerRoutes() {
@@ -96,6 +105,15 @@
         if (operators.isAuthorised(call)) block()
     }
 
+    /** Tells a wrong method (405) from a path that does not exist (404). */
+    @OptIn(InternalAPI::class)
+    private fun findRouteFault(call: ApplicationCall): HttpError {
+        val status = call.attributes.getOrNull(RoutingFailureStatusCode) ?: HttpStatusCode.NotFound
+        val path = call.request.path().take(MAX_QUOTED)
+        val detail = "no route for ${call.request.httpMethod.value} $path"
+        return HttpError.BadRequest(detail, status.value)
+    }
+
     private fun findHeaderFault(call: ApplicationCall): String? {
         val headers = call.request.headers
         val count = headers.entries().sumOf { it.value.size }
@@ -111,6 +129,7 @@
 
     private companion object {
         const val MAX_HEADERS = 64
+        const val MAX_QUOTED = 80
         const val MAX_HEADER_CHARS = 16 * 1024
     }
 }
