--- a/cli/src/main/kotlin/cowslipcart/cli/ConfigCommands.kt
+++ b/cli/src/main/kotlin/cowslipcart/cli/ConfigCommands.kt
@@ -75,7 +75,10 @@
 
 /** `apply -f DIR`. */
 internal class ApplyCommand :
-    ChangeCommand("apply", "Publishes the declarations of a directory as one change.") {
+    ChangeCommand(
+        "apply",
+        "Publishes the declarations of a directory as one change. What it lacks is deleted."
+    ) {
     private val directory by directoryOption()
     private val baseRevision by option(
         "--base-revision",
