--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -6,7 +6,6 @@
 import cowslipcart.core.capacity.SchedulerPolicy
 import cowslipcart.core.capacity.ShardConfig
 import cowslipcart.core.capacity.createShardScheduler
-import cowslipcart.core.membership.rendezvousIndex
 import cowslipcart.core.membership.rendezvousOwner
 import cowslipcart.core.model.Configuration
 import cowslipcart.core.model.EndpointId
@@ -23,6 +22,7 @@
 ) {
     private val owned = HashMap<ShardId, OwnedShard>()
     private var configuration = Configuration.EMPTY
+    private var layout = ShardLayout(Configuration.EMPTY)
     private var owners: Set<HostId> = emptySet()
     private var leaving: Set<EndpointId> = emptySet()
     private val failureCounts = HashMap<EndpointId, Int>()
@@ -31,9 +31,7 @@
     fun ownerOf(shard: ShardId): HostId? = rendezvousOwner("shard/$shard", owners)
 
     /** All shards of the configuration. */
-    fun allShards(): List<ShardId> = configuration.pools.values.flatMap { pool ->
-        (0 until pool.shardCount).map { ShardId(pool.id, it) }
-    }
+    fun allShards(): List<ShardId> = layout.shards
 
     /** Takes changed facts; creates and drops schedulers and reconfigures the others. */
     fun refresh(
@@ -42,7 +40,10 @@
         leaving: Set<EndpointId>,
         nowMs: Long
     ) {
-        this.configuration = configuration
+        if (configuration !== this.configuration) {
+            this.configuration = configuration
+            layout = ShardLayout(configuration)
+        }
         this.owners = owners
         this.leaving = leaving
         val mine = allShards().filter { ownerOf(it) == self }
@@ -195,13 +196,9 @@
     }
 
     private fun endpointsOf(shard: ShardId): List<EndpointSpec> =
-        configuration.endpoints.filter { it.pool == shard.pool && shardOf(it.id) == shard }
+        layout.endpointsByShard[shard].orEmpty()
 
-    private fun shardOf(endpoint: EndpointId): ShardId? {
-        val spec = configuration.findEndpoint(endpoint) ?: return null
-        val shardCount = configuration.pools[spec.pool]?.shardCount ?: return null
-        return ShardId(spec.pool, rendezvousIndex(endpoint.value, shardCount))
-    }
+    private fun shardOf(endpoint: EndpointId): ShardId? = layout.shardByEndpoint[endpoint]
 
     private fun isUnavailable(endpoint: EndpointId): Boolean =
         endpoint in leaving || endpoint in configuration.drainedEndpoints || isDead(endpoint)
