--- a/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
@@ -21,6 +21,7 @@
     private val origin = fixture.origin
     private val id = fixture.requestId
     private val attempt = AttemptId(id.value)
+    private val organisation = OrganisationId("org")
     private val answer = StoredAnswer(200, "application/json", "{}")
 
     @Nested
@@ -126,7 +127,12 @@
             val held = ClaimVerdict.Held(AttemptId("other"), fixture.self, null)
             origin.onClaimVerdict(attempt, held, 5)
 
-            val effects = origin.onOutcome(RequestId("other"), RequestOutcome.Running, 6)
+            val effects = origin.onOutcome(
+                organisation,
+                RequestId("other"),
+                RequestOutcome.Running,
+                6
+            )
 
             assertIs<Rejection.StillRunning>(effects.rejection())
         }
--- a/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
@@ -108,10 +108,11 @@
         PeerMessage.ClaimNotice(null, ClaimItem.Release(key, AttemptId("t"))),
         PeerMessage.ClaimNotice(1, ClaimItem.Outcome(key, AttemptId("t"), answer)),
         PeerMessage.OutcomeQuery(null, RequestId("r"), IncarnationId(1)),
-        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.Running),
-        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.NotRun),
-        PeerMessage.OutcomeReply(RequestId("r"), RequestOutcome.Unknown),
+        PeerMessage.OutcomeReply(OrganisationId("o"), RequestId("r"), RequestOutcome.Running),
+        PeerMessage.OutcomeReply(OrganisationId("o"), RequestId("r"), RequestOutcome.NotRun),
+        PeerMessage.OutcomeReply(OrganisationId("o"), RequestId("r"), RequestOutcome.Unknown),
         PeerMessage.OutcomeReply(
+            null,
             RequestId("r"),
             RequestOutcome.Answered(StoredAnswer(200, "t", "b"))
         ),
