Test that views find each other after a network partition

Cause: the mutation that stops pings to dead listed hosts stayed green; its condition was also redundant, as listed hosts are pinged in any case. Change: a seeded partition test; the redundant condition is gone and the rule is stated.

--- a/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/SwimMembershipView.kt
@@ -137,15 +137,15 @@
     }
 
     private fun pingRound(effects: MutableList<MembershipEffect>, nowMs: Long) {
-        val known = table.peers.filter {
-            it.state != HostState.DEAD || it.identity.host in listedByHost
-        }
+        val known = table.peers.filter { it.state != HostState.DEAD }
         // A rumor of suspicion is left to the host that suspects; if that one died too, each host
         // has to find out itself.
         val overdue = known.filter {
             it.state == HostState.SUSPECT &&
                 nowMs - it.changedAtMs >= MembershipView.DEATH_AFTER_MS
         }
+        // Listed hosts are pinged even if they are dead: after a network partition, each side takes
+        // the other for dead and nobody else would make the first contact.
         val candidates = known.mapTo(sortedSetOf()) { it.identity.host } + listedByHost.keys
         val overdueHosts = overdue.mapTo(mutableSetOf()) { it.identity.host }
         schedule.startRound(candidates, overdueHosts, nowMs)
--- a/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulation.kt
+++ b/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulation.kt
@@ -27,6 +27,14 @@
         private set
     val processes = mutableListOf<SimulatedHost>()
     private val unlisted = mutableSetOf<HostId>()
+
+    /** Hosts that exchange messages only among each other. */
+    var cutOff = emptySet<HostId>()
+        set(value) {
+            field = value
+            cutChangedAtMs = nowMs
+        }
+    private var cutChangedAtMs = Long.MIN_VALUE / 2
     val live = mutableListOf<SimulatedHost>()
 
     init {
@@ -100,17 +108,17 @@
     private fun perform(from: SimulatedHost, effects: List<MembershipEffect>) {
         for (effect in effects) {
             when (effect) {
-                is MembershipEffect.SendPing -> deliver(effect.address) {
+                is MembershipEffect.SendPing -> deliver(from, effect.address) {
                     checkRumorCount(effect.ping)
                     it.view.onPing(effect.ping, nowMs)
                 }
 
-                is MembershipEffect.SendPingAck -> deliver(addressOf(effect.to)) {
+                is MembershipEffect.SendPingAck -> deliver(from, addressOf(effect.to)) {
                     checkRumorCount(effect.ack)
                     it.view.onPingAck(effect.ack, nowMs)
                 }
 
-                is MembershipEffect.SendPingRequest -> deliver(addressOf(effect.via)) {
+                is MembershipEffect.SendPingRequest -> deliver(from, addressOf(effect.via)) {
                     it.view.onPingRequest(from.identity.host, effect.target, nowMs)
                 }
 
@@ -124,9 +132,14 @@
     private fun addressOf(host: HostId) =
         live.lastOrNull { it.identity.host == host }?.identity?.peerAddress
 
-    private fun deliver(address: String?, receive: (SimulatedHost) -> List<MembershipEffect>) {
+    private fun deliver(
+        from: SimulatedHost,
+        address: String?,
+        receive: (SimulatedHost) -> List<MembershipEffect>
+    ) {
         val target = live.firstOrNull { it.identity.peerAddress == address } ?: return
-        if (random.nextDouble() < lossRate) return
+        val isCut = (from.identity.host in cutOff) != (target.identity.host in cutOff)
+        if (isCut || random.nextDouble() < lossRate) return
         val action = { perform(target, receive(target)) }
         at(nowMs + random.nextLong(1, MAX_LATENCY_MS)) {
             if (target.isPaused) {
@@ -142,10 +155,12 @@
             "expected at most ${MembershipView.MAX_RUMORS} rumors, got ${content.rumors.size}"
         }
 
-    /** Only a process that ended, or that was paused lately, may be reported dead. */
+    /** Only a process that ended, was paused or cut off lately may be reported dead. */
     private fun checkDeath(observer: SimulatedHost, identity: HostIdentity) {
         val process = processes.first { it.identity == identity }
-        val isExplained = !process.isRunning || nowMs - process.resumedAtMs < RESUME_GRACE_MS
+        val isCut = cutOff.isNotEmpty() || nowMs - cutChangedAtMs < RESUME_GRACE_MS
+        val isExplained = isCut || !process.isRunning ||
+            nowMs - process.resumedAtMs < RESUME_GRACE_MS
         check(isExplained) {
             "at $nowMs ms: expected $identity to stay live in the view of " +
                 "${observer.identity.host}, got HostDied"
--- a/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulationTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/membership/MembershipSimulationTest.kt
@@ -77,6 +77,23 @@
         }
     }
 
+    @Nested
+    inner class Partition {
+        @Test
+        fun `both sides find each other again although each took the other for dead`() =
+            forEachSeed(20) { seed ->
+                val simulation = settle(seed)
+                val hosts = simulation.live.map { it.identity.host }
+                simulation.cutOff = hosts.take((hosts.size + 1) / 2).toSet()
+                simulation.runUntil(START_MS + DEATH_BOUND_MS)
+                val sizes = simulation.live.map { it.view.liveHosts.size }
+                check(sizes.all { it < hosts.size }) { "expected two sides, got views of $sizes" }
+                simulation.cutOff = emptySet()
+                simulation.runUntil(simulation.nowMs + PARTITION_GRACE_MS)
+                simulation.checkViews()
+            }
+    }
+
     @Nested
     inner class Faults {
         @Test
@@ -139,6 +156,7 @@
         const val DEATH_BOUND_MS = 15_000L
         const val RETURN_BOUND_MS = 15_000L
         const val SETTLE_MS = 20_000L
+        const val PARTITION_GRACE_MS = 20_000L
         const val SPREAD_BOUND_MS = 10_000L
         const val MAX_PAUSE_MS = 12_000L
         const val FAULTS = 12
