Let each asked host say since when it can know a key

Cause: in a log outage a host asks all others whether they know a key. A process that started after the key had run on its predecessor answered "unseen", and a host that was paused while the predecessor died had not noticed the death itself, so it answered not-run for a key that had run. Change: the asked host answers "unknown" for keys from before its start or a death it has seen. Conclusion: not-run does not depend on what the asking host missed.

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -136,7 +136,8 @@
             is PeerMessage.OutcomeQuery -> outcomes.onQuery(from, message)
 
             is PeerMessage.KeyQuery -> {
-                val standing = origin.standingOf(message.key, null)
+                val own = origin.standingOf(message.key, null)
+                val standing = inquiries.standingOf(message.key, own)
                 outbox.send(from, PeerMessage.KeyReply(message.requestId, standing))
             }
 
--- a/core/src/main/kotlin/cowslipcart/core/node/KeyInquiryDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/KeyInquiryDesk.kt
@@ -49,11 +49,20 @@
         blindUntilWallMs = maxOf(blindUntilWallMs, wallNowMs)
     }
 
+    /**
+     * Returns what this host can say about [key], where [own] is what its requests say. A host that
+     * started, or saw another die, after the time of the key cannot call it unseen. The asking host
+     * may not have noticed that, for example because it was paused.
+     */
+    fun standingOf(key: RequestKey, own: KeyStanding): KeyStanding {
+        val isBlind = !isStarted || key.keyTimeMs <= blindUntilWallMs + CLOCK_ALLOWANCE_MS
+        return if (isBlind) maxOf(own, KeyStanding.UNKNOWN) else own
+    }
+
     /** Starts an inquiry; returns its result if nobody has to be asked. */
     fun begin(requestId: RequestId, key: RequestKey, own: KeyStanding): KeyStanding? {
-        val isBlind = !isListed ||
-            key.keyTimeMs <= blindUntilWallMs + CLOCK_ALLOWANCE_MS
-        val standing = if (isBlind) maxOf(own, KeyStanding.UNKNOWN) else own
+        val known = standingOf(key, own)
+        val standing = if (isListed) known else maxOf(known, KeyStanding.UNKNOWN)
         val live = membership.liveHosts.keys
         val others = (live + (listed - dead) - self).toMutableSet()
         if (others.isEmpty()) return standing
