Grant nothing after a pause of the owner before endpoints report anew

Cause: an owner that was paused granted from what it knew before the pause. Its own request, or a repeated ask in its queue of inputs, gave the grant a fresh echo, so the origin used it although the endpoint had left more than 3 s before. Change: after 500 ms without input the owner takes grants back until an endpoint has reported twice.

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -43,6 +43,7 @@
     override val openRequestCount: Int get() = origin.openCount
 
     override fun handle(input: NodeInput, nowMs: Long): List<NodeEffect> {
+        shards.onInput(nowMs)
         dispatchInput(input, nowMs)
         while (true) {
             val message = outbox.toSelf.removeFirstOrNull() ?: break
--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -13,6 +13,7 @@
 import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.ShardId
+import cowslipcart.core.origin.unusedReport
 import kotlin.random.Random
 
 /** Owner side of the shards that this host owns. */
@@ -27,6 +28,10 @@
     private var leaving: Set<EndpointId> = emptySet()
     private val failureCounts = HashMap<EndpointId, Int>()
 
+    /** Load reports that an endpoint has to give before it gets new work, after [onPause]. */
+    private val owedReports = HashMap<EndpointId, Int>()
+    private var lastInputMs: Long? = null
+
     /** Returns the host that owns [shard] now, or null if no host is live. */
     fun ownerOf(shard: ShardId): HostId? = rendezvousOwner("shard/$shard", owners)
 
@@ -61,6 +66,23 @@
         outbox.emit(NodeEffect.WatchEndpoints(mine.flatMap { endpointsOf(it) }))
     }
 
+    /** Notes the time of each input, so that a pause of this host is noticed. */
+    fun onInput(nowMs: Long) {
+        val isPause = lastInputMs?.let { nowMs - it >= PAUSE_MS } ?: false
+        if (isPause) onPause()
+        lastInputMs = nowMs
+    }
+
+    /**
+     * While this host was paused an endpoint can have left, so none gets new work before it is
+     * known again. Its first report may have been under way before the pause, the second was not.
+     */
+    private fun onPause() {
+        for (shard in owned.keys) {
+            endpointsOf(shard).forEach { owedReports[it.id] = REPORTS_AFTER_PAUSE }
+        }
+    }
+
     /** Handles a message to the owner of a shard; it is ignored if another host owns it. */
     fun onMessage(message: PeerMessage, nowMs: Long) {
         when (message) {
@@ -93,6 +115,7 @@
     fun onLoad(report: LoadReport, nowMs: Long): Boolean {
         val wasDead = isDead(report.endpoint)
         failureCounts.remove(report.endpoint)
+        owedReports.computeIfPresent(report.endpoint) { _, count -> (count - 1).takeIf { it > 0 } }
         val shard = shardOf(report.endpoint) ?: return wasDead
         owned[shard]?.let { decide(shard, it.scheduler.reportLoad(report, nowMs)) }
         return wasDead
@@ -115,7 +138,8 @@
 
     private fun onAsk(message: PeerMessage.AskCapacity, nowMs: Long) {
         val state = owned[message.shard] ?: return
-        val reaction = state.onAsk(message, ::isUnavailable, nowMs)
+        val reaction =
+            state.onAsk(message, { isUnavailable(it) || it in owedReports }, nowMs)
         decide(message.shard, reaction.decisions)
         reaction.repeatedGrant?.let { outbox.send(message.request.origin, it) }
     }
@@ -127,11 +151,23 @@
 
     private fun decide(shard: ShardId, decisions: List<SchedulerDecision>) {
         for (decision in decisions) {
-            log(shard, decision)
-            send(shard, decision)
+            if (decision is SchedulerDecision.Grant && decision.endpoint in owedReports) {
+                giveBack(shard, decision)
+            } else {
+                log(shard, decision)
+                send(shard, decision)
+            }
         }
     }
 
+    /** Takes a grant back that was not sent; the origin asks again within 500 ms. */
+    private fun giveBack(shard: ShardId, grant: SchedulerDecision.Grant) {
+        val state = owned[shard] ?: return
+        state.onDecision(grant)
+        val release = PeerMessage.CapacityReleased(shard, unusedReport(grant.grantId))
+        decide(shard, state.onReleased(release, checkNotNull(lastInputMs)))
+    }
+
     private fun send(shard: ShardId, decision: SchedulerDecision) {
         val requestId = decision.request.requestId
         val askCount = owned[shard]?.onDecision(decision) ?: return
@@ -212,5 +248,13 @@
     private companion object {
         /** Load polls in a row without answer after which an endpoint gets no new work. */
         const val MAX_LOAD_FAILURES = 2
+        const val REPORTS_AFTER_PAUSE = 2
+
+        /**
+         * Longest time without input that is no pause; ticks come every 20 ms. An endpoint's notice
+         * is known within 0.5 s by the polls and a grant is used within 1.5 s, which with this
+         * leaves 0.5 s of the 3 s.
+         */
+        const val PAUSE_MS = 500L
     }
 }
