--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -43,6 +43,7 @@
     override val openRequestCount: Int get() = origin.openCount
 
     override fun handle(input: NodeInput, nowMs: Long): List<NodeEffect> {
+        shards.onInput(nowMs)
         dispatchInput(input, nowMs)
         while (true) {
             val message = outbox.toSelf.removeFirstOrNull() ?: break
@@ -136,7 +137,8 @@
             is PeerMessage.OutcomeQuery -> outcomes.onQuery(from, message)
 
             is PeerMessage.KeyQuery -> {
-                val standing = origin.standingOf(message.key, null)
+                val own = origin.standingOf(message.key, null)
+                val standing = inquiries.standingOf(message.key, own)
                 outbox.send(from, PeerMessage.KeyReply(message.requestId, standing))
             }
 
