--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/AtMostOnceTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/AtMostOnceTest.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -90,6 +91,9 @@
 
     @Nested
     inner class KilledDaemon {
+        @AfterEach
+        fun awaitReplacement() = runBlocking { cluster.awaitReady() }
+
         @Test
         fun `a sign-off of a daemon that is killed meanwhile never runs again`() = runBlocking {
             val key = newKey()
@@ -127,7 +131,6 @@
             val answer = settle(cluster.daemons[1], key, BODY)
             assertEquals(201 to first.body, answer.status to answer.body, "$answer")
             assertEquals(1, cluster.runCount(key))
-            cluster.awaitReady()
         }
 
         private suspend fun hasOutcomeRecord(key: String): Boolean = (0 until 8).any { partition ->
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
@@ -77,8 +77,15 @@
         return startDaemon(index + 1).also { daemons[index] = it }
     }
 
-    suspend fun awaitReady() = daemons.forEach { daemon ->
-        awaitTrue("${daemon.hostId} to be ready", LONG_BOUND_MS) { daemon.isReady() }
+    /** Awaits that all daemons are ready and know each other's present addresses. */
+    suspend fun awaitReady() {
+        val addresses = daemons.map { "127.0.0.1:${it.peerPort}" }.toSet()
+        daemons.forEach { daemon ->
+            awaitTrue("${daemon.hostId} to be ready", LONG_BOUND_MS) { daemon.isReady() }
+            awaitTrue("${daemon.hostId} to know the hosts at $addresses", LONG_BOUND_MS) {
+                daemon.hosts().filter { it.isOwner }.map { it.peerAddress }.toSet() == addresses
+            }
+        }
     }
 
     /** Calls that took effect in all plain services, in order of time. */
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/DaemonHandle.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/DaemonHandle.kt
@@ -1,6 +1,7 @@
 package cowslipcart.systemtest
 
 import cowslipcart.wire.admin.ConfigDocument
+import cowslipcart.wire.admin.HostDocument
 import cowslipcart.wire.admin.PublishRequest
 import cowslipcart.wire.admin.SwitchPresetRequest
 import kotlinx.serialization.json.Json
@@ -44,6 +45,8 @@
 
     suspend fun config(): ConfigDocument = Json.decodeFromString(admin("config").body)
 
+    suspend fun hosts(): List<HostDocument> = Json.decodeFromString(admin("hosts").body)
+
     /** Reads `/admin/[path]` as an operator. */
     suspend fun admin(path: String): HttpAnswer =
         HttpCaller.send(HttpRequestData("$url/admin/$path", "GET", bearer(OPERATOR_TOKEN)))
