Exit with 2 for an unknown flag of the daemon

Cause: the command line parser exits with 1 for a usage error. Change: usage errors exit with the status of wrong settings. Before: cowslipcartd --no-such-flag x exited with 1 (SettingsTest). Conclusion: all wrong settings have one exit status.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
@@ -1,6 +1,18 @@
 package cowslipcart.daemon
 
-import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.UsageError
+import com.github.ajalt.clikt.core.parse
+import kotlin.system.exitProcess
 
 /** Entry point of `cowslipcartd`. */
-public fun main(args: Array<String>): Unit = DaemonCommand().main(args)
+public fun main(args: Array<String>) {
+    val command = DaemonCommand()
+    try {
+        command.parse(args)
+    } catch (e: CliktError) {
+        command.echoFormattedHelp(e)
+        // A wrong flag is a settings fault like a wrong value of a flag.
+        exitProcess(if (e is UsageError) EXIT_BAD_SETTINGS else e.statusCode)
+    }
+}
