Order endpoints into their declared states

OrderDesk connects them to the NodeController. The owner of the first shard orders for the whole pool, as the limits are those of the pool.

Not run: the whole suite. Orders between real processes are not tried in this commit.

Conclusion: orders can be declared; safety rests on the repetition of whole states, and the fencing number only helps engines that check it.

--- a/cli/src/test/kotlin/cowslipcart/cli/DeclarationsTest.kt
+++ b/cli/src/test/kotlin/cowslipcart/cli/DeclarationsTest.kt
@@ -3,6 +3,9 @@
 import arrow.core.getOrElse
 import cowslipcart.core.config.validate
 import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.EngineRole
+import cowslipcart.core.model.EngineState
 import cowslipcart.core.model.OrganisationSpec
 import cowslipcart.core.model.Revision
 import java.io.File
@@ -105,6 +108,23 @@
             assertEquals(6, faultsOf("tiers:\n  - rank: 0\n  - rank: 1").size)
     }
 
+    @Nested
+    inner class DesiredStates {
+        @Test
+        fun `a desired state is read with its role and adapters`() {
+            val yaml = "endpoints:\n  - {id: r, pool: p, address: '127.0.0.1:1', domain: d, " +
+                "slotCount: 1, budgetTokens: 1, prefillTokensPerS: 1, decodeTokensPerS: 1, " +
+                "desired: {model: fitting, version: v2, adapters: [a, b], role: prefill}}"
+
+            val endpoint = Declarations.parse(mapOf("file" to yaml)).getOrNull()?.single()
+
+            assertEquals(
+                EngineState("fitting", "v2", setOf("a", "b"), EngineRole.PREFILL),
+                (endpoint as? EndpointSpec)?.desired
+            )
+        }
+    }
+
     @Nested
     inner class Samples {
         @Test
--- a/core/src/main/kotlin/cowslipcart/core/config/Validation.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/Validation.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.model.DeclarationKey
 import cowslipcart.core.model.DrainSpec
 import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.EngineState
 import cowslipcart.core.model.OrganisationSpec
 import cowslipcart.core.model.PoolKind
 import cowslipcart.core.model.PoolSpec
@@ -97,6 +98,7 @@
     private fun checkPool(name: String, spec: PoolSpec, configuration: Configuration) {
         checkName(name, "id", spec.id.value)
         checkPositive(name, "shardCount", spec.shardCount.toDouble())
+        checkPositive(name, "ordersPerMinute", spec.ordersPerMinute)
         when (val kind = spec.kind) {
             is PoolKind.Model -> checkName(name, "model", kind.model)
 
@@ -137,6 +139,18 @@
         check(spec.cacheTokens >= 0) {
             "$name: expected cacheTokens of at least 0, found ${spec.cacheTokens}"
         }
+        spec.desired?.let { checkDesired(name, it, configuration.pools[spec.pool]) }
+    }
+
+    /** An engine with another model than its pool's would answer requests with that model. */
+    private fun checkDesired(name: String, desired: EngineState, pool: PoolSpec?) {
+        val model = (pool?.kind as? PoolKind.Model)?.model
+        check(desired.model == model) {
+            "$name: expected the desired model to be that of its pool, ${model ?: "none"}, " +
+                "found ${desired.model}"
+        }
+        desired.version?.let { checkName(name, "desired version", it) }
+        desired.adapters.forEach { checkName(name, "desired adapter", it) }
     }
 
     private fun checkPreset(name: String, spec: PresetSpec, configuration: Configuration) {
--- a/core/src/main/kotlin/cowslipcart/core/model/Declaration.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Declaration.kt
@@ -86,13 +86,24 @@
     public val tier: Tier
 )
 
-/** A pool of endpoints; [shardCount] is at least 1. */
+/**
+ * A pool of endpoints; [shardCount] is at least 1.
+ *
+ * @property ordersPerMinute limit of orders to the endpoints of the pool, so that the loads of
+ * weights stay within the rate limit of the weight store
+ */
 public data class PoolSpec(
     public val id: PoolId,
     public val kind: PoolKind,
-    public val shardCount: Int
+    public val shardCount: Int,
+    public val ordersPerMinute: Double = DEFAULT_ORDERS_PER_MINUTE
 ) : Declaration {
     override val key: DeclarationKey get() = DeclarationKey.Pool(id)
+
+    public companion object {
+        /** One order every 30 s. */
+        public const val DEFAULT_ORDERS_PER_MINUTE: Double = 2.0
+    }
 }
 
 /**
@@ -106,6 +117,7 @@
  * @property cacheTokens size of the prompt prefix cache
  * @property canResume whether a cancelled stream can be resumed
  * @property checksFencing whether orders with an old fencing number are refused
+ * @property desired state that orders bring the engine to; null if it is left as it is
  */
 public data class EndpointSpec(
     public val id: EndpointId,
@@ -118,7 +130,8 @@
     public val decodeTokensPerS: Double,
     public val cacheTokens: Long,
     public val canResume: Boolean,
-    public val checksFencing: Boolean
+    public val checksFencing: Boolean,
+    public val desired: EngineState? = null
 ) : Declaration {
     override val key: DeclarationKey get() = DeclarationKey.Endpoint(id)
 }
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -36,6 +36,7 @@
     private val origin = createOriginController(process) { request ->
         config.configuration.pools[request.pool]?.shardCount ?: 1
     }
+    private val orders = OrderDesk(process, random, outbox)
     private val outcomes = OutcomeDesk(process, origin, membership, outbox)
     private var hostsPublishedAtMs = Long.MIN_VALUE / 2
     private val knownOwners = HashMap<ShardId, HostId?>()
@@ -90,6 +91,8 @@
             is NodeInput.ClaimsAppended,
             is NodeInput.ClaimsAppendFailed -> claims.onClaimsInput(input, nowMs)
 
+            is OrderInput -> orders.onInput(input, nowMs)
+
             is NodeInput.FindOutcome -> outcomes.onFind(input, nowMs)
 
             is NodeInput.Drain -> {
@@ -243,6 +246,7 @@
         quota.tick(nowMs)
         outcomes.tick(nowMs)
         shards.tick(nowMs)
+        orders.tick(nowMs)
         suspects.tick(nowMs)
         if (nowMs - hostsPublishedAtMs >= HOSTS_INTERVAL_MS) {
             hostsPublishedAtMs = nowMs
@@ -287,6 +291,8 @@
             membership.leavingEndpoints,
             nowMs
         )
+        val leaving = membership.leavingEndpoints
+        orders.refresh(config.configuration, leaving, shards::ownerOf, nowMs)
         for (shard in shards.allShards()) {
             val owner = shards.ownerOf(shard)
             if (knownOwners.put(shard, owner) != owner) {
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/OrderDesk.kt
@@ -0,0 +1,160 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.PoolKind
+import cowslipcart.core.model.PoolSpec
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.orders.OrderDecision
+import cowslipcart.core.orders.OrderPlanner
+import cowslipcart.core.orders.OrderedPool
+import cowslipcart.core.orders.OwnerTerm
+import cowslipcart.core.orders.createOrderPlanner
+import cowslipcart.core.orders.createOwnerStream
+import kotlin.random.Random
+
+/**
+ * Orders to the endpoints of the pools whose first shard this host owns. One host issues the orders
+ * of a whole pool, as the limits of one order at a time and of the last serving endpoint hold for
+ * the pool.
+ */
+internal class OrderDesk(
+    private val process: AttemptOrigin,
+    private val random: Random,
+    private val outbox: Outbox
+) {
+    private class OwnedPool(val term: OwnerTerm, val planner: OrderPlanner)
+
+    private val stream = createOwnerStream()
+    private val owned = HashMap<ShardId, OwnedPool>()
+    private var configuration = Configuration.EMPTY
+    private var watched = emptyList<EndpointSpec>()
+    private var isReading = false
+    private var nextTurnAtMs = Long.MIN_VALUE
+
+    /** Takes changed facts; a pool of another owner or without a desired state is given up. */
+    fun refresh(
+        configuration: Configuration,
+        leaving: Set<EndpointId>,
+        ownerOf: (ShardId) -> HostId?,
+        nowMs: Long
+    ) {
+        this.configuration = configuration
+        val pools = configuration.pools.values
+            .mapNotNull { describe(it, leaving) }
+            .filter { (shard, _) -> ownerOf(shard) == process.host }
+            .toMap()
+        owned.keys.retainAll(pools.keys)
+        for ((shard, pool) in pools) {
+            owned.getOrPut(shard) {
+                OwnedPool(
+                    OwnerTerm(shard, process, stream, random, nowMs),
+                    createOrderPlanner(pool, random, nowMs)
+                )
+            }.planner.configure(pool)
+        }
+        val endpoints = pools.values.flatMap { it.endpoints }
+        if (endpoints != watched) {
+            watched = endpoints
+            outbox.emit(OrderEffect.WatchDeployments(endpoints))
+        }
+    }
+
+    fun onInput(input: OrderInput, nowMs: Long) {
+        when (input) {
+            is OrderInput.OwnersRead -> {
+                isReading = false
+                input.entries.forEach { (offset, entry) -> stream.apply(offset, entry) }
+                stream.skipTo(input.nextOffset)
+            }
+
+            OrderInput.OwnersReadFailed -> isReading = false
+
+            is OrderInput.TakeOverAppended -> owned[input.shard]?.term?.onAppended(input.offset)
+
+            is OrderInput.TakeOverFailed -> owned[input.shard]?.term?.onAppendFailed(nowMs)
+
+            is OrderInput.DeploymentRead -> {
+                val pool = configuration.findEndpoint(input.endpoint)?.pool ?: return
+                owned[firstShardOf(pool)]?.planner
+                    ?.onDeployed(input.endpoint, input.deployed, nowMs)
+            }
+
+            is OrderInput.OrderSent -> owned[input.shard]?.let {
+                decide(input.shard, it.planner.onResult(input.order, input.result, nowMs))
+            }
+        }
+    }
+
+    fun tick(nowMs: Long) {
+        if (owned.isEmpty() || nowMs < nextTurnAtMs) return
+        nextTurnAtMs = nowMs + TURN_INTERVAL_MS
+        if (!isReading) {
+            isReading = true
+            outbox.emit(OrderEffect.ReadOwners(stream.nextOffset))
+        }
+        for ((shard, pool) in owned) {
+            pool.term.tick(nowMs)?.let { outbox.emit(OrderEffect.AppendTakeOver(it)) }
+            decide(shard, pool.planner.plan(pool.term.ownerOffset, nowMs))
+        }
+    }
+
+    private fun describe(pool: PoolSpec, leaving: Set<EndpointId>): Pair<ShardId, OrderedPool>? {
+        val kind = pool.kind as? PoolKind.Model ?: return null
+        val endpoints = configuration.endpoints.filter { it.pool == pool.id }
+        if (endpoints.all { it.desired == null }) return null
+        return firstShardOf(pool.id) to OrderedPool(
+            kind.model,
+            endpoints,
+            leaving,
+            configuration.drainedEndpoints,
+            pool.ordersPerMinute,
+            configuration.revision
+        )
+    }
+
+    private fun decide(shard: ShardId, decisions: List<OrderDecision>) {
+        for (decision in decisions) {
+            outbox.emit(OrderEffect.LogOrder(describe(shard, decision)))
+            if (decision !is OrderDecision.Issue) continue
+            val endpoint = configuration.findEndpoint(decision.endpoint) ?: continue
+            outbox.emit(OrderEffect.SendOrder(shard, endpoint, decision.order))
+        }
+    }
+
+    private fun describe(shard: ShardId, decision: OrderDecision): OrderLine {
+        val (choice, reason, order) = when (decision) {
+            is OrderDecision.Issue ->
+                Triple("order", decision.order.steps.joinToString(), decision.order)
+
+            is OrderDecision.Applied -> Triple("applied", "the state is reported", decision.order)
+
+            is OrderDecision.Failed -> Triple(
+                "failed",
+                "${decision.detail}; next order after ${decision.retryAfterMs} ms or later",
+                decision.order
+            )
+
+            is OrderDecision.Held -> Triple("held", "no other endpoint of the pool serves", null)
+        }
+        return OrderLine(
+            shard,
+            decision.endpoint,
+            choice,
+            reason,
+            order?.fencing,
+            order?.fencing?.revision ?: configuration.revision
+        )
+    }
+
+    private companion object {
+        /** Other processes' records stop this one after about this time. */
+        const val TURN_INTERVAL_MS = 1_000L
+
+        fun firstShardOf(pool: PoolId) = ShardId(pool, 0)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/OrderEffect.kt
@@ -0,0 +1,47 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.orders.EndpointOrder
+import cowslipcart.core.orders.FencingNumber
+import cowslipcart.core.orders.OwnerEntry
+
+/** Effects of orders to endpoints. */
+public sealed interface OrderEffect : NodeEffect {
+    /** Append a take-over to the stream `owners`. */
+    public data class AppendTakeOver(public val entry: OwnerEntry.TakeOver) : OrderEffect
+
+    /** Read the stream `owners`. */
+    public data class ReadOwners(public val from: LogOffset) : OrderEffect
+
+    /** Poll the state of exactly these engines from now on. */
+    public data class WatchDeployments(public val endpoints: List<EndpointSpec>) : OrderEffect
+
+    /** Send the steps of [order] one after the other. */
+    public data class SendOrder(
+        public val shard: ShardId,
+        public val endpoint: EndpointSpec,
+        public val order: EndpointOrder
+    ) : OrderEffect
+
+    /** Write a log line for a decision about orders. */
+    public data class LogOrder(public val line: OrderLine) : OrderEffect
+}
+
+/**
+ * Content of the log line of a decision about orders.
+ *
+ * @property choice `order`, `applied`, `failed` or `held`
+ * @property fencing fencing number of the order; null if there is none
+ */
+public data class OrderLine(
+    public val shard: ShardId,
+    public val endpoint: EndpointId,
+    public val choice: String,
+    public val reason: String,
+    public val fencing: FencingNumber?,
+    public val revision: Revision
+)
--- a/core/src/test/kotlin/cowslipcart/core/config/ValidationTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ValidationTest.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.model.Declaration
 import cowslipcart.core.model.DrainSpec
 import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EngineState
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.PoolKind
 import cowslipcart.core.model.PresetName
@@ -34,6 +35,12 @@
         fun `finds an endpoint of an undeclared pool`() =
             assertFault("none named chats", runner.copy(pool = PoolId("chats")))
 
+        @Test
+        fun `finds a desired model that the pool does not serve`() = assertFault(
+            "desired model to be that of its pool, fitting, found drawing",
+            runner.copy(desired = EngineState("drawing"))
+        )
+
         @Test
         fun `finds an organisation with an undeclared tier`() =
             assertFault("none with rank 7", shop.copy(highestTier = Tier(7)))
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -16,7 +16,9 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.control.VerdictBoard
 import cowslipcart.daemon.endpoint.EndpointContext
+import cowslipcart.daemon.endpoint.EndpointOrders
 import cowslipcart.daemon.endpoint.LoadPoller
+import cowslipcart.daemon.endpoint.OrderRunner
 import cowslipcart.daemon.endpoint.createHttpClient
 import cowslipcart.daemon.http.BodyReader
 import cowslipcart.daemon.http.CallerApi
@@ -126,7 +128,8 @@
         poller,
         verdicts,
         outcomes,
-        DecisionLog(metrics)
+        DecisionLog(metrics),
+        OrderRunner(scope, EndpointOrders(client), loop::submit)
     )
 
     private fun httpServer(): HttpServer {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
@@ -28,6 +28,8 @@
         "choice"
     )
 
+    val orders: Counter = counter("cowslipcart_orders", "Decisions about orders", "choice")
+
     val foreignAnswers: Counter =
         counter("cowslipcart_foreign_answers", "Endpoint replies that named another request")
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/DecisionLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/DecisionLog.kt
@@ -1,6 +1,7 @@
 package cowslipcart.daemon.control
 
 import cowslipcart.core.node.DecisionLine
+import cowslipcart.core.node.OrderLine
 import cowslipcart.daemon.Metrics
 import org.slf4j.LoggerFactory
 import org.slf4j.event.Level
@@ -22,4 +23,16 @@
             .addKeyValue("revision", line.revision.value)
             .log("decision")
     }
+
+    fun write(line: OrderLine) {
+        metrics.orders.labelValues(line.choice).inc()
+        log.makeLoggingEventBuilder(Level.INFO)
+            .addKeyValue("shard", line.shard.toString())
+            .addKeyValue("endpoint", line.endpoint.value)
+            .addKeyValue("choice", line.choice)
+            .addKeyValue("reason", line.reason)
+            .addKeyValue("fencing", line.fencing?.toString())
+            .addKeyValue("revision", line.revision.value)
+            .log("order")
+    }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
@@ -1,7 +1,9 @@
 package cowslipcart.daemon.control
 
 import cowslipcart.core.node.NodeEffect
+import cowslipcart.core.node.OrderEffect
 import cowslipcart.daemon.endpoint.LoadPoller
+import cowslipcart.daemon.endpoint.OrderRunner
 import cowslipcart.daemon.peer.PeerNetwork
 import cowslipcart.daemon.platform.PlatformStreams
 import cowslipcart.daemon.session.SessionCommand
@@ -17,7 +19,8 @@
     private val poller: LoadPoller,
     private val verdicts: VerdictBoard,
     private val outcomes: OutcomeBoard,
-    private val decisions: DecisionLog
+    private val decisions: DecisionLog,
+    private val orders: OrderRunner
 ) : EffectHandler {
     private val log = LoggerFactory.getLogger(EffectRunner::class.java)
 
@@ -75,6 +78,18 @@
             is NodeEffect.LogDecision -> decisions.write(effect.decision)
 
             is NodeEffect.PublishHosts -> published.hosts.value = effect.hosts
+
+            is OrderEffect -> performOrder(effect)
+        }
+    }
+
+    private fun performOrder(effect: OrderEffect) {
+        when (effect) {
+            is OrderEffect.AppendTakeOver -> streams.appendTakeOver(effect.entry)
+            is OrderEffect.ReadOwners -> streams.readOwners(effect.from)
+            is OrderEffect.WatchDeployments -> orders.watch(effect.endpoints)
+            is OrderEffect.SendOrder -> orders.send(effect)
+            is OrderEffect.LogOrder -> decisions.write(effect.line)
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/OrderRunner.kt
@@ -0,0 +1,45 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.OrderEffect
+import cowslipcart.core.node.OrderInput
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+
+/** Sends orders and polls the states of engines. Called on the control thread. */
+internal class OrderRunner(
+    private val scope: CoroutineScope,
+    private val orders: EndpointOrders,
+    private val control: (NodeInput) -> Unit
+) {
+    private var polls = emptyList<Job>()
+
+    fun send(effect: OrderEffect.SendOrder) {
+        scope.launch {
+            val result = orders.send(effect.endpoint, effect.order)
+            control(OrderInput.OrderSent(effect.shard, effect.order.id, result))
+        }
+    }
+
+    /** Polls exactly [endpoints] from now on. */
+    fun watch(endpoints: List<EndpointSpec>) {
+        polls.forEach { it.cancel() }
+        polls = endpoints.map { scope.launch { poll(it) } }
+    }
+
+    private suspend fun CoroutineScope.poll(endpoint: EndpointSpec) {
+        while (isActive) {
+            val deployed = orders.readDeployed(endpoint)
+            if (deployed != null) control(OrderInput.DeploymentRead(endpoint.id, deployed))
+            delay(POLL_INTERVAL_MS)
+        }
+    }
+
+    private companion object {
+        const val POLL_INTERVAL_MS = 5_000L
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
@@ -15,6 +15,8 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.StreamName
 import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.OrderInput
+import cowslipcart.core.orders.OwnerEntry
 import cowslipcart.daemon.Metrics
 import cowslipcart.wire.WireError
 import cowslipcart.wire.log.LogCodec
@@ -95,6 +97,25 @@
         }
     }
 
+    fun appendTakeOver(entry: OwnerEntry.TakeOver) {
+        scope.launch {
+            val result = append(OWNERS, LogCodec.encodeOwner(entry))
+            control(
+                result.fold(
+                    { OrderInput.TakeOverFailed(entry.shard) },
+                    { OrderInput.TakeOverAppended(entry.shard, it) }
+                )
+            )
+        }
+    }
+
+    fun readOwners(from: LogOffset) {
+        scope.launch {
+            val page = log.read(OWNERS, from, MAX_OWNER_RECORDS, waitMs = 0)
+            control(page.fold({ OrderInput.OwnersReadFailed }, { ownersInput(from, it) }))
+        }
+    }
+
     /** Reads configuration records for an operator. */
     suspend fun readConfig(from: LogOffset, maxCount: Int): Either<LogError, LogPage> =
         log.read(CONFIG, from, maxCount, waitMs = 0)
@@ -145,6 +166,13 @@
         }
     )
 
+    private fun ownersInput(from: LogOffset, page: LogPage) = OrderInput.OwnersRead(
+        page.records.mapNotNull { record ->
+            decoded(record, LogCodec.decodeOwner(record.payload))?.let { record.offset to it }
+        },
+        page.records.lastOrNull()?.offset?.next() ?: maxOf(from, page.firstKeptOffset)
+    )
+
     /** A claim of a newer version that is not seen could be run a second time. */
     private fun claimsInput(partition: Int, page: LogPage): NodeInput {
         val decoded = page.records.map { it to LogCodec.decodeClaims(it.payload) }
@@ -171,7 +199,9 @@
     private companion object {
         val CONFIG = StreamName("config")
         val EPOCHS = StreamName("epochs")
+        val OWNERS = StreamName("owners")
         const val MAX_CLAIM_RECORDS = 512
+        const val MAX_OWNER_RECORDS = 1_024
         const val MAX_CONFIG_RECORDS = 1_024
 
         fun claimsStream(partition: Int) = StreamName("claims-$partition")
--- a/wire/src/main/kotlin/cowslipcart/wire/admin/DeclarationDocuments.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/admin/DeclarationDocuments.kt
@@ -6,6 +6,8 @@
 import cowslipcart.core.model.DrainSpec
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.EngineRole
+import cowslipcart.core.model.EngineState
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.OrganisationSpec
 import cowslipcart.core.model.PoolId
@@ -77,15 +79,43 @@
     public val id: String,
     public val model: String? = null,
     public val routes: List<RouteDocument>? = null,
-    public val shardCount: Int = 1
+    public val shardCount: Int = 1,
+    public val ordersPerMinute: Double = PoolSpec.DEFAULT_ORDERS_PER_MINUTE
 ) : DeclarationDocument {
     override fun toDeclaration(): Declaration {
         val kind = model?.let { PoolKind.Model(it) }
             ?: PoolKind.Service(routes.orEmpty().map { it.toRoute() })
-        return PoolSpec(PoolId(id), kind, shardCount)
+        return PoolSpec(PoolId(id), kind, shardCount, ordersPerMinute)
     }
 }
 
+/** Document of an [EngineRole]. */
+@Serializable
+public enum class EngineRoleDocument(internal val role: EngineRole) {
+    /** Runs whole requests. */
+    @SerialName("mixed")
+    MIXED(EngineRole.MIXED),
+
+    /** Reads prompts only. */
+    @SerialName("prefill")
+    PREFILL(EngineRole.PREFILL),
+
+    /** Generates tokens only. */
+    @SerialName("decode")
+    DECODE(EngineRole.DECODE)
+}
+
+/** Document of an [EngineState]. */
+@Serializable
+public data class EngineStateDocument(
+    public val model: String,
+    public val version: String? = null,
+    public val adapters: List<String> = emptyList(),
+    public val role: EngineRoleDocument = EngineRoleDocument.MIXED
+) {
+    internal fun toState() = EngineState(model, version, adapters.toSet(), role.role)
+}
+
 /** Document of an [EndpointSpec]. */
 @Serializable
 @SerialName("endpoint")
@@ -100,7 +130,8 @@
     public val decodeTokensPerS: Double,
     public val cacheTokens: Long = 0,
     public val canResume: Boolean = false,
-    public val checksFencing: Boolean = false
+    public val checksFencing: Boolean = false,
+    public val desired: EngineStateDocument? = null
 ) : DeclarationDocument {
     override fun toDeclaration(): Declaration = EndpointSpec(
         id = EndpointId(id),
@@ -113,7 +144,8 @@
         decodeTokensPerS = decodeTokensPerS,
         cacheTokens = cacheTokens,
         canResume = canResume,
-        checksFencing = checksFencing
+        checksFencing = checksFencing,
+        desired = desired?.toState()
     )
 }
 
@@ -170,14 +202,20 @@
 }
 
 private fun PoolSpec.toPoolDocument(): PoolDocument = when (val kind = kind) {
-    is PoolKind.Model -> PoolDocument(id.value, model = kind.model, shardCount = shardCount)
+    is PoolKind.Model -> PoolDocument(
+        id.value,
+        model = kind.model,
+        shardCount = shardCount,
+        ordersPerMinute = ordersPerMinute
+    )
 
     is PoolKind.Service -> PoolDocument(
         id.value,
         routes = kind.routes.map {
             RouteDocument(it.method, it.path, it.isRepeatable, it.tier.rank)
         },
-        shardCount = shardCount
+        shardCount = shardCount,
+        ordersPerMinute = ordersPerMinute
     )
 }
 
@@ -192,7 +230,15 @@
     decodeTokensPerS = decodeTokensPerS,
     cacheTokens = cacheTokens,
     canResume = canResume,
-    checksFencing = checksFencing
+    checksFencing = checksFencing,
+    desired = desired?.toDocument()
+)
+
+private fun EngineState.toDocument() = EngineStateDocument(
+    model,
+    version,
+    adapters.sorted(),
+    EngineRoleDocument.entries.first { it.role == role }
 )
 
 /** A [DeclarationKey] as JSON or CBOR: the kind of the declaration and its name or rank. */
--- a/wire/src/main/kotlin/cowslipcart/wire/log/LogCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/log/LogCodec.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.claims.ClaimItem
 import cowslipcart.core.claims.EpochEntry
 import cowslipcart.core.config.ConfigEntry
+import cowslipcart.core.orders.OwnerEntry
 import cowslipcart.wire.WireError
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
@@ -47,6 +48,14 @@
     public fun decodeEpoch(payload: ByteArray): Either<WireError, EpochEntry> =
         decode(EpochDocument.serializer(), payload).map { it.toEntry() }
 
+    /** Encodes a record of the stream `owners`. */
+    public fun encodeOwner(entry: OwnerEntry): ByteArray =
+        encode(OwnerDocument.serializer(), entry.toDocument())
+
+    /** Decodes a record of the stream `owners`. */
+    public fun decodeOwner(payload: ByteArray): Either<WireError, OwnerEntry> =
+        decode(OwnerDocument.serializer(), payload).map { it.toEntry() }
+
     /** Encodes a record of a stream `claims-P`. */
     public fun encodeClaims(items: List<ClaimItem>): ByteArray =
         encode(claimItems, items.map { it.toDocument() })
--- a/wire/src/test/kotlin/cowslipcart/wire/log/LogCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/log/LogCodecTest.kt
@@ -14,6 +14,8 @@
 import cowslipcart.core.model.DrainSpec
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.EngineRole
+import cowslipcart.core.model.EngineState
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
@@ -27,9 +29,11 @@
 import cowslipcart.core.model.PresetSpec
 import cowslipcart.core.model.Revision
 import cowslipcart.core.model.RouteSpec
+import cowslipcart.core.model.ShardId
 import cowslipcart.core.model.Tier
 import cowslipcart.core.model.TierPolicy
 import cowslipcart.core.model.TierSpec
+import cowslipcart.core.orders.OwnerEntry
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -60,7 +64,8 @@
             decodeTokensPerS = 7.5,
             cacheTokens = 8,
             canResume = true,
-            checksFencing = true
+            checksFencing = true,
+            desired = EngineState("model", "v2", setOf("fit"), EngineRole.PREFILL)
         ),
         PresetSpec(PresetName("n"), mapOf(Tier(0) to TierPolicy(0.5, 9)), 0.25),
         DrainSpec(EndpointId("e"))
@@ -103,6 +108,16 @@
         }
     }
 
+    @Nested
+    inner class Owners {
+        @Test
+        fun `an entry comes back as it was`() {
+            val entry = OwnerEntry.TakeOver(ShardId(PoolId("m"), 2), process)
+
+            assertEquals(entry, LogCodec.decodeOwner(LogCodec.encodeOwner(entry)).getOrNull())
+        }
+    }
+
     @Nested
     inner class Claims {
         @Test
