Add bin/hop, which measures what a daemon adds to an engine's times

Cause: The cost of the hop was known only from single calls on a busy machine, where the direct and the scheduled call were not comparable.

Change: The subcommand `hop` of the stand-ins sends the same prompts directly and through a daemon, round by round in turn, and prints p50 and p99 of the first token and of the whole answer with the ratios. The engine stand-in gets an admission delay, so that the time to the first token does not grow with the number of streams.

--- a/standins/src/main/kotlin/cowslipcart/standins/Main.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import cowslipcart.standins.command.EngineCommand
+import cowslipcart.standins.command.HopCommand
 import cowslipcart.standins.command.HostsCommand
 import cowslipcart.standins.command.LoadCommand
 import cowslipcart.standins.command.LogCommand
@@ -11,7 +12,7 @@
 
 private class StandinCommand : NoOpCliktCommand(name = "standin")
 
-/** Entry point: one subcommand per stand-in, and the load tool. */
+/** Entry point: one subcommand per stand-in, and the tools that send load. */
 public fun main(args: Array<String>) {
     // Set here and not by the file name logback.xml, which would apply to every program that has
     // this module on its class path.
@@ -22,7 +23,8 @@
             HostsCommand(),
             EngineCommand(),
             ServiceCommand(),
-            LoadCommand()
+            LoadCommand(),
+            HopCommand()
         )
         .main(args)
 }
--- a/standins/src/main/kotlin/cowslipcart/standins/command/EngineCommand.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/command/EngineCommand.kt
@@ -43,6 +43,8 @@
         .long().default(defaults.seed)
     private val slowFactor by option(help = "factor on the duration of each step")
         .double().default(1.0)
+    private val admissionDelayMs by option(help = "time until a request is given to the engine")
+        .long().default(0)
     private val poisonMarker by option(help = "word in a prompt that crashes the engine")
         .default("CRASH-ENGINE")
     private val journalFile by option(help = "file that gets a line per request received").path()
@@ -54,7 +56,12 @@
             // Ends the process at once, so that all connections break as in a real crash.
             Runtime.getRuntime().halt(CRASH_EXIT_CODE)
         }
-        route.engineRoutes(runtime, clock, journalFile?.let { JournalFile(it) })
+        route.engineRoutes(
+            runtime,
+            clock,
+            journalFile?.let { JournalFile(it) },
+            admissionDelayMs
+        )
     }
 
     private fun settings() = EngineSettings(
--- a/standins/src/main/kotlin/cowslipcart/standins/http/EngineRoutes.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineRoutes.kt
@@ -15,6 +15,7 @@
 import io.ktor.utils.io.writeStringUtf8
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 
 internal const val REQUEST_ID_HEADER: String = "X-Request-Id"
@@ -23,13 +24,15 @@
  * Routes of the model engine.
  *
  * @param journalFile copy of the journal that outlives a crash; null for none
+ * @param admissionDelayMs time from the receipt of a request until the engine has it
  */
 internal fun Route.engineRoutes(
     runtime: EngineRuntime,
     clock: StandinClock,
-    journalFile: JournalFile?
+    journalFile: JournalFile?,
+    admissionDelayMs: Long = 0
 ) {
-    val chat = ChatHandler(runtime, clock, journalFile)
+    val chat = ChatHandler(runtime, clock, journalFile, admissionDelayMs)
     post("/v1/chat/completions") { chat.answer(call) }
     route("/streams/{id}") {
         post("/cancel") {
@@ -58,7 +61,8 @@
 private class ChatHandler(
     private val runtime: EngineRuntime,
     private val clock: StandinClock,
-    private val journalFile: JournalFile?
+    private val journalFile: JournalFile?,
+    private val admissionDelayMs: Long
 ) {
     private val unnamedCount = AtomicLong()
 
@@ -75,6 +79,7 @@
         )
         val entry = JournalJson(id.value, clock.wallMs(), outcome = "received")
         journalFile?.append(standinJson.encodeToString(entry))
+        delay(admissionDelayMs)
         runtime.start(id, request.toPrompt(), request.maxTokens).fold(
             { call.respondEngineError(it) },
             { output -> write(call, output, request.stream) }
--- a/standins/src/main/kotlin/cowslipcart/standins/load/LoadClient.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/load/LoadClient.kt
@@ -57,10 +57,14 @@
 /**
  * Sends chat requests and checks their streams.
  *
+ * @param model name of the model; a stand-in engine serves any, a daemon only declared ones
  * @param timeoutMs time after which an unfinished answer counts as failed
  */
-internal class LoadClient(private val token: String?, private val timeoutMs: Long) :
-    AutoCloseable {
+internal class LoadClient(
+    private val token: String?,
+    private val timeoutMs: Long,
+    private val model: String = ""
+) : AutoCloseable {
     private val client = HttpClient(CIO) {
         followRedirects = false
         expectSuccess = false
@@ -84,6 +88,7 @@
     private suspend fun exchange(call: LoadCall, plannedStart: TimeMark): LoadOutcome {
         val request = call.request
         val body = ChatRequestJson(
+            model = model,
             messages = request.messages.map { MessageJson(it.role, it.content) },
             stream = true,
             maxTokens = request.maxTokens
@@ -116,7 +121,8 @@
                 if (data == "[DONE]") check.end() else addChunk(data, check, times)
             }
         }
-        return LoadOutcome.Answered(times.firstUs, times.gapsUs, check.findFault())
+        val totalUs = plannedStart.elapsedNow().inWholeMicroseconds.coerceAtLeast(0)
+        return LoadOutcome.Answered(times.firstUs, times.gapsUs, totalUs, check.findFault())
     }
 
     private suspend fun readEvents(channel: ByteReadChannel, onData: (String) -> Unit) {
--- a/standins/src/main/kotlin/cowslipcart/standins/load/LoadStatistics.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/load/LoadStatistics.kt
@@ -11,10 +11,15 @@
      *
      * @property firstTokenUs time from the planned start to the first token; null if none came
      * @property tokenGapsUs times between tokens
+     * @property totalUs time from the planned start to the end of the answer
      * @property fault null for a whole answer
      */
-    class Answered(val firstTokenUs: Long?, val tokenGapsUs: List<Long>, val fault: AnswerFault?) :
-        LoadOutcome
+    class Answered(
+        val firstTokenUs: Long?,
+        val tokenGapsUs: List<Long>,
+        val totalUs: Long,
+        val fault: AnswerFault?
+    ) : LoadOutcome
 
     /** The server refused; [type] is the problem type, or `status-N` without problem details. */
     data class Refused(val type: String) : LoadOutcome
