Bound retries by a budget and spread the asks after an owner change

Cause: After an owner change each host asked again for all its waiting requests in one step, and dispatches after a proof that nothing ran were bounded for each request only, so a fault could double the load at the moment when capacity is lowest.

Change: Asks to a new owner are sent after a jitter of 0 to 200 ms drawn from the injected random source. RetryBudget bounds these asks and the dispatches after a proof that nothing ran to 10% of the requests of the last 10 s, or 10 if that is more; beyond it the request ends as not run. After an owner change lower tiers are refused first, and the top tier and paused streams always ask again: guarantee 2 forbids to shed the top tier while lower tiers run, and a paused stream cannot end as not run.

With 1,000 waiting requests no 20 ms step after an owner change holds more than 200 asks (checked by the test). Not run: tests on processes.

Conclusion: An owner change no longer sends all asks in one step. A host with few requests can refuse waiting lower-tier requests on an owner change; tests on processes that kill an owner have to expect this.

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -33,7 +33,7 @@
     private val inquiries = KeyInquiryDesk(self.host, membership, outbox)
     private val quota = QuotaDesk(membership, outbox)
     private val suspects = createSuspectRegistry()
-    private val origin = createOriginController(process) { request ->
+    private val origin = createOriginController(process, random) { request ->
         config.configuration.pools[request.pool]?.shardCount ?: 1
     }
     private val outcomes = OutcomeDesk(process, origin, membership, outbox)
--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -8,11 +8,15 @@
 import cowslipcart.core.membership.rendezvousIndex
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import kotlin.random.Random
 
 /** The part of a request's life in which it waits for a grant. */
 internal class CapacityPhase(
     private val self: AttemptOrigin,
     private val table: RequestTable,
+    private val budget: RetryBudget,
+    private val random: Random,
     private val shardCounts: ShardCounts
 ) {
     fun begin(tracked: TrackedRequest, nowMs: Long): List<OriginEffect> =
@@ -83,7 +87,7 @@
     }
 
     /** Sends the ask again, to whoever owns the shard now. */
-    fun repeatAsk(
+    private fun repeatAsk(
         tracked: TrackedRequest,
         state: RequestState.Waiting,
         nowMs: Long
@@ -92,7 +96,11 @@
         val recent = state.askSentAtMs.filterValues {
             nowMs - it <= OriginController.MAX_GRANT_AGE_MS
         }
-        tracked.state = state.copy(askCount = askCount, askSentAtMs = recent + (askCount to nowMs))
+        tracked.state = state.copy(
+            askCount = askCount,
+            askSentAtMs = recent + (askCount to nowMs),
+            askAgainAtMs = null
+        )
         val request = capacityRequest(tracked, state.resume, nowMs)
         return listOf(OriginEffect.SendAsk(state.shard, request, askCount))
     }
@@ -106,8 +114,29 @@
             ?: (state.sinceMs + OriginController.MAX_WAIT_MS - nowMs)
         if (timeLeftMs <= 0) return giveUp(tracked, state, "waited too long for capacity", nowMs)
         val lastSentAtMs = state.askSentAtMs[state.askCount] ?: 0
-        if (nowMs - lastSentAtMs < OriginController.REPEAT_INTERVAL_MS) return emptyList()
-        return repeatAsk(tracked, state, nowMs)
+        val dueAtMs = state.askAgainAtMs ?: (lastSentAtMs + OriginController.REPEAT_INTERVAL_MS)
+        return if (nowMs < dueAtMs) emptyList() else repeatAsk(tracked, state, nowMs)
+    }
+
+    /**
+     * Plans the ask to the new owner of the shard, spread over [OriginController.MAX_JITTER_MS] so
+     * that the hosts do not all ask at once. Beyond the retry budget the request ends as not run,
+     * except in the top tier, which is not shed while lower tiers run, and except for a stream that
+     * has run before.
+     */
+    fun onOwnerChanged(
+        tracked: TrackedRequest,
+        state: RequestState.Waiting,
+        nowMs: Long
+    ): List<OriginEffect> {
+        if (state.askAgainAtMs != null) return emptyList()
+        val isKept = tracked.request.tier == TOP_TIER || state.resume != null
+        if (!budget.trySpend(nowMs) && !isKept) {
+            return giveUp(tracked, state, "the retry budget of this host is used up", nowMs)
+        }
+        val jitterMs = random.nextLong(OriginController.MAX_JITTER_MS + 1)
+        tracked.state = state.copy(askAgainAtMs = nowMs + jitterMs)
+        return emptyList()
     }
 
     /** Ends a waiting request and withdraws its ask. */
@@ -182,6 +211,7 @@
 
     private companion object {
         const val RETRY_AFTER_MS = 1_000L
+        val TOP_TIER = Tier(0)
     }
 }
 
--- a/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
@@ -10,13 +10,18 @@
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.ShardId
+import kotlin.random.Random
 
-internal class DefaultOriginController(self: AttemptOrigin, shardCounts: ShardCounts) :
-    OriginController {
+internal class DefaultOriginController(
+    self: AttemptOrigin,
+    random: Random,
+    shardCounts: ShardCounts
+) : OriginController {
     private val table = RequestTable()
-    private val capacity = CapacityPhase(self, table, shardCounts)
+    private val budget = RetryBudget()
+    private val capacity = CapacityPhase(self, table, budget, random, shardCounts)
     private val claims = ClaimPhase(self, table, capacity)
-    private val streams = StreamPhase(self, table, capacity)
+    private val streams = StreamPhase(self, table, budget, capacity)
     private var drainUntilMs: Long? = null
 
     override val openCount: Int get() = table.open.size
@@ -39,6 +44,7 @@
         )
         val tracked = TrackedRequest(request, isSuspect, nowMs, waiting)
         table.add(tracked)
+        budget.recordRequest(nowMs)
         if (drainUntilMs != null) {
             val rejection = Rejection.NotRun("this host is shutting down", RETRY_AFTER_MS)
             return table.endNotRun(tracked, rejection, nowMs)
@@ -174,24 +180,21 @@
     }
 
     override fun onOwnerChanged(shard: ShardId, nowMs: Long): List<OriginEffect> {
-        val running = mutableListOf<RunningGrant>()
-        val asks = mutableListOf<OriginEffect>()
-        for (tracked in table.open) {
+        val running = table.open.mapNotNull { tracked ->
+            val state = tracked.state
+            if (state !is RequestState.Dispatched || state.shard != shard) return@mapNotNull null
+            val request = capacity.capacityRequest(tracked, state.resume, nowMs)
+            RunningGrant(state.grantId, state.endpoint, request, state.resume?.sentTokens ?: 0)
+        }
+        val refusals = table.open.sortedBy { it.request.tier.rank }.flatMap { tracked ->
             val state = tracked.state
-            if (state is RequestState.Dispatched && state.shard == shard) {
-                val request = capacity.capacityRequest(tracked, state.resume, nowMs)
-                running += RunningGrant(
-                    state.grantId,
-                    state.endpoint,
-                    request,
-                    state.resume?.sentTokens ?: 0
-                )
-            }
             if (state is RequestState.Waiting && state.shard == shard) {
-                asks += capacity.repeatAsk(tracked, state, nowMs)
+                capacity.onOwnerChanged(tracked, state, nowMs)
+            } else {
+                emptyList()
             }
         }
-        return listOf(OriginEffect.SendRunning(shard, running)) + asks
+        return listOf(OriginEffect.SendRunning(shard, running)) + refusals
     }
 
     override fun drain(limitMs: Long, nowMs: Long): List<OriginEffect> {
--- a/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginController.kt
@@ -10,6 +10,7 @@
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.ShardId
+import kotlin.random.Random
 
 /**
  * Life cycle of the requests whose callers are connected to this host. This is the only place that
@@ -81,7 +82,10 @@
     /** The caller closed its connection. */
     public fun onCallerGone(requestId: RequestId, nowMs: Long): List<OriginEffect>
 
-    /** The owner of [shard] changed: report running grants and ask again. */
+    /**
+     * The owner of [shard] changed: reports running grants now and asks again in later ticks, within
+     * [MAX_JITTER_MS]. Requests beyond the retry budget end as not run, lower tiers first.
+     */
     public fun onOwnerChanged(shard: ShardId, nowMs: Long): List<OriginEffect>
 
     /** Takes no more requests; those that wait end as not run when [limitMs] is over. */
@@ -106,6 +110,9 @@
         /** Time between repetitions of an ask or a claim. */
         public const val REPEAT_INTERVAL_MS: Long = 500
 
+        /** Longest delay of an ask to a new owner. */
+        public const val MAX_JITTER_MS: Long = 200
+
         /** Time after which an undecided claim is given up. */
         public const val CLAIM_TIMEOUT_MS: Long = 2_000
 
@@ -135,6 +142,9 @@
     public fun shardCountFor(request: CallerRequest): Int
 }
 
-/** Creates an [OriginController] for the process [self]. */
-public fun createOriginController(self: AttemptOrigin, shardCounts: ShardCounts): OriginController =
-    DefaultOriginController(self, shardCounts)
+/** Creates an [OriginController] for the process [self]; [random] draws the jitter of asks. */
+public fun createOriginController(
+    self: AttemptOrigin,
+    random: Random,
+    shardCounts: ShardCounts
+): OriginController = DefaultOriginController(self, random, shardCounts)
--- a/core/src/main/kotlin/cowslipcart/core/origin/RequestState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/RequestState.kt
@@ -23,6 +23,8 @@
     /**
      * Waits for capacity. [askSentAtMs] is indexed by the ask count; only asks that a usable grant
      * can echo are kept.
+     *
+     * @property askAgainAtMs time of the ask to a new owner; null if none is due
      */
     data class Waiting(
         val shard: ShardId,
@@ -30,7 +32,8 @@
         val askSentAtMs: Map<Long, Long>,
         val triedShards: Set<ShardId>,
         val sinceMs: Long,
-        val resume: Resume?
+        val resume: Resume?,
+        val askAgainAtMs: Long? = null
     ) : RequestState
 
     /** Bytes may have reached [endpoint]. */
--- a/core/src/main/kotlin/cowslipcart/core/origin/StreamPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/StreamPhase.kt
@@ -7,6 +7,7 @@
 internal class StreamPhase(
     private val self: AttemptOrigin,
     private val table: RequestTable,
+    private val budget: RetryBudget,
     private val capacity: CapacityPhase
 ) {
     private var crashCount = 0L
@@ -57,10 +58,12 @@
             return table.endUnknown(tracked, Rejection.OutcomeUnknown(end.detail), nowMs)
         }
         tracked.provenNotRunCount++
-        if (tracked.provenNotRunCount < OriginController.MAX_PROVEN_NOT_RUN) {
-            return capacity.begin(tracked, nowMs)
+        if (tracked.provenNotRunCount >= OriginController.MAX_PROVEN_NOT_RUN) {
+            return table.endNotRun(tracked, Rejection.NotRun(end.detail, RETRY_AFTER_MS), nowMs)
         }
-        return table.endNotRun(tracked, Rejection.NotRun(end.detail, RETRY_AFTER_MS), nowMs)
+        if (budget.trySpend(nowMs)) return capacity.begin(tracked, nowMs)
+        val detail = "${end.detail}, and the retry budget of this host is used up"
+        return table.endNotRun(tracked, Rejection.NotRun(detail, RETRY_AFTER_MS), nowMs)
     }
 
     /**
--- a/core/src/test/kotlin/cowslipcart/core/origin/OriginFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginFixture.kt
@@ -14,31 +14,37 @@
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.model.Tier
+import kotlin.random.Random
 
 /** One origin with one request `r1` and the usual replies of others. */
 internal class OriginFixture(shardCount: Int = 1) {
     val self = AttemptOrigin(HostId("a"), IncarnationId(1))
-    val origin = createOriginController(self) { shardCount }
+    val origin = createOriginController(self, Random(1)) { shardCount }
     val requestId = RequestId("r1")
     val shard = ShardId(PoolId("pool"), 0)
     val grantId = GrantId("g1")
     val endpoint = EndpointId("e1")
 
-    fun request(key: String? = null, isRepeatable: Boolean = true, timeLeftMs: Long? = null) =
-        CallerRequest(
-            requestId = requestId,
-            organisation = OrganisationId("org"),
-            tier = Tier(0),
-            pool = PoolId("pool"),
-            key = key?.let { RequestKey(OrganisationId("org"), it, 1_000) },
-            isRepeatable = isRepeatable,
-            isInterruptible = true,
-            fingerprint = Fingerprint("f"),
-            timeLeftMs = timeLeftMs,
-            prefillTokens = 100,
-            outputTokens = 10,
-            prefixBlocks = emptyList()
-        )
+    fun request(
+        key: String? = null,
+        isRepeatable: Boolean = true,
+        timeLeftMs: Long? = null,
+        id: RequestId = requestId,
+        tier: Tier = Tier(0)
+    ) = CallerRequest(
+        requestId = id,
+        organisation = OrganisationId("org"),
+        tier = tier,
+        pool = PoolId("pool"),
+        key = key?.let { RequestKey(OrganisationId("org"), it, 1_000) },
+        isRepeatable = isRepeatable,
+        isInterruptible = true,
+        fingerprint = Fingerprint("f"),
+        timeLeftMs = timeLeftMs,
+        prefillTokens = 100,
+        outputTokens = 10,
+        prefixBlocks = emptyList()
+    )
 
     fun start(request: CallerRequest = request(), nowMs: Long = 0): List<OriginEffect> =
         origin.start(request, isSuspect = false, nowMs)
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OwnerChangeRetryTest.kt
@@ -0,0 +1,105 @@
+package cowslipcart.core.origin
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Tier
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against a burst of asks at a new owner and against retries without bound. */
+class OwnerChangeRetryTest {
+    private val fixture = OriginFixture()
+    private val origin = fixture.origin
+
+    private fun startMany(count: Int, tier: Tier) = repeat(count) {
+        fixture.start(fixture.request(id = RequestId("t${tier.rank}-$it"), tier = tier))
+    }
+
+    private fun asksIn(effects: List<OriginEffect>) =
+        effects.filterIsInstance<OriginEffect.SendAsk>()
+
+    private fun rejected(effects: List<OriginEffect>) =
+        effects.filterIsInstance<OriginEffect.Reject>()
+
+    @Nested
+    inner class Jitter {
+        @Test
+        fun `a thousand waiting requests do not ask a new owner in one step`() {
+            startMany(1_000, Tier(0))
+            assertTrue(asksIn(origin.onOwnerChanged(fixture.shard, 100)).isEmpty())
+
+            val stepsMs = (100L..100 + OriginController.MAX_JITTER_MS step 20).toList()
+            val counts = stepsMs.map { asksIn(origin.tick(it)).size }
+
+            assertEquals(1_000, counts.sum())
+            assertTrue(counts.max() <= 200, "expected at most 200 asks in a step, found $counts")
+        }
+
+        @Test
+        fun `a second change while an ask is due neither delays nor repeats it`() {
+            startMany(1, Tier(0))
+            origin.onOwnerChanged(fixture.shard, 0)
+            origin.onOwnerChanged(fixture.shard, 150)
+
+            assertEquals(1, asksIn(origin.tick(OriginController.MAX_JITTER_MS)).size)
+        }
+
+        @Test
+        fun `the regular repeat goes on after the ask to the new owner`() {
+            startMany(1, Tier(0))
+            origin.onOwnerChanged(fixture.shard, 0)
+            origin.tick(OriginController.MAX_JITTER_MS)
+
+            val nextMs = OriginController.MAX_JITTER_MS + OriginController.REPEAT_INTERVAL_MS
+            assertTrue(asksIn(origin.tick(nextMs - 1)).isEmpty())
+            assertEquals(1, asksIn(origin.tick(nextMs)).size)
+        }
+    }
+
+    @Nested
+    inner class Budget {
+        @Test
+        fun `beyond the budget a waiting request ends as not run and withdraws its ask`() {
+            startMany(1_000, Tier(1))
+
+            val effects = origin.onOwnerChanged(fixture.shard, 100)
+
+            assertEquals(900, rejected(effects).size)
+            rejected(effects).forEach { assertIs<Rejection.NotRun>(it.rejection) }
+            assertEquals(900, effects.filterIsInstance<OriginEffect.SendCancelAsk>().size)
+            assertEquals(100, origin.openCount)
+        }
+
+        @Test
+        fun `the top tier is not shed and uses the budget first`() {
+            startMany(50, Tier(1))
+            startMany(50, Tier(0))
+
+            val effects = origin.onOwnerChanged(fixture.shard, 100)
+
+            assertEquals(50, rejected(effects).count { it.requestId.value.startsWith("t1") })
+            assertEquals(50, origin.openCount)
+        }
+
+        @Test
+        fun `proofs that nothing ran are repeated within the budget only`() {
+            startMany(RetryBudget.MIN_RETRIES + 1, Tier(0))
+
+            val ends = (0..RetryBudget.MIN_RETRIES).map { refuseDispatch(RequestId("t0-$it")) }
+
+            assertEquals(RetryBudget.MIN_RETRIES, ends.count { asksIn(it).size == 1 })
+            assertIs<Rejection.NotRun>(ends.last().rejection())
+        }
+
+        private fun refuseDispatch(id: RequestId): List<OriginEffect> {
+            val grantId = GrantId("g-$id")
+            origin.onGranted(fixture.grant(id = grantId).copy(requestId = id), 10)
+            val report = fixture.report(GrantEnd.FAILED).copy(grantId = grantId)
+            return origin.onStreamEnd(id, StreamEnd.ProvenNotRun(report, "refused"), 20)
+        }
+    }
+}
