Warm up all processes before the first measured round of bin/hop

Cause: At one stream the daemon had served 5 requests before the first measured one, so the measurement included code that was not compiled yet.

Change: A level of 32 streams x 40 rounds runs first and is not counted.

--- a/standins/src/main/kotlin/cowslipcart/standins/command/HopCommand.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/command/HopCommand.kt
@@ -37,8 +37,11 @@
     private val levels by option("--level", help = "STREAMS:ROUNDS; repeatable")
         .convert { text -> parseLevel(text) ?: fail("expected STREAMS:ROUNDS, got $text") }
         .multiple(default = listOf(HopLevel(1, 100), HopLevel(16, 20), HopLevel(128, 8)))
+    private val warmUp by option(help = "STREAMS:ROUNDS that run first and are not counted")
+        .convert { text -> parseLevel(text) ?: fail("expected STREAMS:ROUNDS, got $text") }
+        .default(HopLevel(WARM_UP_STREAMS, WARM_UP_ROUNDS))
     private val warmUpRounds by option(help = "rounds per level that are not counted")
-        .int().restrictTo(min = 0).default(5)
+        .int().restrictTo(min = 0).default(3)
     private val promptWords by option(help = "words in a prompt")
         .int().restrictTo(min = 1).default(12)
     private val maxTokens by option(help = "tokens in an answer")
@@ -57,6 +60,7 @@
         val plan = HopPlan(
             engine,
             daemon,
+            warmUp,
             levels,
             warmUpRounds,
             promptWords,
@@ -76,6 +80,8 @@
     private val LevelFiguresJson.hasFailures get() = direct.failed + daemon.failed > 0
 
     private companion object {
+        const val WARM_UP_STREAMS = 32
+        const val WARM_UP_ROUNDS = 40
         val json = Json { prettyPrint = true }
 
         /** Returns null unless [text] is two positive numbers. */
--- a/standins/src/main/kotlin/cowslipcart/standins/hop/HopPlan.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/hop/HopPlan.kt
@@ -8,6 +8,9 @@
  *
  * @property engine server that is asked directly
  * @property daemon server that passes the requests on to the same engine
+ * @property warmUp level that runs first and is not counted, so that the code of all processes is
+ * compiled before the first measured round
+ * @property warmUpRounds rounds of each level that are not counted
  * @property promptWords words in a prompt; below one prefix block, so that the first of two equal
  * prompts leaves nothing in the prefix cache for the second
  * @property spreadMs time over which the requests of a round start, so that they do not all begin
@@ -16,6 +19,7 @@
 internal data class HopPlan(
     val engine: LoadTarget,
     val daemon: LoadTarget,
+    val warmUp: HopLevel,
     val levels: List<HopLevel>,
     val warmUpRounds: Int,
     val promptWords: Int,
--- a/standins/src/main/kotlin/cowslipcart/standins/hop/HopRunner.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/hop/HopRunner.kt
@@ -20,7 +20,10 @@
     private val random = Random(plan.seed)
 
     /** Runs all levels and returns their figures. */
-    suspend fun run(): List<LevelFiguresJson> = plan.levels.map { runLevel(it) }
+    suspend fun run(): List<LevelFiguresJson> {
+        runLevel(plan.warmUp)
+        return plan.levels.map { runLevel(it) }
+    }
 
     private suspend fun runLevel(level: HopLevel): LevelFiguresJson {
         val statistics = HopPath.entries.associateWith { PathStatistics() }
--- a/standins/src/test/kotlin/cowslipcart/standins/hop/HopRunnerTest.kt
+++ b/standins/src/test/kotlin/cowslipcart/standins/hop/HopRunnerTest.kt
@@ -32,14 +32,24 @@
                 }
             }
             val targets = servers.map { checkNotNull(LoadTarget.parse(it.url).getOrNull()) }
-            val plan = HopPlan(targets[0], targets[1], listOf(HopLevel(3, 2)), 1, 4, 2, 0, 1)
+            val plan = HopPlan(
+                engine = targets[0],
+                daemon = targets[1],
+                warmUp = HopLevel(1, 1),
+                levels = listOf(HopLevel(3, 2)),
+                warmUpRounds = 1,
+                promptWords = 4,
+                maxTokens = 2,
+                spreadMs = 0,
+                seed = 1
+            )
 
             val level = LoadClient("t", 30_000).use { client ->
                 runBlocking { HopRunner(plan, client).run() }
             }.single()
             servers.forEach { it.close() }
 
-            assertEquals(9, bodies[0].size)
+            assertEquals(2 + 9, bodies[0].size)
             assertEquals(bodies[0].sorted(), bodies[1].sorted())
             assertEquals(6, level.direct.failed)
             assertEquals(6, level.daemon.failed)
