Name the earlier endpoints in crash reports, and pass over orders in scenarios

Cause: the reporter of a crash did not fill the endpoints that the content crashed before, so hosts that received two reports in the wrong order did not quarantine it; scenarios did not know order effects. Change: the field is filled and carried; scenarios ignore orders.

--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -419,7 +419,8 @@
             effect.crashId,
             effect.endpoint,
             listOf(effect.fingerprint),
-            effect.ranAlone
+            effect.ranAlone,
+            if (effect.ranAlone) suspects.crashedEndpoints(effect.fingerprint) else emptySet()
         )
         suspects.onCrash(report, nowMs)
         if (crashes.spread(report, nowMs)) {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
@@ -14,6 +14,7 @@
 import cowslipcart.core.node.NodeController
 import cowslipcart.core.node.NodeEffect
 import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.OrderEffect
 import cowslipcart.core.origin.RequestOutcome
 
 /** One process of an entry host: the real control state with faked input and output. */
@@ -135,6 +136,8 @@
                     effect.decision.reason
             )
 
+            // No scenario declares a state that endpoints are ordered into.
+            is OrderEffect,
             NodeEffect.ReadConfigNow,
             is NodeEffect.PublishHosts,
             is NodeEffect.ForgetPeer
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -56,7 +56,8 @@
             crashId,
             EndpointId(endpoint),
             fingerprints.map { Fingerprint(it) },
-            ranAlone
+            ranAlone,
+            earlierEndpoints.mapTo(mutableSetOf()) { EndpointId(it) }
         )
     )
 
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -161,7 +161,8 @@
     @SerialName("c") val crashId: String,
     @SerialName("e") val endpoint: String,
     @SerialName("f") val fingerprints: List<String>,
-    @SerialName("a") val ranAlone: Boolean
+    @SerialName("a") val ranAlone: Boolean,
+    @SerialName("p") val earlierEndpoints: List<String> = emptyList()
 ) : PeerMessageDocument
 
 @Serializable
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -42,7 +42,8 @@
         report.crashId,
         report.endpoint.value,
         report.fingerprints.map { it.value },
-        report.ranAlone
+        report.ranAlone,
+        report.earlierEndpoints.map { it.value }
     )
 
     is PeerMessage.CrashAck -> CrashAckMessage(crashId)
--- a/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
@@ -119,7 +119,13 @@
         PeerMessage.KeyQuery(RequestId("r"), key),
         PeerMessage.KeyReply(RequestId("r"), KeyStanding.RUNNING),
         PeerMessage.CrashNotice(
-            CrashReport("c", EndpointId("e"), listOf(Fingerprint("f")), true)
+            CrashReport(
+                "c",
+                EndpointId("e"),
+                listOf(Fingerprint("f")),
+                true,
+                setOf(EndpointId("d"))
+            )
         ),
         PeerMessage.CrashAck("c"),
         PeerMessage.ConfigFetch,
