--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Traffic.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Traffic.kt
@@ -151,10 +151,8 @@
         var firstTokenAtMs: Long? = null
     }
 
-    private inner class Listener(
-        private val session: Session,
-        private val exchange: Exchange
-    ) : StreamListener {
+    private inner class Listener(private val session: Session, private val exchange: Exchange) :
+        StreamListener {
         override fun onEvent(sequence: Int, text: String) = arrive {
             if (session.exchange !== exchange) return@arrive
             if (exchange.firstTokenAtMs == null) exchange.firstTokenAtMs = time.nowMs
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
@@ -130,7 +130,11 @@
     }
 
     /** Asks [host] for the outcome of a request and returns a lookup of the answer. */
-    fun ask(host: HostId, organisation: OrganisationId, requestId: RequestId): () -> RequestOutcome? {
+    fun ask(
+        host: HostId,
+        organisation: OrganisationId,
+        requestId: RequestId
+    ): () -> RequestOutcome? {
         val queryId = ++queryCount
         val process = processes[host]
         process?.input(NodeInput.FindOutcome(queryId, organisation, requestId))
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/History.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/History.kt
@@ -8,10 +8,7 @@
 import kotlin.random.Random
 
 /** A random sequence of calls and faults; the same [seed] gives the same history. */
-internal class History(
-    seed: Long,
-    createController: ControllerFactory = ::createNodeController
-) {
+internal class History(seed: Long, createController: ControllerFactory = ::createNodeController) {
     private val random = Random(seed)
     val world = World(
         WorldSetup(
