--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -8,11 +8,8 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.origin.CallerRequest
-import cowslipcart.core.origin.KeyStanding
-import cowslipcart.core.origin.OriginEffect
 import cowslipcart.core.origin.Rejection
 import cowslipcart.core.origin.createOriginController
-import cowslipcart.core.quarantine.CrashReport
 import cowslipcart.core.quarantine.Standing
 import cowslipcart.core.quarantine.createSuspectRegistry
 import kotlin.random.Random
@@ -37,6 +34,8 @@
         config.configuration.pools[request.pool]?.shardCount ?: 1
     }
     private val orders = OrderDesk(process, random, outbox)
+    private val requests =
+        OriginDesk(origin, config, shards, claims, crashes, inquiries, suspects, outbox)
     private val outcomes = OutcomeDesk(process, origin, membership, outbox)
     private var hostsPublishedAtMs = Long.MIN_VALUE / 2
     private val knownOwners = HashMap<ShardId, HostId?>()
@@ -57,13 +56,13 @@
         when (input) {
             is NodeInput.Start -> onStart(input.request, nowMs)
 
-            is NodeInput.CallerGone -> applyOrigin(
+            is NodeInput.CallerGone -> requests.perform(
                 origin.onCallerGone(input.requestId, nowMs),
                 nowMs
             )
 
             is NodeInput.StreamEnded ->
-                applyOrigin(origin.onStreamEnd(input.requestId, input.end, nowMs), nowMs)
+                requests.perform(origin.onStreamEnd(input.requestId, input.end, nowMs), nowMs)
 
             is NodeInput.StreamProgress -> input.reports.forEach { (shard, reports) ->
                 outbox.send(shards.ownerOf(shard), PeerMessage.CapacityProgress(shard, reports))
@@ -98,7 +97,7 @@
 
             is NodeInput.Drain -> {
                 applyMembership(membership.leave(nowMs), nowMs)
-                applyOrigin(origin.drain(input.limitMs, nowMs), nowMs)
+                requests.perform(origin.drain(input.limitMs, nowMs), nowMs)
             }
 
             is NodeInput.Tick -> onTick(input.wallNowMs, nowMs)
@@ -147,7 +146,7 @@
 
             is PeerMessage.KeyReply ->
                 inquiries.onReply(from, message.requestId, message.standing)?.let {
-                    applyOrigin(origin.onKeyStanding(message.requestId, it, nowMs), nowMs)
+                    requests.perform(origin.onKeyStanding(message.requestId, it, nowMs), nowMs)
                 }
 
             is PeerMessage.CrashNotice -> {
@@ -156,7 +155,7 @@
             }
 
             is PeerMessage.CrashAck -> if (crashes.onAck(from, message.crashId)) {
-                applyOrigin(origin.onCrashSpread(message.crashId, nowMs), nowMs)
+                requests.perform(origin.onCrashSpread(message.crashId, nowMs), nowMs)
             }
 
             PeerMessage.ConfigFetch -> outbox.send(
@@ -196,7 +195,7 @@
 
             else -> error("expected a reply to an origin, found $message")
         }
-        applyOrigin(effects, nowMs)
+        requests.perform(effects, nowMs)
     }
 
     private fun onStart(request: CallerRequest, nowMs: Long) {
@@ -214,7 +213,7 @@
             reject(request, rejection)
             return
         }
-        applyOrigin(origin.start(request, standing == Standing.SUSPECT, nowMs), nowMs)
+        requests.perform(origin.start(request, standing == Standing.SUSPECT, nowMs), nowMs)
     }
 
     private fun reject(request: CallerRequest, rejection: Rejection) {
@@ -241,8 +240,10 @@
     private fun onTick(wallNowMs: Long, nowMs: Long) {
         inquiries.onTick(wallNowMs)
         applyMembership(membership.tick(config.state.nextOffset, nowMs), nowMs)
-        applyOrigin(origin.tick(nowMs), nowMs)
-        crashes.takeExpired(nowMs).forEach { applyOrigin(origin.onCrashSpread(it, nowMs), nowMs) }
+        requests.perform(origin.tick(nowMs), nowMs)
+        crashes.takeExpired(nowMs).forEach {
+            requests.perform(origin.onCrashSpread(it, nowMs), nowMs)
+        }
         claims.tick(wallNowMs, nowMs)
         config.tick(wallNowMs, nowMs)
         quota.tick(nowMs)
@@ -298,7 +299,7 @@
         for (shard in shards.allShards()) {
             val owner = shards.ownerOf(shard)
             if (knownOwners.put(shard, owner) != owner) {
-                applyOrigin(origin.onOwnerChanged(shard, nowMs), nowMs)
+                requests.perform(origin.onOwnerChanged(shard, nowMs), nowMs)
             }
         }
     }
@@ -315,119 +316,6 @@
         )
     }
 
-    private fun applyOrigin(effects: List<OriginEffect>, nowMs: Long) {
-        for (effect in effects) applyOrigin(effect, nowMs)
-    }
-
-    private fun applyOrigin(effect: OriginEffect, nowMs: Long) {
-        when (effect) {
-            is OriginEffect.SendClaim ->
-                claims.route(effect.claim, effect.isDurable)?.let { detail ->
-                    val requestId = effect.claim.requestId
-                    applyOrigin(origin.onClaimUndecidable(requestId, detail, nowMs), nowMs)
-                }
-
-            is OriginEffect.SendClaimItem -> claims.routeItem(effect.item, effect.isDurable)
-
-            is OriginEffect.SendOutcomeQuery -> outbox.send(
-                effect.origin.host,
-                PeerMessage.OutcomeQuery(
-                    effect.organisation,
-                    effect.requestId,
-                    effect.origin.incarnation
-                )
-            )
-
-            is OriginEffect.SendKeyQuery -> {
-                val own = origin.standingOf(effect.key, effect.requestId)
-                inquiries.begin(effect.requestId, effect.key, own)?.let { standing ->
-                    applyOrigin(origin.onKeyStanding(effect.requestId, standing, nowMs), nowMs)
-                }
-            }
-
-            is OriginEffect.ReportCrash -> onCrash(effect, nowMs)
-
-            is OriginEffect.ReportCompleted -> suspects.onCompleted(effect.fingerprint, nowMs)
-
-            is OriginEffect.SendAsk,
-            is OriginEffect.SendCancelAsk,
-            is OriginEffect.SendReleased,
-            is OriginEffect.SendGaveWay,
-            is OriginEffect.SendRunning -> sendToOwner(effect)
-
-            is OriginEffect.Dispatch -> dispatch(effect, nowMs)
-
-            is OriginEffect.InterruptStream ->
-                outbox.emit(NodeEffect.InterruptStream(effect.requestId))
-
-            is OriginEffect.CancelStream -> outbox.emit(NodeEffect.CancelStream(effect.requestId))
-
-            is OriginEffect.Reject -> {
-                inquiries.forget(effect.requestId)
-                outbox.emit(NodeEffect.Reject(effect.requestId, effect.rejection))
-            }
-
-            is OriginEffect.Replay ->
-                outbox.emit(NodeEffect.Replay(effect.requestId, effect.answer))
-        }
-    }
-
-    private fun sendToOwner(effect: OriginEffect) {
-        val (shard, message) = when (effect) {
-            is OriginEffect.SendAsk ->
-                effect.shard to
-                    PeerMessage.AskCapacity(effect.shard, effect.request, effect.askCount)
-
-            is OriginEffect.SendCancelAsk ->
-                effect.shard to PeerMessage.CancelAsk(effect.shard, effect.requestId)
-
-            is OriginEffect.SendReleased ->
-                effect.shard to PeerMessage.CapacityReleased(effect.shard, effect.report)
-
-            is OriginEffect.SendGaveWay ->
-                effect.shard to PeerMessage.GaveWay(effect.shard, effect.report, effect.resume)
-
-            is OriginEffect.SendRunning ->
-                effect.shard to PeerMessage.RunningReport(effect.shard, effect.running)
-
-            else -> error("expected a message to a shard owner, found $effect")
-        }
-        outbox.send(shards.ownerOf(shard), message)
-    }
-
-    /** An endpoint that is no longer declared gets no request; its grant counts as not run. */
-    private fun dispatch(effect: OriginEffect.Dispatch, nowMs: Long) {
-        val endpoint = config.configuration.findEndpoint(effect.endpoint)
-        if (endpoint == null) {
-            val end = notDeclared(effect.grantId)
-            applyOrigin(origin.onStreamEnd(effect.requestId, end, nowMs), nowMs)
-            return
-        }
-        outbox.emit(
-            NodeEffect.Dispatch(
-                effect.requestId,
-                effect.grantId,
-                effect.shard,
-                endpoint,
-                effect.isResume
-            )
-        )
-    }
-
-    private fun onCrash(effect: OriginEffect.ReportCrash, nowMs: Long) {
-        val report = CrashReport(
-            effect.crashId,
-            effect.endpoint,
-            listOf(effect.fingerprint),
-            effect.ranAlone,
-            if (effect.ranAlone) suspects.crashedEndpoints(effect.fingerprint) else emptySet()
-        )
-        suspects.onCrash(report, nowMs)
-        if (crashes.spread(report, nowMs)) {
-            applyOrigin(origin.onCrashSpread(effect.crashId, nowMs), nowMs)
-        }
-    }
-
     private companion object {
         /** Operators see the state of hosts with this delay. */
         const val HOSTS_INTERVAL_MS = 500L
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/node/OriginDesk.kt
@@ -0,0 +1,132 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.origin.OriginController
+import cowslipcart.core.origin.OriginEffect
+import cowslipcart.core.quarantine.CrashReport
+import cowslipcart.core.quarantine.SuspectRegistry
+
+/** Carries the effects of the origin to the other parts of the host and to its peers. */
+internal class OriginDesk(
+    private val origin: OriginController,
+    private val config: ConfigDesk,
+    private val shards: ShardDesk,
+    private val claims: ClaimDesk,
+    private val crashes: CrashDesk,
+    private val inquiries: KeyInquiryDesk,
+    private val suspects: SuspectRegistry,
+    private val outbox: Outbox
+) {
+    /** Performs [effects] in order; those that need an answer at once feed it back to the origin. */
+    fun perform(effects: List<OriginEffect>, nowMs: Long) {
+        for (effect in effects) perform(effect, nowMs)
+    }
+
+    private fun perform(effect: OriginEffect, nowMs: Long) {
+        when (effect) {
+            is OriginEffect.SendClaim ->
+                claims.route(effect.claim, effect.isDurable)?.let { detail ->
+                    val requestId = effect.claim.requestId
+                    perform(origin.onClaimUndecidable(requestId, detail, nowMs), nowMs)
+                }
+
+            is OriginEffect.SendClaimItem -> claims.routeItem(effect.item, effect.isDurable)
+
+            is OriginEffect.SendOutcomeQuery -> outbox.send(
+                effect.origin.host,
+                PeerMessage.OutcomeQuery(
+                    effect.organisation,
+                    effect.requestId,
+                    effect.origin.incarnation
+                )
+            )
+
+            is OriginEffect.SendKeyQuery -> {
+                val own = origin.standingOf(effect.key, effect.requestId)
+                inquiries.begin(effect.requestId, effect.key, own)?.let { standing ->
+                    perform(origin.onKeyStanding(effect.requestId, standing, nowMs), nowMs)
+                }
+            }
+
+            is OriginEffect.ReportCrash -> onCrash(effect, nowMs)
+
+            is OriginEffect.ReportCompleted -> suspects.onCompleted(effect.fingerprint, nowMs)
+
+            is OriginEffect.SendAsk,
+            is OriginEffect.SendCancelAsk,
+            is OriginEffect.SendReleased,
+            is OriginEffect.SendGaveWay,
+            is OriginEffect.SendRunning -> sendToOwner(effect)
+
+            is OriginEffect.Dispatch -> dispatch(effect, nowMs)
+
+            is OriginEffect.InterruptStream ->
+                outbox.emit(NodeEffect.InterruptStream(effect.requestId))
+
+            is OriginEffect.CancelStream -> outbox.emit(NodeEffect.CancelStream(effect.requestId))
+
+            is OriginEffect.Reject -> {
+                inquiries.forget(effect.requestId)
+                outbox.emit(NodeEffect.Reject(effect.requestId, effect.rejection))
+            }
+
+            is OriginEffect.Replay ->
+                outbox.emit(NodeEffect.Replay(effect.requestId, effect.answer))
+        }
+    }
+
+    private fun sendToOwner(effect: OriginEffect) {
+        val (shard, message) = when (effect) {
+            is OriginEffect.SendAsk ->
+                effect.shard to
+                    PeerMessage.AskCapacity(effect.shard, effect.request, effect.askCount)
+
+            is OriginEffect.SendCancelAsk ->
+                effect.shard to PeerMessage.CancelAsk(effect.shard, effect.requestId)
+
+            is OriginEffect.SendReleased ->
+                effect.shard to PeerMessage.CapacityReleased(effect.shard, effect.report)
+
+            is OriginEffect.SendGaveWay ->
+                effect.shard to PeerMessage.GaveWay(effect.shard, effect.report, effect.resume)
+
+            is OriginEffect.SendRunning ->
+                effect.shard to PeerMessage.RunningReport(effect.shard, effect.running)
+
+            else -> error("expected a message to a shard owner, found $effect")
+        }
+        outbox.send(shards.ownerOf(shard), message)
+    }
+
+    /** An endpoint that is no longer declared gets no request; its grant counts as not run. */
+    private fun dispatch(effect: OriginEffect.Dispatch, nowMs: Long) {
+        val endpoint = config.configuration.findEndpoint(effect.endpoint)
+        if (endpoint == null) {
+            val end = notDeclared(effect.grantId)
+            perform(origin.onStreamEnd(effect.requestId, end, nowMs), nowMs)
+            return
+        }
+        outbox.emit(
+            NodeEffect.Dispatch(
+                effect.requestId,
+                effect.grantId,
+                effect.shard,
+                endpoint,
+                effect.isResume
+            )
+        )
+    }
+
+    private fun onCrash(effect: OriginEffect.ReportCrash, nowMs: Long) {
+        val report = CrashReport(
+            effect.crashId,
+            effect.endpoint,
+            listOf(effect.fingerprint),
+            effect.ranAlone,
+            if (effect.ranAlone) suspects.crashedEndpoints(effect.fingerprint) else emptySet()
+        )
+        suspects.onCrash(report, nowMs)
+        if (crashes.spread(report, nowMs)) {
+            perform(origin.onCrashSpread(effect.crashId, nowMs), nowMs)
+        }
+    }
+}
