Format the system tests and report which hosts a daemon knows

Cause: a failed wait did not show what was found; the give-way test did not fill the engine. Change: waits name the value found; more and longer low-tier streams; formatter run. The changed give-way load and the formatted files have not been run.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
@@ -17,8 +17,8 @@
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
-import io.ktor.server.routing.RoutingFailureStatusCode
 import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.RoutingFailureStatusCode
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/BadInputTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/BadInputTest.kt
@@ -54,8 +54,10 @@
         assertEquals(problem, answer.problem, "$case: $answer")
     }
 
-    private suspend fun sendChat(body: ByteArray, headers: List<Pair<String, String>> = emptyList()) =
-        HttpCaller.send(daemon.chatRequest(body, headers))
+    private suspend fun sendChat(
+        body: ByteArray,
+        headers: List<Pair<String, String>> = emptyList()
+    ) = HttpCaller.send(daemon.chatRequest(body, headers))
 
     private suspend fun assertBadChat(body: String, status: Int = 400) =
         assertProblem(sendChat(body.encodeToByteArray()), status, "bad-request", body.take(120))
@@ -114,7 +116,14 @@
         @Test
         fun `numbers that make no sense are refused`() = runBlocking {
             val numbers = listOf(
-                "-1", "0", "1000001", "99999999999999999999", "1.5", "\"5\"", "null", "[]"
+                "-1",
+                "0",
+                "1000001",
+                "99999999999999999999",
+                "1.5",
+                "\"5\"",
+                "null",
+                "[]"
             )
             for (number in numbers) {
                 assertBadChat(
@@ -147,7 +156,8 @@
                 valid + DaemonHandle.bearer("wrong")
             )
             for (headers in cases) {
-                val request = HttpRequestData("${daemon.url}/v1/chat/completions", "POST", headers, chat)
+                val request =
+                    HttpRequestData("${daemon.url}/v1/chat/completions", "POST", headers, chat)
                 assertProblem(HttpCaller.send(request), 401, "unauthenticated", "$headers")
             }
         }
@@ -360,7 +370,8 @@
         @Test
         fun `a frame that cannot be decoded gets an error and the connection is kept`() {
             connectAsPeer().use { socket ->
-                val cases = listOf(ByteArray(0), ByteArray(8), ByteArray(200) { -1 }, "text".toByteArray())
+                val cases =
+                    listOf(ByteArray(0), ByteArray(8), ByteArray(200) { -1 }, "text".toByteArray())
                 for (case in cases) {
                     socket.send(frame(case))
                     assertNotNull(socket.readFrame(), "expected an error for ${case.size} bytes")
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
@@ -82,8 +82,10 @@
         val addresses = daemons.map { "127.0.0.1:${it.peerPort}" }.toSet()
         daemons.forEach { daemon ->
             awaitTrue("${daemon.hostId} to be ready", LONG_BOUND_MS) { daemon.isReady() }
-            awaitTrue("${daemon.hostId} to know the hosts at $addresses", LONG_BOUND_MS) {
-                daemon.hosts().filter { it.isOwner }.map { it.peerAddress }.toSet() == addresses
+            var found = emptySet<String>()
+            awaitTrue({ "${daemon.hostId} to know $addresses, found $found" }, LONG_BOUND_MS) {
+                found = daemon.hosts().filter { it.isOwner }.map { it.peerAddress }.toSet()
+                found == addresses
             }
         }
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/DaemonHandle.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/DaemonHandle.kt
@@ -30,15 +30,12 @@
         token: String = SampleDeclarations.PARKS_TOKEN
     ) = HttpRequestData("$url/v1/chat/completions", headers = bearer(token) + headers, body = body)
 
-    fun signOffRequest(
-        key: String?,
-        body: String,
-        token: String = SampleDeclarations.PARKS_TOKEN
-    ) = HttpRequestData(
-        "$url/services/records/sign-offs",
-        headers = bearer(token) + listOfNotNull(key?.let { "Idempotency-Key" to it }),
-        body = body.encodeToByteArray()
-    )
+    fun signOffRequest(key: String?, body: String, token: String = SampleDeclarations.PARKS_TOKEN) =
+        HttpRequestData(
+            "$url/services/records/sign-offs",
+            headers = bearer(token) + listOfNotNull(key?.let { "Idempotency-Key" to it }),
+            body = body.encodeToByteArray()
+        )
 
     suspend fun signOff(key: String?, body: String): HttpAnswer =
         HttpCaller.send(signOffRequest(key, body))
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -95,7 +95,8 @@
             return ManagedProcess(name, builder.start(), output)
         }
 
-        private fun javaCommand() = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        private fun javaCommand() =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString()
 
         private val JVM_OPTIONS = listOf("-Xmx160m", "-XX:TieredStopAtLevel=1")
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/Polling.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/Polling.kt
@@ -16,7 +16,7 @@
 
 /** Repeats [probe] until it returns a value; fails with [expected] after [boundMs]. */
 internal suspend fun <T : Any> awaitValue(
-    expected: String,
+    expected: () -> String,
     boundMs: Long = SHORT_BOUND_MS,
     probe: suspend () -> T?
 ): T {
@@ -25,14 +25,28 @@
         probe()?.let { return it }
         delay(POLL_INTERVAL_MS)
     }
-    return probe() ?: fail("expected $expected within $boundMs ms")
+    return probe() ?: fail("expected ${expected()} within $boundMs ms")
 }
 
+/** Repeats [probe] until it returns a value; fails with [expected] after [boundMs]. */
+internal suspend fun <T : Any> awaitValue(
+    expected: String,
+    boundMs: Long = SHORT_BOUND_MS,
+    probe: suspend () -> T?
+): T = awaitValue({ expected }, boundMs, probe)
+
 /** Repeats [probe] until it holds; fails with [expected] after [boundMs]. */
 internal suspend fun awaitTrue(
-    expected: String,
+    expected: () -> String,
     boundMs: Long = SHORT_BOUND_MS,
     probe: suspend () -> Boolean
 ) {
     awaitValue(expected, boundMs) { if (probe()) Unit else null }
 }
+
+/** Repeats [probe] until it holds; fails with [expected] after [boundMs]. */
+internal suspend fun awaitTrue(
+    expected: String,
+    boundMs: Long = SHORT_BOUND_MS,
+    probe: suspend () -> Boolean
+) = awaitTrue({ expected }, boundMs, probe)
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/SettingsTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/SettingsTest.kt
@@ -40,8 +40,14 @@
             val (status, output) = run(Program.DAEMON)
             assertEquals(2, status, output)
             val flags = listOf(
-                "--host-id", "--failure-domain", "--http-listen", "--peer-listen", "--log-url",
-                "--host-list-url", "--peer-secret", "--operator-token"
+                "--host-id",
+                "--failure-domain",
+                "--http-listen",
+                "--peer-listen",
+                "--log-url",
+                "--host-list-url",
+                "--peer-secret",
+                "--operator-token"
             )
             assertEquals(emptyList(), flags.filter { it !in output }, output)
         }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffCaller.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffCaller.kt
@@ -26,11 +26,8 @@
             val answer = HttpCaller.trySend(daemon.signOffRequest(key, body), timeoutMs) ?: continue
             when {
                 answer.status == 201 -> return SignOffResult.Answered(answer.body)
-
                 answer.problem == "not-run" -> return SignOffResult.NotRun
-
                 answer.problem == "outcome-unknown" -> Unit
-
                 else -> error("expected an answer, not-run or outcome-unknown, found $answer")
             }
         }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
@@ -65,38 +65,43 @@
         @Test
         fun `low-tier streams that give way to top-tier requests are still whole`() = runBlocking {
             val faults = withContext(Dispatchers.Default) {
-                val counts = IntArray(LOW_COUNT)
                 val low = (0 until LOW_COUNT).map { number ->
                     async {
-                        daemonFor(number).streamChat(
-                            "low $number",
-                            LOW_TOKENS,
-                            SampleDeclarations.LOW_TIER
-                        ) { counts[number] = it.eventCount }.findFault("low $number", LOW_TOKENS)
+                        daemonFor(number)
+                            .streamChat("low $number", LOW_TOKENS, SampleDeclarations.LOW_TIER)
+                            .findFault("low $number", LOW_TOKENS)
                     }
                 }
-                awaitTrue("the low-tier streams to fill the engine") { counts.all { it > 0 } }
-                val top = coroutineScope {
-                    (0 until TOP_COUNT).map { number ->
-                        async {
-                            daemonFor(number).streamChat("top $number", TOKENS)
-                                .findFault("top $number", TOKENS)
-                        }
-                    }.awaitAll()
-                }
+                awaitTrue("low-tier streams on the engine") { isRunningOnEngine() }
+                val top = mutableListOf<String?>()
+                while (!hasGivenWay() && low.any { it.isActive }) top += sendTopWave(top.size)
                 top + low.awaitAll()
             }
             assertEquals(emptyList(), faults.filterNotNull())
-            val journal = cluster.engines.first().get("/journal")
-            assertTrue("cancelled" in journal, "expected a stream that gave way, found $journal")
+            assertTrue(hasGivenWay(), "expected a stream that gave way, found none")
+        }
+
+        private suspend fun isRunningOnEngine(): Boolean =
+            "\"running\":0" !in cluster.engines.first().get("/load")
+
+        private suspend fun hasGivenWay(): Boolean =
+            "cancelled" in cluster.engines.first().get("/journal")
+
+        private suspend fun sendTopWave(firstNumber: Int): List<String?> = coroutineScope {
+            (firstNumber until firstNumber + TOP_COUNT).map { number ->
+                async {
+                    daemonFor(number).streamChat("top $number", TOKENS)
+                        .findFault("top $number", TOKENS)
+                }
+            }.awaitAll()
         }
     }
 
     private companion object {
         const val REQUEST_COUNT = 60
         const val TOKENS = 12
-        const val LOW_COUNT = 4
-        const val LOW_TOKENS = 250
-        const val TOP_COUNT = 6
+        const val LOW_COUNT = 30
+        const val LOW_TOKENS = 600
+        const val TOP_COUNT = 12
     }
 }
