Keep a peer connection after its socket cancelled a channel

Cause: suspected only: an exception for cancellation from a closed socket's channel ends the sender of an address for good, so a resumed host and a restarted one do not hear each other. Change: cancellation ends the sender only if its own scope ended. Result: it compiles; not run.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerConnection.kt
@@ -10,10 +10,13 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
@@ -46,9 +49,12 @@
                 metrics.peerErrors.labelValues("connection").inc()
                 log.debug("connection to peer {} failed: {}", address, e.message)
                 delay(RETRY_DELAY_MS)
-            } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
-                metrics.peerErrors.labelValues("timeout").inc()
-                log.debug("connection to peer {} timed out: {}", address, e.message)
+            } catch (e: CancellationException) {
+                // A timeout or a channel that its socket cancelled; only the end of the scope ends
+                // this connection.
+                currentCoroutineContext().ensureActive()
+                metrics.peerErrors.labelValues("cancelled").inc()
+                log.debug("connection to peer {} was cancelled: {}", address, e.message)
                 delay(RETRY_DELAY_MS)
             }
         }
