--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
@@ -26,13 +26,19 @@
     /** Queues [message]; never blocks. */
     fun send(to: HostId, address: String, message: PeerMessage) {
         addresses[to] = address
-        val peer = peers.computeIfAbsent(address) {
-            val connection = PeerConnection(self, address, handshake, selector, metrics)
-            Peer(connection, connection.start(scope))
-        }
+        val peer = checkNotNull(
+            peers.compute(address) { _, known ->
+                known?.takeIf { it.job.isActive } ?: open(address)
+            }
+        )
         peer.connection.send(PeerCodec.encode(self, message))
     }
 
+    private fun open(address: String): Peer {
+        val connection = PeerConnection(self, address, handshake, selector, metrics)
+        return Peer(connection, connection.start(scope))
+    }
+
     /** Closes the connection to a host that was declared dead. */
     fun forget(host: HostId) {
         val address = addresses.remove(host) ?: return
