--- a/core/src/main/kotlin/cowslipcart/core/origin/ClaimPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/ClaimPhase.kt
@@ -97,6 +97,10 @@
         ) + table.releaseClaim(tracked)
     }
 
+    /**
+     * Takes what became of the attempt that holds the key. If that attempt was not run, another copy
+     * of the request may have won the key since, so all hosts are asked before "not run" is said.
+     */
     fun onOutcome(
         tracked: TrackedRequest,
         state: RequestState.Querying,
@@ -112,10 +116,8 @@
                 Rejection.StillRunning("an earlier attempt is still running", RETRY_AFTER_MS)
             )
 
-            RequestOutcome.NotRun -> OriginEffect.Reject(
-                id,
-                Rejection.NotRun("the earlier attempt was not run", RETRY_AFTER_MS)
-            )
+            RequestOutcome.NotRun ->
+                return giveUp(tracked, "the earlier attempt was not run", nowMs)
 
             RequestOutcome.Unknown -> recordedOrUnknown(id, state.held.answer)
         }
--- a/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
@@ -136,6 +136,20 @@
 
             assertIs<Rejection.StillRunning>(effects.rejection())
         }
+
+        @Test
+        fun `a holder that was not run does not speak for other copies of the request`() {
+            fixture.start(fixture.request(key = "k"))
+            val held = ClaimVerdict.Held(AttemptId("other"), fixture.self, null)
+            origin.onClaimVerdict(attempt, held, 5)
+
+            val asked =
+                origin.onOutcome(organisation, RequestId("other"), RequestOutcome.NotRun, 6)
+            asked.only<OriginEffect.SendKeyQuery>()
+            val effects = origin.onKeyStanding(id, KeyStanding.UNKNOWN, 7)
+
+            assertIs<Rejection.OutcomeUnknown>(effects.rejection())
+        }
     }
 
     @Nested
