Give a dispatch back that a paused host would send too late

Change: the session gives a dispatch back as not run if more than 0.5 s passed since the decision. Before: sent at any age; after: two specs, sent after 100 ms, given back after 2 s. A pause between this check and the first byte remains.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -121,6 +121,7 @@
     }
 
     private fun effectRunner() = EffectRunner(
+        clock,
         published,
         registry,
         peers,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
@@ -12,6 +12,7 @@
 
 /** Performs the effects of control by handing them to traffic; nothing here waits. */
 internal class EffectRunner(
+    private val clock: RuntimeClock,
     private val published: PublishedState,
     private val registry: SessionRegistry,
     private val peers: PeerNetwork,
@@ -36,7 +37,8 @@
                     effect.grantId,
                     effect.shard,
                     effect.endpoint,
-                    effect.isResume
+                    effect.isResume,
+                    clock.nowMs()
                 )
             )
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
@@ -113,7 +113,7 @@
         key?.let { AnswerRecorder(AnswerRecorder.MAX_BYTES) }
 
     private fun newSession(request: CallerRequest, exchange: Exchange) =
-        RequestSession(request, exchange, control, registry::remove)
+        RequestSession(request, exchange, context.clock, control, registry::remove)
 
     private suspend fun serve(
         call: ApplicationCall,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/session/RequestSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/session/RequestSession.kt
@@ -1,11 +1,14 @@
 package cowslipcart.daemon.session
 
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.node.NodeInput
 import cowslipcart.core.origin.CallerRequest
 import cowslipcart.core.origin.StreamEnd
+import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.endpoint.Exchange
 import cowslipcart.daemon.endpoint.ExchangeStart
 import kotlinx.coroutines.CancellationException
@@ -22,6 +25,7 @@
 internal class RequestSession(
     val request: CallerRequest,
     private val exchange: Exchange,
+    private val clock: RuntimeClock,
     private val control: (NodeInput) -> Unit,
     private val onEnd: (RequestId) -> Unit
 ) {
@@ -82,10 +86,7 @@
     }
 
     private suspend fun runExchange(command: SessionCommand.Dispatch) {
-        val start = ExchangeStart(command.endpoint, command.grantId, command.isResume)
-        running = RunningExchange(command.shard, command.grantId)
-        val end = exchange.run(start, ::write)
-        running = null
+        val end = if (isOverdue(command)) overdue(command) else exchange(command)
         control(NodeInput.StreamEnded(request.requestId, end))
         when (end) {
             is StreamEnd.Completed, is StreamEnd.CallerGone -> commands.close()
@@ -95,6 +96,25 @@
         }
     }
 
+    private suspend fun exchange(command: SessionCommand.Dispatch): StreamEnd {
+        val start = ExchangeStart(command.endpoint, command.grantId, command.isResume)
+        running = RunningExchange(command.shard, command.grantId)
+        return try {
+            exchange.run(start, ::write)
+        } finally {
+            running = null
+        }
+    }
+
+    /** Whether the process was paused after the decision, so that the endpoint may have left. */
+    private fun isOverdue(command: SessionCommand.Dispatch): Boolean =
+        !command.isResume && clock.nowMs() - command.decidedAtMs > MAX_DISPATCH_DELAY_MS
+
+    private fun overdue(command: SessionCommand.Dispatch): StreamEnd {
+        val report = GrantReport(command.grantId, GrantEnd.UNUSED, 0, 0, 0, null, 0)
+        return StreamEnd.ProvenNotRun(report, "this host was paused before it sent the request")
+    }
+
     /** Output to a caller that left is dropped. */
     private suspend fun write(part: CallerOutput) {
         try {
@@ -110,6 +130,12 @@
     private companion object {
         /** Bounds the memory of a slow caller; the endpoint's stream waits meanwhile. */
         const val OUTPUT_CAPACITY = 64
+
+        /**
+         * Together with the 1.5 s of a grant and the 0.5 s between two load polls it keeps new work
+         * away from a leaving endpoint within the bound of 3 s.
+         */
+        const val MAX_DISPATCH_DELAY_MS = 500L
     }
 }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/session/SessionCommand.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/session/SessionCommand.kt
@@ -8,11 +8,13 @@
 
 /** What control tells the session of a request to do. */
 internal sealed interface SessionCommand {
+    /** [decidedAtMs] is the time of control's decision by the clock of the process. */
     data class Dispatch(
         val grantId: GrantId,
         val shard: ShardId,
         val endpoint: EndpointSpec,
-        val isResume: Boolean
+        val isResume: Boolean,
+        val decidedAtMs: Long
     ) : SessionCommand
 
     data class Reject(val rejection: Rejection) : SessionCommand
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/session/RequestSessionTest.kt
@@ -0,0 +1,122 @@
+package cowslipcart.daemon.session
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.origin.CallerRequest
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.endpoint.Exchange
+import cowslipcart.daemon.endpoint.ExchangeStart
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+
+/** Guards against a request that a paused host sends long after the decision to send it. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class RequestSessionTest {
+    private val time = TestTimeSource()
+    private val clock = RuntimeClock(time)
+    private val inputs = mutableListOf<NodeInput>()
+    private val exchange = CountingExchange()
+    private val session = RequestSession(request(), exchange, clock, inputs::add) {}
+
+    @Nested
+    inner class Dispatch {
+        @Test
+        fun `a dispatch in time is sent`() = runTest {
+            dispatchAfter(pauseMs = 100)
+
+            assertEquals(1, exchange.runCount)
+        }
+
+        @Test
+        fun `a dispatch after a pause is given back unsent`() = runTest {
+            dispatchAfter(pauseMs = 2_000)
+
+            val end = inputs.filterIsInstance<NodeInput.StreamEnded>().single().end
+            assertIs<StreamEnd.ProvenNotRun>(end)
+            assertEquals(0, exchange.runCount)
+        }
+    }
+
+    private fun TestScope.dispatchAfter(pauseMs: Long) {
+        session.start(backgroundScope)
+        val decidedAtMs = clock.nowMs()
+        time += pauseMs.milliseconds
+        session.command(
+            SessionCommand.Dispatch(
+                GrantId("g"),
+                ShardId(PoolId("p"), 0),
+                endpoint(),
+                isResume = false,
+                decidedAtMs
+            )
+        )
+        runCurrent()
+    }
+
+    private class CountingExchange : Exchange {
+        var runCount = 0
+        override val receivedTokens = 0
+
+        override suspend fun run(
+            start: ExchangeStart,
+            write: suspend (CallerOutput) -> Unit
+        ): StreamEnd {
+            runCount++
+            val report = GrantReport(start.grantId, GrantEnd.COMPLETED, 0, 0, 0, null, 0)
+            return StreamEnd.Completed(report, null)
+        }
+
+        override suspend fun interrupt() = Unit
+
+        override suspend fun cancel() = Unit
+    }
+
+    private fun request() = CallerRequest(
+        requestId = RequestId("r"),
+        organisation = OrganisationId("o"),
+        tier = Tier(0),
+        pool = PoolId("p"),
+        key = null,
+        isRepeatable = true,
+        isInterruptible = true,
+        fingerprint = Fingerprint("f"),
+        timeLeftMs = null,
+        prefillTokens = 1,
+        outputTokens = 1,
+        prefixBlocks = emptyList()
+    )
+
+    private fun endpoint() = EndpointSpec(
+        id = EndpointId("e"),
+        pool = PoolId("p"),
+        address = "127.0.0.1:1",
+        domain = DomainId("d"),
+        slotCount = 1,
+        budgetTokens = 1,
+        prefillTokensPerS = 1.0,
+        decodeTokensPerS = 1.0,
+        cacheTokens = 0,
+        canResume = false,
+        checksFencing = false
+    )
+}
