Hash prompt prefixes in one place

Cause: the engine stand-in repeated the prefix hashing of the wire module. Change: one sequence of prefix hashes, bounded by the daemon and unbounded in the engine. Result: specs of wire and of the engine model pass.

--- a/standins/src/main/kotlin/cowslipcart/standins/engine/ChatPrompt.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/engine/ChatPrompt.kt
@@ -1,8 +1,8 @@
 package cowslipcart.standins.engine
 
-import cowslipcart.core.capacity.CapacityRequest.Companion.PREFIX_BLOCK_TOKENS
 import cowslipcart.core.membership.stableHash
 import cowslipcart.core.model.PrefixBlock
+import cowslipcart.wire.content.prefixBlocks
 
 /** One message of a chat request. */
 public data class ChatMessage(public val role: String, public val content: String)
@@ -24,20 +24,10 @@
             .toULong().toString(16).padStart(16, '0')
 
     /**
-     * Hashes of the text's prefixes at each multiple of [PREFIX_BLOCK_TOKENS] words. The hash of a
-     * prefix is the stable hash of the previous word's prefix hash in decimal digits (0 before the
-     * first word), a space and the word. Callers of the engine compute the same hashes, so that
-     * they can relate the engine's cache events to their prompts.
+     * Hashes of the text's prefixes. Callers of the engine compute the same hashes, so that they
+     * can relate the engine's cache events to their prompts.
      */
-    public val prefixBlocks: List<PrefixBlock> by lazy {
-        var hash = 0L
-        buildList {
-            words.forEachIndexed { index, word ->
-                hash = stableHash("$hash $word")
-                if ((index + 1) % PREFIX_BLOCK_TOKENS == 0) add(PrefixBlock(hash))
-            }
-        }
-    }
+    public val prefixBlocks: List<PrefixBlock> by lazy { prefixBlocks(words.asSequence()).toList() }
 
     /** Returns the text of output token [sequence]: the content hash, then ` w0`, ` w1` and on. */
     public fun answerToken(sequence: Int): String =
--- a/wire/src/main/kotlin/cowslipcart/wire/content/Content.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/content/Content.kt
@@ -21,18 +21,23 @@
 public fun countTokens(prompt: String): Int = WORD.findAll(prompt).count()
 
 /**
- * Hashes of the prompt's prefixes at each multiple of 64 words, at most [MAX_PREFIX_BLOCKS]; longer
- * prompts are told apart by their length estimate only.
+ * Hashes of the prompt's prefixes, at most [MAX_PREFIX_BLOCKS]; longer prompts are told apart by
+ * their length estimate only.
  */
-public fun prefixBlocksOf(prompt: String): List<PrefixBlock> {
-    val blocks = mutableListOf<PrefixBlock>()
+public fun prefixBlocksOf(prompt: String): List<PrefixBlock> =
+    prefixBlocks(WORD.findAll(prompt).map { it.value }).take(MAX_PREFIX_BLOCKS).toList()
+
+/**
+ * Hashes of the prefixes of [words] at each multiple of 64 words. The hash of a prefix is the
+ * stable hash of the previous word's prefix hash in decimal digits (0 before the first word), a
+ * space and the word.
+ */
+public fun prefixBlocks(words: Sequence<String>): Sequence<PrefixBlock> = sequence {
     var hash = 0L
-    WORD.findAll(prompt).forEachIndexed { index, word ->
-        if (blocks.size == MAX_PREFIX_BLOCKS) return blocks
-        hash = stableHash("$hash ${word.value}")
-        if ((index + 1) % CapacityRequest.PREFIX_BLOCK_TOKENS == 0) blocks += PrefixBlock(hash)
+    words.forEachIndexed { index, word ->
+        hash = stableHash("$hash $word")
+        if ((index + 1) % CapacityRequest.PREFIX_BLOCK_TOKENS == 0) yield(PrefixBlock(hash))
     }
-    return blocks
 }
 
 private val WORD = Regex("\\S+")
