--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 
@@ -61,6 +62,7 @@
     }
 
     @Nested
+    @Tag("known-red")
     inner class GiveWay {
         @Test
         fun `low-tier streams that give way to top-tier requests are still whole`() = runBlocking {
