--- a/standins/src/main/kotlin/cowslipcart/standins/engine/EngineJournal.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/engine/EngineJournal.kt
@@ -10,12 +10,14 @@
  *
  * @property startedAtMs milliseconds since 1970
  * @property endedAtMs time of the last change of [outcome]; null while it runs
+ * @property cancelCount how often its stream was cancelled; a resumed stream keeps the count
  */
 public data class EngineJournalEntry(
     public val id: RequestId,
     public val startedAtMs: Long,
     public val endedAtMs: Long?,
-    public val outcome: JournalOutcome
+    public val outcome: JournalOutcome,
+    public val cancelCount: Int = 0
 )
 
 /**
@@ -44,6 +46,12 @@
     public fun change(id: RequestId, outcome: JournalOutcome, nowMs: Long) {
         val index = lastIndex[id] ?: return
         val endedAtMs = if (outcome == JournalOutcome.RUNNING) null else nowMs
-        list[index] = list[index].copy(outcome = outcome, endedAtMs = endedAtMs)
+        val before = list[index]
+        val addedCount = if (outcome == JournalOutcome.CANCELLED) 1 else 0
+        list[index] = before.copy(
+            outcome = outcome,
+            endedAtMs = endedAtMs,
+            cancelCount = before.cancelCount + addedCount
+        )
     }
 }
--- a/standins/src/main/kotlin/cowslipcart/standins/http/EngineControl.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineControl.kt
@@ -38,7 +38,8 @@
     val id: String,
     @SerialName("started_at_ms") val startedAtMs: Long,
     @SerialName("ended_at_ms") val endedAtMs: Long? = null,
-    val outcome: String
+    val outcome: String,
+    @SerialName("cancel_count") val cancelCount: Int = 0
 )
 
 @Serializable
@@ -146,4 +147,4 @@
     DeploymentJson(model, adapters, version, role.name.lowercase(), fencing?.toString())
 
 internal fun EngineJournalEntry.toJson() =
-    JournalJson(id.value, startedAtMs, endedAtMs, outcome.name.lowercase())
+    JournalJson(id.value, startedAtMs, endedAtMs, outcome.name.lowercase(), cancelCount)
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerTest.kt
@@ -15,7 +15,6 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestInstance
 
@@ -62,7 +61,6 @@
     }
 
     @Nested
-    @Tag("known-red")
     inner class GiveWay {
         @Test
         fun `low-tier streams that give way to top-tier requests are still whole`() = runBlocking {
@@ -86,8 +84,9 @@
         private suspend fun isRunningOnEngine(): Boolean =
             "\"running\":0" !in cluster.engines.first().get("/load")
 
+        // The outcome does not show it, as a resumed stream runs again.
         private suspend fun hasGivenWay(): Boolean =
-            "cancelled" in cluster.engines.first().get("/journal")
+            CANCELLED_ENTRY in cluster.engines.first().get("/journal")
 
         private suspend fun sendTopWave(firstNumber: Int): List<String?> = coroutineScope {
             (firstNumber until firstNumber + TOP_COUNT).map { number ->
@@ -105,5 +104,6 @@
         const val LOW_COUNT = 30
         const val LOW_TOKENS = 600
         const val TOP_COUNT = 12
+        val CANCELLED_ENTRY = Regex("\"cancel_count\":[1-9]")
     }
 }
