Type messages to shard owners and origins instead of checking at run time

Cause: four handlers took the whole sealed type and ended in 'else -> error(...)', so a forgotten message was found at run time only. Change: sealed sub-interfaces PeerMessage.ToShardOwner and ToOrigin, NodeInput.Claims and OriginEffect.ToShardOwner; the four branches are gone. After: compiles with no else branch in these handlers; no behaviour changed. The two else branches of the wire module remain for now.

--- a/core/src/main/kotlin/cowslipcart/core/node/ClaimDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ClaimDesk.kt
@@ -81,7 +81,7 @@
         }
     }
 
-    fun onClaimsInput(input: NodeInput, nowMs: Long) {
+    fun onClaimsInput(input: NodeInput.Claims, nowMs: Long) {
         val effects = when (input) {
             is NodeInput.ClaimsRead -> batcher(input.partition)
                 .onRecords(input.records, input.firstKeptOffset, input.endOffset, nowMs)
@@ -94,8 +94,6 @@
 
             is NodeInput.ClaimsAppendFailed ->
                 batcher(input.partition).onAppendFailed(input.batch, input.error, nowMs)
-
-            else -> error("expected an input about claims, found $input")
         }
         apply(effects)
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -86,10 +86,7 @@
 
             is NodeInput.EpochsRead -> claims.onEpochs(input.entries)
 
-            is NodeInput.ClaimsRead,
-            is NodeInput.ClaimsReadFailed,
-            is NodeInput.ClaimsAppended,
-            is NodeInput.ClaimsAppendFailed -> claims.onClaimsInput(input, nowMs)
+            is NodeInput.Claims -> claims.onClaimsInput(input, nowMs)
 
             is OrderInput -> orders.onInput(input, nowMs)
 
@@ -119,18 +116,9 @@
             is PeerMessage.PingRequest ->
                 applyMembership(membership.onPingRequest(from, message.target, nowMs), nowMs)
 
-            is PeerMessage.AskCapacity,
-            is PeerMessage.CancelAsk,
-            is PeerMessage.CapacityReleased,
-            is PeerMessage.CapacityProgress,
-            is PeerMessage.GaveWay,
-            is PeerMessage.RunningReport -> shards.onMessage(message, nowMs)
+            is PeerMessage.ToShardOwner -> shards.onMessage(message, nowMs)
 
-            is PeerMessage.CapacityGranted,
-            is PeerMessage.CapacityRefused,
-            is PeerMessage.GiveWay,
-            is PeerMessage.ClaimReply,
-            is PeerMessage.OutcomeReply -> onReplyToOrigin(message, nowMs)
+            is PeerMessage.ToOrigin -> onReplyToOrigin(message, nowMs)
 
             is PeerMessage.ClaimRequest -> claims.onClaim(message, nowMs)
 
@@ -171,7 +159,7 @@
         }
     }
 
-    private fun onReplyToOrigin(message: PeerMessage, nowMs: Long) {
+    private fun onReplyToOrigin(message: PeerMessage.ToOrigin, nowMs: Long) {
         val effects = when (message) {
             is PeerMessage.CapacityGranted -> origin.onGranted(message.toReceivedGrant(), nowMs)
 
@@ -192,8 +180,6 @@
                 outcomes.onReply(message.organisation, message.requestId, message.outcome)
                 origin.onOutcome(message.organisation, message.requestId, message.outcome, nowMs)
             }
-
-            else -> error("expected a reply to an origin, found $message")
         }
         requests.perform(effects, nowMs)
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -19,6 +19,9 @@
 
 /** Something that happened outside of the control thread. */
 public sealed interface NodeInput {
+    /** Result of an access to a claims partition of the log. */
+    public sealed interface Claims : NodeInput
+
     /** A caller sent a request. */
     public data class Start(public val request: CallerRequest) : NodeInput
 
@@ -73,25 +76,25 @@
         public val records: List<ClaimRecord>,
         public val firstKeptOffset: LogOffset,
         public val endOffset: LogOffset
-    ) : NodeInput
+    ) : Claims
 
     /** A claims partition could not be read. */
     public data class ClaimsReadFailed(public val partition: Int, public val error: LogError) :
-        NodeInput
+        Claims
 
     /** A batch of claims was appended. */
     public data class ClaimsAppended(
         public val partition: Int,
         public val batch: Long,
         public val offset: LogOffset
-    ) : NodeInput
+    ) : Claims
 
     /** The append of a batch of claims failed, or its answer was lost. */
     public data class ClaimsAppendFailed(
         public val partition: Int,
         public val batch: Long,
         public val error: LogError
-    ) : NodeInput
+    ) : Claims
 
     /**
      * Somebody asks what became of a request; answered by [NodeEffect.OutcomeFound].
--- a/core/src/main/kotlin/cowslipcart/core/node/OriginDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/OriginDesk.kt
@@ -51,11 +51,7 @@
 
             is OriginEffect.ReportCompleted -> suspects.onCompleted(effect.fingerprint, nowMs)
 
-            is OriginEffect.SendAsk,
-            is OriginEffect.SendCancelAsk,
-            is OriginEffect.SendReleased,
-            is OriginEffect.SendGaveWay,
-            is OriginEffect.SendRunning -> sendToOwner(effect)
+            is OriginEffect.ToShardOwner -> sendToOwner(effect)
 
             is OriginEffect.Dispatch -> dispatch(effect, nowMs)
 
@@ -74,25 +70,20 @@
         }
     }
 
-    private fun sendToOwner(effect: OriginEffect) {
-        val (shard, message) = when (effect) {
+    private fun sendToOwner(effect: OriginEffect.ToShardOwner) {
+        val shard = effect.shard
+        val message = when (effect) {
             is OriginEffect.SendAsk ->
-                effect.shard to
-                    PeerMessage.AskCapacity(effect.shard, effect.request, effect.askCount)
+                PeerMessage.AskCapacity(shard, effect.request, effect.askCount)
 
-            is OriginEffect.SendCancelAsk ->
-                effect.shard to PeerMessage.CancelAsk(effect.shard, effect.requestId)
+            is OriginEffect.SendCancelAsk -> PeerMessage.CancelAsk(shard, effect.requestId)
 
-            is OriginEffect.SendReleased ->
-                effect.shard to PeerMessage.CapacityReleased(effect.shard, effect.report)
+            is OriginEffect.SendReleased -> PeerMessage.CapacityReleased(shard, effect.report)
 
             is OriginEffect.SendGaveWay ->
-                effect.shard to PeerMessage.GaveWay(effect.shard, effect.report, effect.resume)
+                PeerMessage.GaveWay(shard, effect.report, effect.resume)
 
-            is OriginEffect.SendRunning ->
-                effect.shard to PeerMessage.RunningReport(effect.shard, effect.running)
-
-            else -> error("expected a message to a shard owner, found $effect")
+            is OriginEffect.SendRunning -> PeerMessage.RunningReport(shard, effect.running)
         }
         outbox.send(shards.ownerOf(shard), message)
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -24,6 +24,14 @@
 
 /** Message between two hosts. The encoding is in the `wire` module. */
 public sealed interface PeerMessage {
+    /** Message of an origin to the owner of [shard]. */
+    public sealed interface ToShardOwner : PeerMessage {
+        public val shard: ShardId
+    }
+
+    /** Decision or answer that the origin of a request takes. */
+    public sealed interface ToOrigin : PeerMessage
+
     /** Membership ping; [isReady] tells whether the sender serves requests. */
     public data class Ping(public val content: PingContent, public val isReady: Boolean) :
         PeerMessage
@@ -37,10 +45,10 @@
 
     /** Origin to owner: asks for capacity, or repeats the ask with a higher [askCount]. */
     public data class AskCapacity(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val request: CapacityRequest,
         public val askCount: Long
-    ) : PeerMessage
+    ) : ToShardOwner
 
     /** Owner to origin: the request may be dispatched. [askCount] is the last one received. */
     public data class CapacityGranted(
@@ -49,7 +57,7 @@
         public val grantId: GrantId,
         public val endpoint: EndpointId,
         public val askCount: Long
-    ) : PeerMessage
+    ) : ToOrigin
 
     /** Owner to origin: the request will not run on this shard. */
     public data class CapacityRefused(
@@ -57,41 +65,43 @@
         public val requestId: RequestId,
         public val reason: RefusalReason,
         public val retryAfterMs: Long?
-    ) : PeerMessage
+    ) : ToOrigin
 
     /** Origin to owner: a grant ended. */
-    public data class CapacityReleased(public val shard: ShardId, public val report: GrantReport) :
-        PeerMessage
+    public data class CapacityReleased(
+        override val shard: ShardId,
+        public val report: GrantReport
+    ) : ToShardOwner
 
     /** Origin to owner: progress of running streams. */
     public data class CapacityProgress(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val reports: List<GrantProgress>
-    ) : PeerMessage
+    ) : ToShardOwner
 
     /** Origin to owner: a waiting request is withdrawn. */
-    public data class CancelAsk(public val shard: ShardId, public val requestId: RequestId) :
-        PeerMessage
+    public data class CancelAsk(override val shard: ShardId, public val requestId: RequestId) :
+        ToShardOwner
 
     /** Owner to origin: the capacity of a running request is needed for more urgent work. */
     public data class GiveWay(
         public val shard: ShardId,
         public val requestId: RequestId,
         public val grantId: GrantId
-    ) : PeerMessage
+    ) : ToOrigin
 
     /** Origin to owner: a request gave way; [resume] is null if it cannot continue. */
     public data class GaveWay(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val report: GrantReport,
         public val resume: CapacityRequest?
-    ) : PeerMessage
+    ) : ToShardOwner
 
     /** Origin to a new owner: grants that are in use. */
     public data class RunningReport(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val running: List<RunningGrant>
-    ) : PeerMessage
+    ) : ToShardOwner
 
     /**
      * Origin to batcher or key owner: decide a claim.
@@ -103,7 +113,7 @@
 
     /** Batcher or key owner to origin: the decision. */
     public data class ClaimReply(public val attempt: AttemptId, public val verdict: ClaimVerdict) :
-        PeerMessage
+        ToOrigin
 
     /** Origin to batcher or key owner: a release or an outcome. */
     public data class ClaimNotice(public val partition: Int?, public val item: ClaimItem) :
@@ -126,7 +136,7 @@
         public val organisation: OrganisationId?,
         public val requestId: RequestId,
         public val outcome: RequestOutcome
-    ) : PeerMessage
+    ) : ToOrigin
 
     /** Asks what the receiver knows about a key. */
     public data class KeyQuery(public val requestId: RequestId, public val key: RequestKey) :
--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -85,7 +85,7 @@
     }
 
     /** Handles a message to the owner of a shard; it is ignored if another host owns it. */
-    fun onMessage(message: PeerMessage, nowMs: Long) {
+    fun onMessage(message: PeerMessage.ToShardOwner, nowMs: Long) {
         when (message) {
             is PeerMessage.AskCapacity -> onAsk(message, nowMs)
 
@@ -103,8 +103,6 @@
 
             is PeerMessage.RunningReport ->
                 withShard(message.shard) { it.onRunning(message.running, nowMs) }
-
-            else -> error("expected a message to a shard owner, found $message")
         }
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/origin/OriginEffect.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/OriginEffect.kt
@@ -15,6 +15,11 @@
 
 /** Effect of an [OriginController]. */
 public sealed interface OriginEffect {
+    /** Message to the owner of [shard]. */
+    public sealed interface ToShardOwner : OriginEffect {
+        public val shard: ShardId
+    }
+
     /**
      * Have a claim decided.
      *
@@ -40,31 +45,31 @@
 
     /** Ask the owner of [shard] for capacity; [askCount] rises with each repetition. */
     public data class SendAsk(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val request: CapacityRequest,
         public val askCount: Long
-    ) : OriginEffect
+    ) : ToShardOwner
 
     /** Withdraw a request that waits at the owner of [shard]. */
-    public data class SendCancelAsk(public val shard: ShardId, public val requestId: RequestId) :
-        OriginEffect
+    public data class SendCancelAsk(override val shard: ShardId, public val requestId: RequestId) :
+        ToShardOwner
 
     /** Give a grant back. */
-    public data class SendReleased(public val shard: ShardId, public val report: GrantReport) :
-        OriginEffect
+    public data class SendReleased(override val shard: ShardId, public val report: GrantReport) :
+        ToShardOwner
 
     /** Give a grant back because its request gave way; [resume] is null if it cannot continue. */
     public data class SendGaveWay(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val report: GrantReport,
         public val resume: CapacityRequest?
-    ) : OriginEffect
+    ) : ToShardOwner
 
     /** Tell the new owner of [shard] which of its grants are in use here. */
     public data class SendRunning(
-        public val shard: ShardId,
+        override val shard: ShardId,
         public val running: List<RunningGrant>
-    ) : OriginEffect
+    ) : ToShardOwner
 
     /** Send the request to [endpoint]; if [isResume], continue its cancelled stream. */
     public data class Dispatch(
