--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffLoadTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffLoadTest.kt
@@ -7,7 +7,8 @@
 
 /**
  * Guards against a sign-off that runs twice, or runs after a caller was told that it did not, when
- * daemons pause or die and the log fails under load. `bin/soak` runs it for longer.
+ * daemons pause or die and the log fails under load. `bin/soak` runs it for longer; seed 0 stands
+ * for a fresh one.
  */
 internal class SignOffLoadTest {
     @Nested
