Split the operators' HTTP interface into views, changes and routes

Change: OperatorRoutes, OperatorViews and OperatorChanges; one respondJson; one bearerToken for callers and operators; a cast of an endpoint document is gone.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -23,7 +23,9 @@
 import cowslipcart.daemon.http.BodyReader
 import cowslipcart.daemon.http.CallerApi
 import cowslipcart.daemon.http.HttpServer
-import cowslipcart.daemon.http.OperatorApi
+import cowslipcart.daemon.http.OperatorChanges
+import cowslipcart.daemon.http.OperatorRoutes
+import cowslipcart.daemon.http.OperatorViews
 import cowslipcart.daemon.http.RequestApi
 import cowslipcart.daemon.http.RequestFactory
 import cowslipcart.daemon.peer.Handshake
@@ -138,9 +140,14 @@
         val factory = RequestFactory { requestIdOf(process, requestCount.incrementAndGet()) }
         val callers =
             CallerApi(published, factory, context, registry, scope, bodies, loop::submit)
-        val operators =
-            OperatorApi(published, streams, verdicts, bodies, settings.operatorToken)
-        return HttpServer(callers, RequestApi(published, outcomes), operators, published, metrics)
+        val requests = RequestApi(published, outcomes)
+        val operators = OperatorRoutes(
+            OperatorViews(published, streams),
+            OperatorChanges(published, streams, verdicts, bodies),
+            requests,
+            settings.operatorToken
+        )
+        return HttpServer(callers, requests, operators, published, metrics)
     }
 
     private suspend fun CoroutineScope.reportProgress() {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
@@ -24,14 +24,18 @@
     headers: Headers,
     configuration: Configuration
 ): Either<HttpError, OrganisationSpec> {
-    val values = headers.getAll(HttpHeaders.Authorization).orEmpty()
-    val token = values.singleOrNull()?.takeIf { it.startsWith(BEARER_PREFIX) }
-        ?.removePrefix(BEARER_PREFIX)?.trim()
+    val token = bearerToken(headers)
         ?: return HttpError.Unauthenticated("expected one bearer token").left()
     return configuration.organisationsByTokenSha256[sha256Hex(token)]?.right()
         ?: HttpError.Unauthenticated("the bearer token belongs to no organisation").left()
 }
 
+/** Returns the bearer token, or null if there is none or more than one. */
+internal fun bearerToken(headers: Headers): String? =
+    headers.getAll(HttpHeaders.Authorization).orEmpty().singleOrNull()
+        ?.takeIf { it.startsWith(BEARER_PREFIX) }
+        ?.removePrefix(BEARER_PREFIX)?.trim()
+
 /** Reads the tier, deadline and session of a request. */
 internal fun readHints(
     headers: Headers,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.http
 
+import cowslipcart.core.log.LogError
 import cowslipcart.core.origin.Rejection
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -80,4 +81,13 @@
     is Rejection.BadRequest -> Problem("bad-request", "Bad request", 422, detail)
 }
 
+/** Converts an error of the log to the problem that an operator gets. */
+internal fun LogError.toProblem(): Problem = when (this) {
+    is LogError.Unavailable ->
+        Problem("not-run", "Not run", 503, "the log is down: $detail", RETRY_AFTER_MS)
+
+    is LogError.Unknown ->
+        Problem("outcome-unknown", "Outcome unknown", 502, "the log's answer was lost: $detail")
+}
+
 private const val RETRY_AFTER_MS = 1_000L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpServer.kt
@@ -17,7 +17,6 @@
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
-import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.RoutingFailureStatusCode
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
@@ -29,7 +28,7 @@
 internal class HttpServer(
     private val callers: CallerApi,
     private val requests: RequestApi,
-    private val operators: OperatorApi,
+    private val operators: OperatorRoutes,
     private val published: PublishedState,
     private val metrics: Metrics
 ) {
@@ -45,7 +44,7 @@
             }
             routing {
                 callerRoutes()
-                operatorRoutes()
+                operators.install(this)
                 healthRoutes()
             }
             // Runs after routing and before the engine's own empty answer in the phase Fallback.
@@ -66,18 +65,6 @@
         }
     }
 
-    private fun Route.operatorRoutes() = route("/admin") {
-        get("/config") { authorised { operators.config(call) } }
-        post("/publish") { authorised { operators.publish(call) } }
-        post("/preset") { authorised { operators.switchPreset(call) } }
-        get("/hosts") { authorised { operators.hosts(call) } }
-        get("/endpoints") { authorised { operators.endpoints(call) } }
-        get("/log") { authorised { operators.log(call) } }
-        get("/requests/{id}") {
-            authorised { requests.showToOperator(call, call.parameters["id"].orEmpty()) }
-        }
-    }
-
     private fun Route.healthRoutes() {
         get("/healthz") { call.respondText("ok\n") }
         get("/readyz") {
@@ -101,10 +88,6 @@
         }
     }
 
-    private suspend fun RoutingContext.authorised(block: suspend () -> Unit) {
-        if (operators.isAuthorised(call)) block()
-    }
-
     /** Tells a wrong method (405) from a path that does not exist (404). */
     @OptIn(InternalAPI::class)
     private fun findRouteFault(call: ApplicationCall): HttpError {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestApi.kt
@@ -5,10 +5,7 @@
 import cowslipcart.core.origin.RequestOutcome
 import cowslipcart.daemon.control.PublishedState
 import cowslipcart.wire.admin.RequestDocument
-import io.ktor.http.ContentType
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.response.respondText
-import kotlinx.serialization.json.Json
 
 /** Looks up what became of a request, on this host or on the one that took it. */
 internal fun interface OutcomeLookup {
@@ -39,7 +36,6 @@
             RequestOutcome.Running -> "running"
             RequestOutcome.Unknown -> "unknown"
         }
-        val text = Json.encodeToString(RequestDocument.serializer(), RequestDocument(id, outcome))
-        call.respondText(text, ContentType.Application.Json)
+        call.respondJson(RequestDocument(id, outcome))
     }
 }
--- a/wire/src/main/kotlin/cowslipcart/wire/admin/DeclarationDocuments.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/admin/DeclarationDocuments.kt
@@ -219,7 +219,8 @@
     )
 }
 
-private fun EndpointSpec.toEndpointDocument() = EndpointDocument(
+/** Converts an endpoint to its document. */
+public fun EndpointSpec.toEndpointDocument(): EndpointDocument = EndpointDocument(
     id = id.value,
     pool = pool.value,
     address = address,
