Answer for a key with outcome unknown on a host that does not serve

Cause: a host that starts or shuts down answered 503 not-run before it looked at the key, although the same key may have run at another host; and it checked the token first, so a host that had not read the configuration answered 401 to a right token. Change: Admission checks readiness first; a request with a key gets outcome-unknown (503 with Retry-After), one without a key not-run. Ruled out: asking the other hosts while shutting down, since the answer can come after the process has ended.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -20,6 +20,7 @@
 import cowslipcart.daemon.endpoint.LoadPoller
 import cowslipcart.daemon.endpoint.OrderRunner
 import cowslipcart.daemon.endpoint.createHttpClient
+import cowslipcart.daemon.http.Admission
 import cowslipcart.daemon.http.BodyReader
 import cowslipcart.daemon.http.CallerApi
 import cowslipcart.daemon.http.HttpServer
@@ -138,9 +139,10 @@
     private fun httpServer(): HttpServer {
         val bodies = BodyReader(settings.maxBodyBytes)
         val factory = RequestFactory { requestIdOf(process, requestCount.incrementAndGet()) }
+        val admission = Admission(published)
         val callers =
-            CallerApi(published, factory, context, registry, scope, bodies, loop::submit)
-        val requests = RequestApi(published, outcomes)
+            CallerApi(published, admission, factory, context, registry, scope, bodies, loop::submit)
+        val requests = RequestApi(admission, outcomes)
         val operators = OperatorRoutes(
             OperatorViews(published, streams),
             OperatorChanges(published, streams, verdicts, bodies),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
@@ -2,10 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.raise.either
-import arrow.core.raise.ensure
 import cowslipcart.core.claims.RequestKey
 import cowslipcart.core.model.Configuration
-import cowslipcart.core.model.OrganisationSpec
 import cowslipcart.core.node.NodeInput
 import cowslipcart.core.origin.CallerRequest
 import cowslipcart.daemon.control.PublishedState
@@ -27,6 +25,7 @@
 /** Takes callers' requests and runs a session for each. */
 internal class CallerApi(
     private val published: PublishedState,
+    private val admission: Admission,
     private val factory: RequestFactory,
     private val context: EndpointContext,
     private val registry: SessionRegistry,
@@ -38,7 +37,7 @@
     suspend fun chat(call: ApplicationCall) {
         val startMs = context.clock.nowMs()
         val prepared = either {
-            val organisation = admit(call).bind()
+            val organisation = admission.admit(call.request.headers).bind()
             val body = bodies.read(call).bind()
             val chat = ChatRequest.parse(body).bind()
             val configuration = published.configuration.value.configuration
@@ -53,7 +52,7 @@
     suspend fun service(call: ApplicationCall, pool: String, path: String) {
         val startMs = context.clock.nowMs()
         val prepared = either {
-            val organisation = admit(call).bind()
+            val organisation = admission.admit(call.request.headers).bind()
             val body = bodies.read(call).bind()
             val query = call.request.queryString().let { if (it.isEmpty()) "" else "?$it" }
             val method = call.request.httpMethod.value
@@ -67,16 +66,6 @@
         serve(call, prepared, startMs)
     }
 
-    /** Checks readiness and the bearer token. */
-    fun admit(call: ApplicationCall): Either<HttpError, OrganisationSpec> = either {
-        val configuration = published.configuration.value.configuration
-        val organisation = authenticate(call.request.headers, configuration).bind()
-        ensure(published.isReady) {
-            HttpError.NotServing("this host does not take requests now")
-        }
-        organisation
-    }
-
     private fun modelExchange(request: CallerRequest, chat: ChatRequest): Exchange {
         val recorder = recorderFor(request.key)
         val answer = if (chat.isStream) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
@@ -74,10 +74,10 @@
     headers: Headers,
     organisation: OrganisationSpec
 ): Either<HttpError, RequestKey?> = either {
-    val text = single(headers, "Idempotency-Key").bind()?.trim()?.removeSurrounding("\"")
+    val text = single(headers, IDEMPOTENCY_KEY_HEADER).bind()?.trim()?.removeSurrounding("\"")
     text?.let { value ->
         parseRequestKey(organisation.id, value)
-            .mapLeft { HttpError.BadRequest("Idempotency-Key: ${it.message}") }
+            .mapLeft { HttpError.BadRequest("$IDEMPOTENCY_KEY_HEADER: ${it.message}") }
             .bind()
     }
 }
@@ -110,6 +110,7 @@
     }
 }
 
+internal const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 private const val BEARER_PREFIX = "Bearer "
 private const val MAX_DEADLINE_MS = 24 * 3_600_000L
 private const val MAX_QUOTED = 40
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
@@ -15,8 +15,11 @@
 
     data class Unauthenticated(override val detail: String) : HttpError
 
-    /** This host does not take requests now; the request did not run. */
-    data class NotServing(override val detail: String) : HttpError
+    /**
+     * This host does not take requests now. A request without a key did not run; another copy of
+     * one with a key may have run at another host, which this host does not ask.
+     */
+    data class NotServing(override val detail: String, val isKeyed: Boolean) : HttpError
 
     /** Control rejected the request. */
     data class Rejected(val rejection: Rejection) : HttpError {
@@ -59,7 +62,11 @@
     is HttpError.Unauthenticated ->
         Problem("unauthenticated", "Unauthenticated", 401, detail)
 
-    is HttpError.NotServing -> Problem("not-run", "Not run", 503, detail, RETRY_AFTER_MS)
+    is HttpError.NotServing -> if (isKeyed) {
+        Problem("outcome-unknown", "Outcome unknown", 503, detail, RETRY_AFTER_MS)
+    } else {
+        Problem("not-run", "Not run", 503, detail, RETRY_AFTER_MS)
+    }
 
     is HttpError.Rejected -> rejection.toProblem()
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestApi.kt
@@ -3,7 +3,6 @@
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.origin.RequestOutcome
-import cowslipcart.daemon.control.PublishedState
 import cowslipcart.wire.admin.RequestDocument
 import io.ktor.server.application.ApplicationCall
 
@@ -14,13 +13,10 @@
 }
 
 /** Shows what became of a request. */
-internal class RequestApi(
-    private val published: PublishedState,
-    private val lookup: OutcomeLookup
-) {
+internal class RequestApi(private val admission: Admission, private val lookup: OutcomeLookup) {
     /** Handles `GET /v1/requests/{id}`. */
     suspend fun showToCaller(call: ApplicationCall, id: String) {
-        authenticate(call.request.headers, published.configuration.value.configuration).fold(
+        admission.identify(call.request.headers).fold(
             { call.respondProblem(it.toProblem(), null) },
             { show(call, it.id, id) }
         )
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ShutdownTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ShutdownTest.kt
@@ -52,6 +52,21 @@
             assertNull(stream.findFault("shutdown", STREAM_TOKENS))
             assertEquals(0, daemon.process.awaitExit())
         }
+
+        /** Guards against "not run" from a host that does not ask the others any more. */
+        @Test
+        fun `a key that ran elsewhere is not called not-run by a host that shuts down`() =
+            runBlocking {
+                val key = newKey()
+                assertEquals(201, cluster.daemons[0].signOff(key, BODY).status)
+                val daemon = cluster.startDaemon(5)
+                awaitTrue("${daemon.hostId} to be ready", LONG_BOUND_MS) { daemon.isReady() }
+                daemon.process.terminate()
+                awaitTrue("readiness to end") { daemon.get("/readyz")?.status == 503 }
+                val answer = daemon.signOff(key, BODY)
+                assertEquals("outcome-unknown", answer.problem, "$answer")
+                assertEquals(0, daemon.process.awaitExit())
+            }
     }
 
     @Nested
@@ -106,6 +121,7 @@
 
     private companion object {
         val json = Json { ignoreUnknownKeys = true }
+        const val BODY = """{"frame":"swing"}"""
         const val STREAM_TOKENS = 500
         const val CALLER_COUNT = 8
         const val WATCH_MS = 6_000L
