Answer a lookup on a starting host with outcome unknown

Cause: a lookup by a caller got the problem not-run while the host had no configuration, which a caller can take for the outcome of the request that it asked about. Found by reading. Change: NotServing says whether the request that the call is about may have run. After: AdmissionTest green with a test for the lookup.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/Admission.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/Admission.kt
@@ -12,8 +12,8 @@
     /** Returns the organisation of a new request. A host that does not serve takes none. */
     fun admit(headers: Headers): Either<HttpError, OrganisationSpec> = either {
         ensure(published.isReady) {
-            val isKeyed = headers[IDEMPOTENCY_KEY_HEADER] != null
-            HttpError.NotServing("this host does not take requests now", isKeyed)
+            val hasKey = headers[IDEMPOTENCY_KEY_HEADER] != null
+            HttpError.NotServing("this host does not take requests now", mayHaveRun = hasKey)
         }
         identify(headers).bind()
     }
@@ -25,7 +25,7 @@
      */
     fun identify(headers: Headers): Either<HttpError, OrganisationSpec> = either {
         ensure(published.readiness.value.isReady) {
-            HttpError.NotServing("this host has not read the configuration yet", isKeyed = false)
+            HttpError.NotServing("this host has not read the configuration yet", mayHaveRun = true)
         }
         authenticate(headers, published.configuration.value.configuration).bind()
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/HttpError.kt
@@ -16,10 +16,10 @@
     data class Unauthenticated(override val detail: String) : HttpError
 
     /**
-     * This host does not take requests now. A request without a key did not run; another copy of
-     * one with a key may have run at another host, which this host does not ask.
+     * This host does not serve now. The call did not run here; [mayHaveRun] tells whether the
+     * request that it is about may have run at another host, which this host does not ask.
      */
-    data class NotServing(override val detail: String, val isKeyed: Boolean) : HttpError
+    data class NotServing(override val detail: String, val mayHaveRun: Boolean) : HttpError
 
     /** Control rejected the request. */
     data class Rejected(val rejection: Rejection) : HttpError {
@@ -62,7 +62,7 @@
     is HttpError.Unauthenticated ->
         Problem("unauthenticated", "Unauthenticated", 401, detail)
 
-    is HttpError.NotServing -> if (isKeyed) {
+    is HttpError.NotServing -> if (mayHaveRun) {
         Problem("outcome-unknown", "Outcome unknown", 503, detail, RETRY_AFTER_MS)
     } else {
         Problem("not-run", "Not run", 503, detail, RETRY_AFTER_MS)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/http/AdmissionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/http/AdmissionTest.kt
@@ -35,6 +35,16 @@
         }
     }
 
+    @Nested
+    inner class Lookup {
+        /** Guards against "not run" to a caller that asks about a request which has run. */
+        @Test
+        fun `a lookup on a starting host is answered with outcome unknown`() {
+            val error = admission.identify(plain).leftOrNull()
+            assertEquals("outcome-unknown", error?.toProblem()?.name)
+        }
+    }
+
     @Nested
     inner class Serving {
         @Test
