Send a large configuration to a peer in parts

Cause: the state of a host with 23,000 organisations encodes to 3.8 MB, and a frame between hosts is at most 1 MiB. The receiver closed the connection, so a host could not become ready through a peer at planned size. Besides, a host fetched the state of each peer that was ahead, also while it read the log.

Change: ConfigParts cuts the state into parts of about 64 KiB, and ConfigTransfer asks for one at a time. Parts of one transfer belong to one state; if it moves on, the transfer starts again. A part carries a CRC-32. The receiver takes at most 16 MiB, asks again after 500 ms and gives up after four times. A message above the frame limit is counted and not sent. A readable log has 1 s before a state is fetched.

PeerCodecTest listed only the direct subclasses of PeerMessage.

Conclusion: cutting frames in the transport was ruled out, since a sender would queue the whole state for each of many peers. The log port states no record limit, so a checkpoint stays one record.

--- a/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
@@ -18,7 +18,7 @@
     private val gate = createReadinessGate(self)
     private var publishedReadiness: Pair<Boolean, List<String>>? = null
     private var isLogReadable = false
-    private var lastFetchAtMs = Long.MIN_VALUE / 2
+    private val transfer = ConfigTransfer(outbox)
     private var nextCheckpointAtMs = 0L
     private val peers = HashMap<HostId, PeerStatus>()
     private val silentSinceMs = HashMap<HostId, Long>()
@@ -50,6 +50,7 @@
 
     /** Takes the state of a peer; returns whether the configuration changed. */
     fun onReply(from: HostId, reply: PeerMessage.ConfigReply): Boolean {
+        transfer.onReply(from)
         val before = replica.state.configuration
         replica.adopt(reply.state)
         gate.onOwnOffset(replica.state.nextOffset)
@@ -57,10 +58,16 @@
         return publish(before)
     }
 
+    /** Takes a part of the state of a peer; returns whether the configuration changed. */
+    fun onPart(from: HostId, part: PeerMessage.ConfigPart, nowMs: Long): Boolean =
+        transfer.onPart(from, part, replica.state.nextOffset, nowMs)?.let { onReply(from, it) }
+            ?: false
+
     fun onPeerOffset(from: HostId, offset: LogOffset, isPeerReady: Boolean, nowMs: Long) {
         peers[from] = PeerStatus(offset, isPeerReady)
         gate.onPeerOffset(from, offset, isPeerReady)
-        if (offset > replica.state.nextOffset) catchUp(from, nowMs)
+        val ownOffset = replica.state.nextOffset
+        if (offset > ownOffset) transfer.onPeerAhead(from, ownOffset, isLogReadable, nowMs)
         publishReadiness()
     }
 
@@ -76,6 +83,7 @@
 
     /** Appends a checkpoint when one is due; jitter keeps hosts from all writing it at once. */
     fun tick(wallNowMs: Long, nowMs: Long) {
+        transfer.tick(nowMs)
         if (nowMs < nextCheckpointAtMs) return
         val isFirst = nextCheckpointAtMs == 0L
         nextCheckpointAtMs = nowMs + CHECKPOINT_INTERVAL_MS +
@@ -85,14 +93,6 @@
             ?.let { outbox.emit(NodeEffect.AppendConfig(it)) }
     }
 
-    /** The log is read first; a peer's state serves when the log cannot be read. */
-    private fun catchUp(from: HostId, nowMs: Long) {
-        if (nowMs - lastFetchAtMs < FETCH_INTERVAL_MS) return
-        lastFetchAtMs = nowMs
-        if (isLogReadable) outbox.emit(NodeEffect.ReadConfigNow)
-        outbox.send(from, PeerMessage.ConfigFetch)
-    }
-
     private fun publish(before: Configuration): Boolean {
         val state = replica.state
         val hasChanged = state.configuration != before
@@ -113,8 +113,6 @@
     }
 
     private companion object {
-        const val FETCH_INTERVAL_MS = 200L
-
         /** Time in which a listed peer is pinged several times. */
         const val PEER_ANSWER_TIMEOUT_MS = 5_000L
         const val CHECKPOINT_INTERVAL_MS = 60_000L
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -24,6 +24,7 @@
     private val membership = createMembershipView(self, random)
     private val outbox = Outbox(self.host) { membership.liveHosts[it]?.peerAddress }
     private val config = ConfigDesk(self.host, random, outbox)
+    private val parts = ConfigParts(random)
     private val shards = ShardDesk(self.host, random, outbox)
     private val claims = ClaimDesk(process, membership, outbox)
     private val crashes = CrashDesk(self.host, membership, outbox)
@@ -146,10 +147,12 @@
                 requests.perform(origin.onCrashSpread(message.crashId, nowMs), nowMs)
             }
 
-            PeerMessage.ConfigFetch -> outbox.send(
-                from,
-                PeerMessage.ConfigReply(config.state, config.isReady)
-            )
+            PeerMessage.ConfigFetch -> outbox.send(from, parts.answerFetch(configReply()))
+
+            is PeerMessage.ConfigPartFetch ->
+                outbox.send(from, parts.answerPartFetch(configReply(), message))
+
+            is PeerMessage.ConfigPart -> if (config.onPart(from, message, nowMs)) refresh(nowMs)
 
             is PeerMessage.ConfigReply -> if (config.onReply(from, message)) refresh(nowMs)
 
@@ -159,6 +162,8 @@
         }
     }
 
+    private fun configReply() = PeerMessage.ConfigReply(config.state, config.isReady)
+
     private fun onReplyToOrigin(message: PeerMessage.ToOrigin, nowMs: Long) {
         val effects = when (message) {
             is PeerMessage.CapacityGranted -> origin.onGranted(message.toReceivedGrant(), nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -159,6 +159,29 @@
     public data class ConfigReply(public val state: ConfigState, public val isReady: Boolean) :
         PeerMessage
 
+    /**
+     * Asks for a further part of a state that is sent in parts. If that state is no longer in force
+     * at the receiver, the answer is that to a [ConfigFetch].
+     */
+    public data class ConfigPartFetch(public val transferId: Long, public val index: Int) :
+        PeerMessage
+
+    /**
+     * Answer to a [ConfigFetch] or [ConfigPartFetch] if the state is too large for one message.
+     *
+     * @property reply the answer with a part of the declarations
+     * @property transferId random number of the sender's state; parts of another are of another state
+     * @property index number of the part, from 0
+     * @property declarationCount declarations of all parts together
+     */
+    public data class ConfigPart(
+        public val reply: ConfigReply,
+        public val transferId: Long,
+        public val index: Int,
+        public val partCount: Int,
+        public val declarationCount: Int
+    ) : PeerMessage
+
     /** Origin to quota holder: asks for tokens of an organisation. */
     public data class QuotaAsk(
         public val organisation: OrganisationId,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import org.slf4j.LoggerFactory
 
 /** Sends messages to other hosts; a connection is opened with the first message to an address. */
 internal class PeerNetwork(
@@ -18,6 +19,8 @@
     private val selector: SelectorManager,
     private val metrics: Metrics
 ) {
+    private val log = LoggerFactory.getLogger(PeerNetwork::class.java)
+
     private class Peer(val connection: PeerConnection, val job: Job)
 
     private val peers = ConcurrentHashMap<String, Peer>()
@@ -31,7 +34,14 @@
                 known?.takeIf { it.job.isActive } ?: open(address)
             }
         )
-        peer.connection.send(PeerCodec.encode(self, message))
+        val frame = PeerCodec.encode(self, message)
+        if (frame.size > PeerCodec.MAX_FRAME_BYTES) {
+            // The receiver would close the connection, and all that waits in it would be lost.
+            metrics.peerErrors.labelValues("frame-length").inc()
+            log.error("message to {} has {} bytes and is not sent", to, frame.size)
+            return
+        }
+        peer.connection.send(frame)
     }
 
     private fun open(address: String): Peer {
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
@@ -23,12 +23,6 @@
     /** Largest frame that is sent or accepted. */
     public const val MAX_FRAME_BYTES: Int = 1024 * 1024
 
-    private val cbor = Cbor {
-        ignoreUnknownKeys = true
-        alwaysUseByteString = true
-        useDefiniteLengthEncoding = true
-    }
-
     @Serializable
     private class Envelope(
         @SerialName("v") val version: Int,
@@ -50,7 +44,7 @@
      */
     public fun decode(frame: ByteArray): Either<WireError, PeerFrame> {
         val envelope = try {
-            cbor.decodeFromByteArray<Envelope>(frame)
+            peerCbor.decodeFromByteArray<Envelope>(frame)
         } catch (e: SerializationException) {
             return malformed(e).left()
         } catch (e: IllegalArgumentException) {
@@ -63,7 +57,7 @@
     }
 
     private fun decodeBody(envelope: Envelope): Either<WireError, PeerFrame> = try {
-        val document = cbor.decodeFromByteArray<PeerMessageDocument>(envelope.body)
+        val document = peerCbor.decodeFromByteArray<PeerMessageDocument>(envelope.body)
         PeerFrame(HostId(envelope.from), document.toMessage()).right()
     } catch (e: SerializationException) {
         malformed(e).left()
@@ -75,7 +69,9 @@
     }
 
     private fun encodeDocument(from: HostId, document: PeerMessageDocument): ByteArray =
-        cbor.encodeToByteArray(Envelope(VERSION, from.value, cbor.encodeToByteArray(document)))
+        peerCbor.encodeToByteArray(
+            Envelope(VERSION, from.value, peerCbor.encodeToByteArray(document))
+        )
 
     private fun malformed(e: Exception) =
         WireError.Malformed("expected a CBOR envelope with a known message, found: ${e.message}")
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -65,7 +65,11 @@
 
     ConfigFetchMessage -> PeerMessage.ConfigFetch
 
-    is ConfigReplyMessage -> PeerMessage.ConfigReply(state.toState(), isReady)
+    is ConfigReplyMessage -> toReply()
+
+    is ConfigPartFetchMessage -> PeerMessage.ConfigPartFetch(transferId, index)
+
+    is ConfigPartMessage -> toPart()
 
     is QuotaAskMessage -> PeerMessage.QuotaAsk(OrganisationId(organisation), askedTokens)
 
@@ -74,6 +78,21 @@
     is ErrorMessage -> null
 }
 
+private fun ConfigReplyMessage.toReply() = PeerMessage.ConfigReply(state.toState(), isReady)
+
+private fun ConfigPartMessage.toPart(): PeerMessage.ConfigPart {
+    val found = checksumOf(reply)
+    require(found == checksum) { "expected a part with checksum $checksum, found $found" }
+    val decoded = peerCbor.decodeFromByteArray(ConfigReplyMessage.serializer(), reply)
+    return PeerMessage.ConfigPart(
+        decoded.toReply(),
+        transferId,
+        index,
+        partCount,
+        declarationCount
+    )
+}
+
 private fun PeerMessageDocument.toCapacityMessage(): PeerMessage = when (this) {
     is AskMessage -> PeerMessage.AskCapacity(shard.toShard(), request.toRequest(), askCount)
 
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -180,6 +180,25 @@
     @SerialName("r") val isReady: Boolean
 ) : PeerMessageDocument
 
+@Serializable
+@SerialName("config-part-fetch")
+internal class ConfigPartFetchMessage(
+    @SerialName("t") val transferId: Long,
+    @SerialName("i") val index: Int
+) : PeerMessageDocument
+
+/** The reply is encoded by itself, so that [checksum] covers its bytes. */
+@Serializable
+@SerialName("config-part")
+internal class ConfigPartMessage(
+    @SerialName("r") val reply: ByteArray,
+    @SerialName("k") val checksum: Long,
+    @SerialName("t") val transferId: Long,
+    @SerialName("i") val index: Int,
+    @SerialName("n") val partCount: Int,
+    @SerialName("d") val declarationCount: Int
+) : PeerMessageDocument
+
 @Serializable
 @SerialName("quota-ask")
 internal class QuotaAskMessage(
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -50,13 +50,35 @@
 
     PeerMessage.ConfigFetch -> ConfigFetchMessage
 
-    is PeerMessage.ConfigReply -> ConfigReplyMessage(state.toDocument(), isReady)
+    is PeerMessage.ConfigReply -> toReplyDocument()
+
+    is PeerMessage.ConfigPartFetch -> ConfigPartFetchMessage(transferId, index)
+
+    is PeerMessage.ConfigPart -> toPartDocument()
 
     is PeerMessage.QuotaAsk -> QuotaAskMessage(organisation.value, askedTokens)
 
     is PeerMessage.QuotaGranted -> QuotaGrantedMessage(organisation.value, grantedTokens)
 }
 
+private fun PeerMessage.ConfigReply.toReplyDocument() =
+    ConfigReplyMessage(state.toDocument(), isReady)
+
+private fun PeerMessage.ConfigPart.toPartDocument(): ConfigPartMessage {
+    val bytes = peerCbor.encodeToByteArray(
+        ConfigReplyMessage.serializer(),
+        reply.toReplyDocument()
+    )
+    return ConfigPartMessage(
+        bytes,
+        checksumOf(bytes),
+        transferId,
+        index,
+        partCount,
+        declarationCount
+    )
+}
+
 private fun PeerMessage.capacityDocument(): PeerMessageDocument = when (this) {
     is PeerMessage.AskCapacity -> AskMessage(shard.toDocument(), request.toDocument(), askCount)
 
--- /dev/null
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/ConfigTransferTest.kt
@@ -0,0 +1,161 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.config.ConfigEntry
+import cowslipcart.core.config.ConfigRecord
+import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.membership.HostList
+import cowslipcart.core.membership.ListedHost
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.OrganisationSpec
+import cowslipcart.core.model.PresetName
+import cowslipcart.core.model.PresetSpec
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.Tier
+import cowslipcart.core.model.TierSpec
+import cowslipcart.core.node.NodeController
+import cowslipcart.core.node.NodeEffect
+import cowslipcart.core.node.NodeInput
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.node.createNodeController
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against a configuration of the planned size that a host cannot take from a peer. */
+class ConfigTransferTest {
+    private val names = listOf("a", "b")
+    private val nodes: Map<HostId, NodeController> = names.associate {
+        HostId(it) to createNodeController(identity(it), Random(1))
+    }
+    private val deliveries = ArrayDeque<() -> Unit>()
+    private val published = mutableListOf<Configuration>()
+    private val frameSizes = mutableListOf<Int>()
+    private var isReady = false
+    private var nowMs = 0L
+    private var isPartDue: (PeerMessage.ConfigPart) -> Boolean = { true }
+    private val declarations = listOf(
+        TierSpec(Tier(0), "chat", 930, 67),
+        PresetSpec(PresetName("ordinary"), emptyMap(), 0.1)
+    ) + (0 until ORGANISATIONS).map {
+        OrganisationSpec(
+            OrganisationId("organisation-%05d".format(it)),
+            "%064x".format(it),
+            Tier(0),
+            weight = 1.0,
+            limitTokensPerS = 1_000
+        )
+    }
+
+    init {
+        val list = HostList(names.map { ListedHost(HostId(it), "$it:1", false) }, emptySet())
+        read(0, ConfigEntry.Publish(Revision(0), declarations, emptyList(), "mari"))
+        read(1, switch(1))
+        names.forEach { input(HostId(it), NodeInput.HostListRead(list)) }
+        input(HostId("b"), NodeInput.ConfigReadFailed)
+    }
+
+    @Nested
+    inner class PlannedSize {
+        @Test
+        fun `a host becomes ready without the log, by frames that the peer protocol allows`() {
+            advance(5_000)
+
+            assertTrue(isReady)
+            assertEquals(declarations.toSet(), published.last().declarations.values.toSet())
+            assertTrue(frameSizes.max() <= PeerCodec.MAX_FRAME_BYTES, "found ${frameSizes.max()}")
+        }
+
+        @Test
+        fun `a lost part is asked for again`() {
+            var lostCount = 0
+            isPartDue = { it.index != 5 || lostCount++ > 0 }
+
+            advance(5_000)
+
+            assertTrue(isReady)
+            assertTrue(lostCount > 1)
+        }
+
+        @Test
+        fun `a state that moves on between two parts is fetched whole and never mixed`() {
+            var hasMoved = false
+            isPartDue = {
+                if (it.index == 5 && !hasMoved) {
+                    hasMoved = true
+                    val changed = (declarations.last() as OrganisationSpec).copy(weight = 2.0)
+                    val entry =
+                        ConfigEntry.Publish(Revision(2), listOf(changed), emptyList(), "mari")
+                    read(2, entry)
+                }
+                true
+            }
+
+            advance(5_000)
+
+            assertEquals(Revision(3), published.last().revision)
+            assertEquals(ORGANISATIONS + 2, published.last().declarations.size)
+            assertEquals(1, published.size)
+        }
+    }
+
+    private fun advance(durationMs: Long) = repeat((durationMs / TICK_MS).toInt()) {
+        nowMs += TICK_MS
+        names.forEach { input(HostId(it), NodeInput.Tick(nowMs)) }
+    }
+
+    private fun read(offset: Long, entry: ConfigEntry) {
+        val record = ConfigRecord(LogOffset(offset), 0, entry)
+        val page = NodeInput.ConfigRead(listOf(record), LogOffset(0), LogOffset(offset + 1))
+        handle(HostId("a"), page)
+    }
+
+    private fun input(host: HostId, input: NodeInput) {
+        handle(host, input)
+        while (true) (deliveries.removeFirstOrNull() ?: return).invoke()
+    }
+
+    private fun handle(host: HostId, input: NodeInput) {
+        for (effect in nodes.getValue(host).handle(input, nowMs)) perform(host, effect)
+    }
+
+    private fun perform(host: HostId, effect: NodeEffect) {
+        when (effect) {
+            is NodeEffect.SendPeer -> deliveries += { deliver(host, effect) }
+
+            is NodeEffect.PublishConfiguration ->
+                if (host.value == "b") published += effect.configuration
+
+            is NodeEffect.PublishReadiness -> if (host.value == "b") isReady = effect.isReady
+
+            else -> Unit
+        }
+    }
+
+    private fun deliver(from: HostId, effect: NodeEffect.SendPeer) {
+        val frame = PeerCodec.encode(from, effect.message)
+        frameSizes += frame.size
+        val message = checkNotNull(PeerCodec.decode(frame).getOrNull()?.message)
+        if (message is PeerMessage.ConfigPart && !isPartDue(message)) return
+        if (frame.size <= PeerCodec.MAX_FRAME_BYTES) {
+            handle(effect.to, NodeInput.FromPeer(from, message))
+        }
+    }
+
+    private fun identity(name: String) =
+        HostIdentity(HostId(name), IncarnationId(1), DomainId("d"), "$name:1")
+
+    private fun switch(base: Long) =
+        ConfigEntry.SwitchPreset(Revision(base), PresetName("ordinary"), "mari")
+
+    private companion object {
+        const val ORGANISATIONS = 23_000
+        const val TICK_MS = 20L
+    }
+}
--- a/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
@@ -79,6 +79,8 @@
             Rumor.EndpointLeaving(EndpointId("e"), 30)
         )
     )
+    private val configReply =
+        PeerMessage.ConfigReply(ConfigState(LogOffset(9), Configuration.EMPTY), true)
     private val messages: List<PeerMessage> = listOf(
         PeerMessage.Ping(ping, isReady = true),
         PeerMessage.PingAck(ping, isReady = false),
@@ -129,7 +131,9 @@
         ),
         PeerMessage.CrashAck("c"),
         PeerMessage.ConfigFetch,
-        PeerMessage.ConfigReply(ConfigState(LogOffset(9), Configuration.EMPTY), true),
+        configReply,
+        PeerMessage.ConfigPartFetch(-3, 2),
+        PeerMessage.ConfigPart(configReply, -3, index = 1, partCount = 2, declarationCount = 9),
         PeerMessage.QuotaAsk(OrganisationId("o"), 10),
         PeerMessage.QuotaGranted(OrganisationId("o"), 10)
     )
@@ -148,7 +152,7 @@
 
         @Test
         fun `the list has each kind of message`() {
-            val kinds = PeerMessage::class.java.permittedSubclasses?.toSet().orEmpty()
+            val kinds = kindsOf(PeerMessage::class.java)
 
             assertEquals(kinds, messages.mapTo(mutableSetOf()) { it.javaClass })
         }
@@ -188,6 +192,17 @@
             }
         }
 
+        @Test
+        fun `a part whose bytes were changed is an error`() {
+            val part = PeerMessage.ConfigPart(configReply, -3, 0, 1, 0)
+            val frame = PeerCodec.encode(from, part).decodeToLatin1()
+            // The offset 9 of the state, after its field name.
+            val changed = frame.replace("ao\u0009", "ao\u0008")
+
+            assertTrue(changed != frame)
+            assertTrue(PeerCodec.decode(changed.toByteArray(Charsets.ISO_8859_1)).isLeft())
+        }
+
         @Test
         fun `an error report is not a message`() {
             val frame = PeerCodec.encodeError(from, WireError.Malformed("x"))
@@ -197,6 +212,12 @@
         }
     }
 
+    private fun ByteArray.decodeToLatin1() = String(this, Charsets.ISO_8859_1)
+
+    /** Classes of a sealed type, also those below sealed types within it. */
+    private fun kindsOf(type: Class<*>): Set<Class<*>> =
+        type.permittedSubclasses?.flatMapTo(mutableSetOf()) { kindsOf(it) } ?: setOf(type)
+
     private companion object {
         const val SEED = 20_261_204
         const val RANDOM_FRAMES = 5_000
