Be ready only after a read to the end of the log since the start

Cause: in an outage of the log a starting host was ready once every listed peer had answered. Change: a host is ready only if its own read or a peer's read, begun after the start of the process, reached the end of the stream. ConfigReply tells the age of the peer's last such read; it is judged from the time at which the fetch was sent, and a reply names its fetch. Pings tell who reads the log, so that hosts do not fetch states in a total outage. New scenarios not-ready-behind-stale-peer and ready-through-peer, each with a fault. Conclusion: peers alone cannot know what only a dead host had served. Ruled out: comparing wall clocks; a ping's age of a read, since an unrequested ping can be delayed. Cost: hosts that start in a total outage do not serve until it ends.

--- a/core/src/main/kotlin/cowslipcart/core/config/PeerReadinessGate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/PeerReadinessGate.kt
@@ -10,28 +10,27 @@
     override var isReady = false
         private set
 
-    private var log: LogStatus = LogStatus.NOT_READ
+    override var isLogEndKnown = false
+        private set
+
     private var peerList: PeerList = PeerList.NotRead
     private var ownOffset = LogOffset(0)
 
     /** Highest offset that the log or a peer has named; evidence that outlives a log failure. */
     private var highestOffset = LogOffset(0)
     private val answeredPeers = mutableSetOf<HostId>()
-    private val readyPeers = mutableSetOf<HostId>()
     private val silentPeers = mutableSetOf<HostId>()
 
     override fun onLogEnd(endOffset: LogOffset) = update {
-        log = LogStatus.READ_TO_END
+        isLogEndKnown = true
         highestOffset = maxOf(highestOffset, endOffset)
     }
 
-    override fun onLogFailure() = update { log = LogStatus.FAILED }
-
-    override fun onPeerOffset(host: HostId, nextOffset: LogOffset, isPeerReady: Boolean) = update {
+    override fun onPeerOffset(host: HostId, nextOffset: LogOffset, isLogEnd: Boolean) = update {
+        isLogEndKnown = isLogEndKnown || isLogEnd
         highestOffset = maxOf(highestOffset, nextOffset)
         answeredPeers += host
         silentPeers -= host
-        if (isPeerReady) readyPeers += host else readyPeers -= host
     }
 
     override fun onPeerSilent(host: HostId) = update { silentPeers += host }
@@ -44,43 +43,22 @@
         ownOffset = maxOf(ownOffset, nextOffset)
     }
 
-    override fun describeMissing(): List<String> {
-        if (isReady) return emptyList()
-        val missing = when (log) {
-            LogStatus.NOT_READ -> listOf("expected a read to the end of the log, found none")
-            LogStatus.READ_TO_END -> findMissingWithLog()
-            LogStatus.FAILED -> findMissingWithoutLog()
-        }
-        return if (ownOffset >= highestOffset) {
-            missing
-        } else {
-            missing + "expected configuration offset $highestOffset, found $ownOffset"
-        }
-    }
-
-    private fun findMissingWithLog(): List<String> = when (val list = peerList) {
-        PeerList.NotRead -> listOf(LIST_NOT_READ)
-        PeerList.Unavailable -> emptyList()
-        is PeerList.Listed -> describeUnanswered(list.hosts - answeredPeers - silentPeers)
-    }
+    override fun describeMissing(): List<String> = buildList {
+        if (isReady) return@buildList
+        if (!isLogEndKnown) add(LOG_END_NOT_KNOWN)
+        when (val list = peerList) {
+            PeerList.NotRead -> add("expected a reading of the host list, found none")
 
-    private fun findMissingWithoutLog(): List<String> = when (val list = peerList) {
-        PeerList.NotRead -> listOf(LIST_NOT_READ)
+            // The end of the log covers all peers; the list only guards against an outdated read.
+            PeerList.Unavailable -> Unit
 
-        PeerList.Unavailable ->
-            listOf("expected the log or the host list, found neither")
-
-        is PeerList.Listed -> describeUnanswered(list.hosts - answeredPeers) +
-            describeNoReadyPeer(list.hosts)
-    }
-
-    private fun describeUnanswered(hosts: Set<HostId>) =
-        hosts.sorted().map { "expected the configuration offset of $it, found no answer" }
-
-    private fun describeNoReadyPeer(hosts: Set<HostId>) = if (hosts.any { it in readyPeers }) {
-        emptyList()
-    } else {
-        listOf("expected a ready peer during the log outage, found none")
+            is PeerList.Listed -> (list.hosts - answeredPeers - silentPeers).sorted().forEach {
+                add("expected the configuration offset of $it, found no answer")
+            }
+        }
+        if (ownOffset < highestOffset) {
+            add("expected configuration offset $highestOffset, found $ownOffset")
+        }
     }
 
     private inline fun update(change: () -> Unit) {
@@ -88,8 +66,6 @@
         isReady = isReady || describeMissing().isEmpty()
     }
 
-    private enum class LogStatus { NOT_READ, READ_TO_END, FAILED }
-
     private sealed interface PeerList {
         data object NotRead : PeerList
 
@@ -99,6 +75,8 @@
     }
 
     private companion object {
-        const val LIST_NOT_READ = "expected a reading of the host list, found none"
+        const val LOG_END_NOT_KNOWN =
+            "expected a read to the end of the log, by this host or a peer, since the start of " +
+                "this process, found none"
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/config/ReadinessGate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/config/ReadinessGate.kt
@@ -4,30 +4,29 @@
 import cowslipcart.core.model.LogOffset
 
 /**
- * Decides whether a starting host knows a configuration at least as new as any that its peers have
- * in force. Once ready, it stays ready.
+ * Decides whether a starting host knows a configuration at least as new as any that was in force
+ * when it started. Only a read of the log that began after the start shows that: a host that has
+ * died may have served a preset that no live peer has seen. Once ready, it stays ready.
  */
 public interface ReadinessGate {
     /** Whether the host may take requests. */
     public val isReady: Boolean
 
-    /** A read of the log reached its end at [endOffset]. */
-    public fun onLogEnd(endOffset: LogOffset)
+    /** Whether the end of the log is known by a read that began after the start of this process. */
+    public val isLogEndKnown: Boolean
 
-    /** A read of the log failed. */
-    public fun onLogFailure()
+    /** A read of this process found the end of the log at [endOffset]. */
+    public fun onLogEnd(endOffset: LogOffset)
 
     /**
-     * Peer [host] has applied the configuration before [nextOffset]; [isPeerReady] tells whether
-     * that peer is ready itself. During a log outage, hosts that all started without the log must
-     * not take each other's empty configuration for the newest one.
+     * Peer [host] has applied the configuration before [nextOffset].
+     *
+     * @param isLogEnd whether a read by the peer that began after the start of this process found
+     * no record from [nextOffset] on
      */
-    public fun onPeerOffset(host: HostId, nextOffset: LogOffset, isPeerReady: Boolean)
+    public fun onPeerOffset(host: HostId, nextOffset: LogOffset, isLogEnd: Boolean)
 
-    /**
-     * Peer [host] did not answer in time. With the log this host need not wait for it; without the
-     * log it must.
-     */
+    /** Peer [host] did not answer in time; this host need not wait for it. */
     public fun onPeerSilent(host: HostId)
 
     /** The platform lists these other hosts as live; null while the list cannot be read. */
--- a/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
@@ -110,6 +110,12 @@
     public fun next(): LogOffset = LogOffset(value + 1)
 }
 
+/** Identifies one fetch of a peer's configuration; random. */
+@JvmInline
+public value class ConfigFetchId(public val value: Long) {
+    override fun toString(): String = value.toString()
+}
+
 /** Name of a log stream. */
 @JvmInline
 public value class StreamName(public val value: String) {
--- a/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigDesk.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.node
 
 import cowslipcart.core.config.ConfigState
+import cowslipcart.core.config.PeerFetches
 import cowslipcart.core.config.createConfigReplica
 import cowslipcart.core.config.createReadinessGate
 import cowslipcart.core.model.Configuration
@@ -17,7 +18,10 @@
     private val replica = createConfigReplica()
     private val gate = createReadinessGate(self)
     private var publishedReadiness: Pair<Boolean, List<String>>? = null
-    private var isLogReadable = false
+    private var fetches: PeerFetches? = null
+
+    /** Start of the last read of the log that found no record behind the state. */
+    private var endReadBeganAtMs: Long? = null
     private var lastFetchAtMs = Long.MIN_VALUE / 2
     private var nextCheckpointAtMs = 0L
     private val peers = HashMap<HostId, PeerStatus>()
@@ -27,25 +31,42 @@
     val configuration: Configuration get() = replica.state.configuration
     val isReady: Boolean get() = gate.isReady
 
+    /** Whether the last read of the log reached its end. */
+    var isLogReadable = false
+        private set
+
     /** What [host] said last of its configuration; for this host, what is in force. */
-    fun statusOf(host: HostId): PeerStatus? =
-        if (host == self) PeerStatus(replica.state.nextOffset, gate.isReady) else peers[host]
+    fun statusOf(host: HostId): PeerStatus? = if (host == self) {
+        PeerStatus(replica.state.nextOffset, gate.isReady, isLogReadable)
+    } else {
+        peers[host]
+    }
+
+    /** Notes the time of the first input as the start of this process. */
+    fun onInput(nowMs: Long) {
+        if (fetches == null) fetches = PeerFetches(nowMs, random)
+    }
 
     /** Applies records; returns whether the configuration changed. */
     fun onRead(input: NodeInput.ConfigRead): Boolean {
-        isLogReadable = true
         val before = replica.state.configuration
         val verdicts = replica.apply(input.records, input.firstKeptOffset)
         verdicts.forEach { outbox.emit(NodeEffect.ConfigDecided(it)) }
         gate.onOwnOffset(replica.state.nextOffset)
         gate.onLogEnd(input.endOffset)
+        isLogReadable = replica.state.nextOffset >= input.endOffset
+        if (isLogReadable) endReadBeganAtMs = input.beganAtMs
         return publish(before)
     }
 
     fun onReadFailed() {
         isLogReadable = false
-        gate.onLogFailure()
-        publishReadiness()
+    }
+
+    /** Sends this host's state, and how old its knowledge of the end of the log is. */
+    fun onFetch(from: HostId, fetch: PeerMessage.ConfigFetch, nowMs: Long) {
+        val logReadAgeMs = endReadBeganAtMs?.let { nowMs - it }
+        outbox.send(from, PeerMessage.ConfigReply(fetch.fetchId, replica.state, logReadAgeMs))
     }
 
     /** Takes the state of a peer; returns whether the configuration changed. */
@@ -53,14 +74,22 @@
         val before = replica.state.configuration
         replica.adopt(reply.state)
         gate.onOwnOffset(replica.state.nextOffset)
-        gate.onPeerOffset(from, reply.state.nextOffset, reply.isReady)
+        val isLogEnd = reply.logReadAgeMs
+            ?.let { fetches?.isReadAfterStart(reply.fetchId, it) }
+            ?: false
+        gate.onPeerOffset(from, reply.state.nextOffset, isLogEnd)
         return publish(before)
     }
 
-    fun onPeerOffset(from: HostId, offset: LogOffset, isPeerReady: Boolean, nowMs: Long) {
-        peers[from] = PeerStatus(offset, isPeerReady)
-        gate.onPeerOffset(from, offset, isPeerReady)
-        if (offset > replica.state.nextOffset) catchUp(from, nowMs)
+    /** Takes what a peer's ping says. */
+    fun onPeerStatus(from: HostId, status: PeerStatus, nowMs: Long) {
+        peers[from] = status
+        gate.onPeerOffset(from, status.configOffset, isLogEnd = false)
+        if (status.configOffset > replica.state.nextOffset) {
+            catchUp(from, FETCH_INTERVAL_MS, nowMs)
+        } else if (!gate.isLogEndKnown && status.isLogReadable) {
+            catchUp(from, CONFIRM_INTERVAL_MS, nowMs)
+        }
         publishReadiness()
     }
 
@@ -86,11 +115,12 @@
     }
 
     /** The log is read first; a peer's state serves when the log cannot be read. */
-    private fun catchUp(from: HostId, nowMs: Long) {
-        if (nowMs - lastFetchAtMs < FETCH_INTERVAL_MS) return
+    private fun catchUp(from: HostId, intervalMs: Long, nowMs: Long) {
+        val fetches = fetches
+        if (fetches == null || nowMs - lastFetchAtMs < intervalMs) return
         lastFetchAtMs = nowMs
         if (isLogReadable) outbox.emit(NodeEffect.ReadConfigNow)
-        outbox.send(from, PeerMessage.ConfigFetch)
+        outbox.send(from, PeerMessage.ConfigFetch(fetches.begin(nowMs)))
     }
 
     private fun publish(before: Configuration): Boolean {
@@ -115,6 +145,9 @@
     private companion object {
         const val FETCH_INTERVAL_MS = 200L
 
+        /** Peers read the log about once a second; each fetch carries the whole state. */
+        const val CONFIRM_INTERVAL_MS = 1_000L
+
         /** Time in which a listed peer is pinged several times. */
         const val PEER_ANSWER_TIMEOUT_MS = 5_000L
         const val CHECKPOINT_INTERVAL_MS = 60_000L
@@ -124,5 +157,9 @@
     }
 }
 
-/** Configuration offset and readiness of a host. */
-internal data class PeerStatus(val configOffset: LogOffset, val isReady: Boolean)
+/** What a host says of its configuration in pings. */
+internal data class PeerStatus(
+    val configOffset: LogOffset,
+    val isReady: Boolean,
+    val isLogReadable: Boolean
+)
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -44,6 +44,7 @@
 
     override fun handle(input: NodeInput, nowMs: Long): List<NodeEffect> {
         shards.onInput(nowMs)
+        config.onInput(nowMs)
         dispatchInput(input, nowMs)
         while (true) {
             val message = outbox.toSelf.removeFirstOrNull() ?: break
@@ -108,12 +109,16 @@
         when (message) {
             is PeerMessage.Ping -> {
                 applyMembership(membership.onPing(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
+                val offset = message.content.configOffset
+                val status = PeerStatus(offset, message.isReady, message.isLogReadable)
+                config.onPeerStatus(from, status, nowMs)
             }
 
             is PeerMessage.PingAck -> {
                 applyMembership(membership.onPingAck(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
+                val offset = message.content.configOffset
+                val status = PeerStatus(offset, message.isReady, message.isLogReadable)
+                config.onPeerStatus(from, status, nowMs)
             }
 
             is PeerMessage.PingRequest ->
@@ -158,10 +163,7 @@
                 requests.perform(origin.onCrashSpread(message.crashId, nowMs), nowMs)
             }
 
-            PeerMessage.ConfigFetch -> outbox.send(
-                from,
-                PeerMessage.ConfigReply(config.state, config.isReady)
-            )
+            is PeerMessage.ConfigFetch -> config.onFetch(from, message, nowMs)
 
             is PeerMessage.ConfigReply -> if (config.onReply(from, message)) refresh(nowMs)
 
@@ -264,12 +266,14 @@
                     NodeEffect.SendPeer(
                         effect.to,
                         effect.address,
-                        PeerMessage.Ping(effect.ping, config.isReady)
+                        PeerMessage.Ping(effect.ping, config.isReady, config.isLogReadable)
                     )
                 )
 
-                is MembershipEffect.SendPingAck ->
-                    outbox.send(effect.to, PeerMessage.PingAck(effect.ack, config.isReady))
+                is MembershipEffect.SendPingAck -> outbox.send(
+                    effect.to,
+                    PeerMessage.PingAck(effect.ack, config.isReady, config.isLogReadable)
+                )
 
                 is MembershipEffect.SendPingRequest ->
                     outbox.send(effect.via, PeerMessage.PingRequest(effect.target))
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -54,11 +54,16 @@
         public val events: List<CacheEvent>
     ) : NodeInput
 
-    /** Records of the stream `config`. */
+    /**
+     * Records of the stream `config`.
+     *
+     * @property beganAtMs when the read was sent to the log, on the clock of the controller
+     */
     public data class ConfigRead(
         public val records: List<ConfigRecord>,
         public val firstKeptOffset: LogOffset,
-        public val endOffset: LogOffset
+        public val endOffset: LogOffset,
+        public val beganAtMs: Long
     ) : NodeInput
 
     /** The stream `config` could not be read. */
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.config.ConfigState
 import cowslipcart.core.membership.PingContent
 import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.HostId
@@ -24,13 +25,24 @@
 
 /** Message between two hosts. The encoding is in the `wire` module. */
 public sealed interface PeerMessage {
-    /** Membership ping; [isReady] tells whether the sender serves requests. */
-    public data class Ping(public val content: PingContent, public val isReady: Boolean) :
-        PeerMessage
+    /**
+     * Membership ping.
+     *
+     * @property isReady whether the sender serves requests
+     * @property isLogReadable whether the sender's reads of the configuration stream reach its end
+     */
+    public data class Ping(
+        public val content: PingContent,
+        public val isReady: Boolean,
+        public val isLogReadable: Boolean
+    ) : PeerMessage
 
     /** Answer to a [Ping]. */
-    public data class PingAck(public val content: PingContent, public val isReady: Boolean) :
-        PeerMessage
+    public data class PingAck(
+        public val content: PingContent,
+        public val isReady: Boolean,
+        public val isLogReadable: Boolean
+    ) : PeerMessage
 
     /** Asks the receiver to ping [target]. */
     public data class PingRequest(public val target: HostId) : PeerMessage
@@ -143,11 +155,19 @@
     public data class CrashAck(public val crashId: String) : PeerMessage
 
     /** Asks for the configuration and its offset. */
-    public data object ConfigFetch : PeerMessage
+    public data class ConfigFetch(public val fetchId: ConfigFetchId) : PeerMessage
 
-    /** Answer to a [ConfigFetch]. */
-    public data class ConfigReply(public val state: ConfigState, public val isReady: Boolean) :
-        PeerMessage
+    /**
+     * Answer to a [ConfigFetch].
+     *
+     * @property logReadAgeMs how long before this answer the sender began its last read of the log
+     * that found no record behind [state]; null if there was none
+     */
+    public data class ConfigReply(
+        public val fetchId: ConfigFetchId,
+        public val state: ConfigState,
+        public val logReadAgeMs: Long?
+    ) : PeerMessage
 
     /** Origin to quota holder: asks for tokens of an organisation. */
     public data class QuotaAsk(
--- a/core/src/test/kotlin/cowslipcart/core/config/ConfigHistory.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ConfigHistory.kt
@@ -38,34 +38,51 @@
     }
 }
 
-/** One host of a history; [readyPeers] had these offsets in force when it started. */
-internal class ConfigHost(val id: HostId, val readyPeers: Map<ConfigHost, LogOffset>) {
+/**
+ * One host of a history; [readyPeers] had these offsets in force when it started, and any host,
+ * also one that was dead by then, had served up to [servedOffset].
+ */
+internal class ConfigHost(
+    val id: HostId,
+    val readyPeers: Map<ConfigHost, LogOffset>,
+    val servedOffset: LogOffset,
+    startedAtMs: Long,
+    random: Random
+) {
     val replica = createConfigReplica()
     val gate = createReadinessGate(id)
+    val fetches = PeerFetches(startedAtMs, random)
+
+    /** Number of the step of the last read that reached the end of the log, and what it showed. */
+    var endReadStep: Long? = null
+    var endRead = LogEnd.NONE
     var reachesLog = true
     var isPaused = false
     var pendingCheckpoint: ConfigEntry.Checkpoint? = null
     var seen = replica.state
     var wasReady = false
     var logEnd = LogEnd.NONE
+    var hasReadLog = false
     val silentPeers = mutableSetOf<HostId>()
-    var hasAskedReadyPeer = false
 
     /**
-     * The newest offset that this host has to know. A current log end covers all peers. Without it,
-     * only a peer process that still runs can tell its offset, and a stale log end hides what a
-     * peer knows that does not answer.
+     * The newest offset that this host has to know. A current log end covers all hosts, dead ones
+     * included. An outdated one hides what a peer knows that no longer runs or does not answer.
      */
-    fun requiredOffset(running: Collection<ConfigHost>): LogOffset = readyPeers.filterKeys {
-        when (logEnd) {
-            LogEnd.CURRENT -> true
-            LogEnd.STALE -> it in running && it.id !in silentPeers
-            LogEnd.NONE -> it in running
-        }
-    }.values.maxOrNull() ?: LogOffset(0)
+    fun requiredOffset(running: Collection<ConfigHost>): LogOffset = when (logEnd) {
+        LogEnd.CURRENT -> servedOffset
+
+        LogEnd.STALE, LogEnd.NONE ->
+            readyPeers
+                .filterKeys { it in running && it.id !in silentPeers }
+                .values.maxOrNull() ?: LogOffset(0)
+    }
 }
 
-/** What the latest read to the end of the log showed. */
+/**
+ * The best that reads to the end of the log since the start of a host have shown it, its own or
+ * those of peers.
+ */
 internal enum class LogEnd { NONE, STALE, CURRENT }
 
 /** Runs one generated history and checks the guarantees of section 7 after each step. */
@@ -75,11 +92,15 @@
     private val names = List(4) { HostId("h$it") }
     private val hosts = mutableMapOf<HostId, ConfigHost>()
     private val listed = mutableSetOf<HostId>()
+    private var servedOffset = LogOffset(0)
+    private var stepNumber = 0L
     var readyCount = 0
+    var readyByPeerCount = 0
 
     fun run() {
         names.forEach(::start)
         repeat(STEPS) {
+            stepNumber++
             step(hosts.values.random(random))
             hosts.values.forEach(::check)
         }
@@ -128,10 +149,7 @@
     }
 
     private fun read(host: ConfigHost, count: Int, isStale: Boolean) {
-        if (!host.reachesLog) {
-            host.logEnd = LogEnd.NONE
-            return host.gate.onLogFailure()
-        }
+        if (!host.reachesLog) return
         val size = log.records.size
         val end = if (isStale) size - random.nextInt(0, minOf(4, size + 1)) else size
         val from = host.replica.readFrom.value.toInt().coerceIn(log.firstKept, size)
@@ -144,8 +162,14 @@
         }
         host.gate.onOwnOffset(host.replica.state.nextOffset)
         if (from + count < end) return
-        host.logEnd = if (end == size) LogEnd.CURRENT else LogEnd.STALE
+        val endRead = if (end == size) LogEnd.CURRENT else LogEnd.STALE
+        host.hasReadLog = true
+        host.logEnd = maxOf(host.logEnd, endRead)
         host.gate.onLogEnd(LogOffset(end.toLong()))
+        // Behind a trimmed gap the end is known, but not what is in force there.
+        if (host.replica.state.nextOffset.value < end) return
+        host.endRead = endRead
+        host.endReadStep = stepNumber
     }
 
     private fun askPeers(host: ConfigHost) {
@@ -156,17 +180,25 @@
                 host.gate.onPeerSilent(peer.id)
             } else {
                 host.silentPeers -= peer.id
-                host.hasAskedReadyPeer = host.hasAskedReadyPeer || peer.gate.isReady
-                // A peer's offset may arrive in a ping, before its state.
-                if (random.nextBoolean()) host.replica.adopt(peer.replica.state)
-                val offset = peer.replica.state.nextOffset
-                host.gate.onPeerOffset(peer.id, offset, peer.gate.isReady)
+                askPeer(host, peer)
             }
         }
         (listed - hosts.keys).forEach(host.gate::onPeerSilent)
         host.gate.onOwnOffset(host.replica.state.nextOffset)
     }
 
+    /** A peer's offset may arrive in a ping, before its state and without the age of its read. */
+    private fun askPeer(host: ConfigHost, peer: ConfigHost) {
+        val offset = peer.replica.state.nextOffset
+        val isFetch = random.nextBoolean()
+        val ageMs = peer.endReadStep?.let { stepNumber - it }
+        val isLogEnd = isFetch && ageMs != null &&
+            host.fetches.isReadAfterStart(host.fetches.begin(stepNumber), ageMs)
+        if (isFetch) host.replica.adopt(peer.replica.state)
+        if (isLogEnd) host.logEnd = maxOf(host.logEnd, peer.endRead)
+        host.gate.onPeerOffset(peer.id, offset, isLogEnd)
+    }
+
     private fun pass(durationMs: Long) {
         log.nowMs += durationMs
         log.trim(RETENTION_MS)
@@ -182,8 +214,10 @@
 
     private fun start(id: HostId) {
         val readyPeers = hosts.values.filter { it.gate.isReady }
-        hosts[id] = ConfigHost(id, readyPeers.associateWith { it.replica.state.nextOffset })
-        hosts.getValue(id).reachesLog = random.nextInt(3) != 0
+        val offsets = readyPeers.associateWith { it.replica.state.nextOffset }
+        val host = ConfigHost(id, offsets, servedOffset, stepNumber, random)
+        host.reachesLog = random.nextInt(3) != 0
+        hosts[id] = host
         listed += id
     }
 
@@ -195,11 +229,13 @@
             "${host.id}: expected at least offset ${host.seen.nextOffset}, got ${state.nextOffset}"
         }
         host.seen = state
+        if (host.gate.isReady) servedOffset = maxOf(servedOffset, state.nextOffset)
         if (!host.gate.isReady || host.wasReady) return
         host.wasReady = true
         readyCount++
-        check(host.logEnd != LogEnd.NONE || host.hasAskedReadyPeer) {
-            "${host.id}: expected a host without the log to be ready after a ready peer only"
+        if (!host.hasReadLog) readyByPeerCount++
+        check(host.logEnd != LogEnd.NONE) {
+            "${host.id}: expected a host to be ready after a read to the end of the log only"
         }
         val required = host.requiredOffset(hosts.values)
         check(state.nextOffset >= required) {
@@ -216,6 +252,7 @@
         hosts.values.forEach { it.reachesLog = true }
         repeat(2) {
             val newest = hosts.values.map { it.replica.state }.maxBy { it.nextOffset }
+            stepNumber++
             hosts.values.forEach { it.replica.adopt(newest) }
             hosts.values.forEach(::askPeers)
             hosts.values.forEach { read(it, log.records.size, isStale = false) }
--- a/core/src/test/kotlin/cowslipcart/core/config/ConfigHistoryTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ConfigHistoryTest.kt
@@ -14,13 +14,20 @@
         @Test
         fun `replicas agree, never go back and are ready only with what was in force`() {
             var readyCount = 0
+            var readyByPeerCount = 0
             for (seed in 1..5_000) {
                 val history = ConfigHistory(seed)
                 runCatching { history.run() }
                     .onFailure { throw AssertionError("seed $seed: ${it.message}", it) }
                 readyCount += history.readyCount
+                readyByPeerCount += history.readyByPeerCount
             }
+            println("ready hosts: $readyCount, without a read of their own: $readyByPeerCount")
             assertTrue(readyCount > 10_000, "expected over 10000 ready hosts, got $readyCount")
+            assertTrue(
+                readyByPeerCount > 1_000,
+                "expected over 1000 hosts that are ready by a peer's read, got $readyByPeerCount"
+            )
         }
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/config/PeerFetchesTest.kt
@@ -0,0 +1,39 @@
+package cowslipcart.core.config
+
+import cowslipcart.core.model.ConfigFetchId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Guards against a peer's read of the log that is older than it seems. */
+class PeerFetchesTest {
+    private val fetches = PeerFetches(startedAtMs = 1_000, Random(1))
+
+    @Test
+    fun `a read that began after the start counts`() {
+        assertTrue(fetches.isReadAfterStart(fetches.begin(nowMs = 1_500), logReadAgeMs = 499))
+    }
+
+    @Test
+    fun `a read that may have begun before the start does not count`() {
+        assertFalse(fetches.isReadAfterStart(fetches.begin(nowMs = 1_500), logReadAgeMs = 500))
+    }
+
+    @Test
+    fun `a late reply to an early fetch is judged by that fetch`() {
+        val early = fetches.begin(nowMs = 1_100)
+        fetches.begin(nowMs = 9_000)
+        assertFalse(fetches.isReadAfterStart(early, logReadAgeMs = 100))
+    }
+
+    @Test
+    fun `a reply to a fetch of an earlier process does not count`() {
+        assertFalse(fetches.isReadAfterStart(ConfigFetchId(7), logReadAgeMs = 0))
+    }
+
+    @Test
+    fun `an age below 0 does not count`() {
+        assertFalse(fetches.isReadAfterStart(fetches.begin(nowMs = 1_000), logReadAgeMs = -1))
+    }
+}
--- a/core/src/test/kotlin/cowslipcart/core/config/ReadinessGateTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/config/ReadinessGateTest.kt
@@ -49,7 +49,7 @@
         @Test
         fun `waits until it is as new as a peer that read a later end`() {
             gate.onOwnOffset(LogOffset(3))
-            gate.onPeerOffset(peer, LogOffset(4), isPeerReady = true)
+            gate.onPeerOffset(peer, LogOffset(4), isLogEnd = false)
             gate.onListedPeers(setOf(peer))
             assertFalse(gate.isReady)
             gate.onOwnOffset(LogOffset(4))
@@ -64,41 +64,50 @@
         }
     }
 
+    /** Guards against a preset that only a dead host has served: no live peer can tell of it. */
     @Nested
     inner class WithoutLog {
         init {
-            gate.onLogFailure()
             gate.onListedPeers(setOf(self, peer, HostId("h2")))
-            gate.onPeerOffset(peer, LogOffset(4), isPeerReady = true)
+            gate.onPeerOffset(peer, LogOffset(4), isLogEnd = false)
             gate.onOwnOffset(LogOffset(4))
         }
 
         @Test
-        fun `needs an answer of every listed peer`() {
-            gate.onPeerSilent(HostId("h2"))
+        fun `is not ready though every listed peer has answered`() {
+            gate.onPeerOffset(HostId("h2"), LogOffset(4), isLogEnd = false)
             assertFalse(gate.isReady)
-            gate.onPeerOffset(HostId("h2"), LogOffset(4), isPeerReady = false)
-            assertTrue(gate.isReady)
+            assertEquals(1, gate.describeMissing().size)
         }
 
         @Test
-        fun `needs a ready peer`() {
-            gate.onPeerOffset(peer, LogOffset(4), isPeerReady = false)
-            gate.onPeerOffset(HostId("h2"), LogOffset(0), isPeerReady = false)
+        fun `is not ready without peers or host list`() {
+            gate.onListedPeers(emptySet())
+            gate.onListedPeers(null)
             assertFalse(gate.isReady)
         }
 
         @Test
-        fun `needs the host list`() {
-            gate.onListedPeers(null)
+        fun `is ready when a peer has read to the end of the log and the others have answered`() {
+            gate.onPeerOffset(peer, LogOffset(4), isLogEnd = true)
+            assertFalse(gate.isReady)
+            gate.onPeerOffset(HostId("h2"), LogOffset(4), isLogEnd = false)
+            assertTrue(gate.isReady)
+        }
+
+        @Test
+        fun `waits for the state of the peer that has read to the end`() {
+            gate.onPeerSilent(HostId("h2"))
+            gate.onPeerOffset(peer, LogOffset(5), isLogEnd = true)
             assertFalse(gate.isReady)
+            gate.onOwnOffset(LogOffset(5))
+            assertTrue(gate.isReady)
         }
 
         @Test
         fun `stays behind a log end that it saw before the outage`() {
             gate.onLogEnd(LogOffset(9))
-            gate.onLogFailure()
-            gate.onPeerOffset(HostId("h2"), LogOffset(4), isPeerReady = true)
+            gate.onPeerOffset(HostId("h2"), LogOffset(4), isLogEnd = true)
             assertFalse(gate.isReady)
         }
     }
@@ -107,8 +116,7 @@
     fun `stays ready`() {
         gate.onListedPeers(emptySet())
         gate.onLogEnd(LogOffset(0))
-        gate.onLogFailure()
-        gate.onPeerOffset(peer, LogOffset(9), isPeerReady = true)
+        gate.onPeerOffset(peer, LogOffset(9), isLogEnd = false)
         assertTrue(gate.isReady)
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -79,7 +79,7 @@
     private val loop = ControlLoop(createNodeController(identity, Random(random.nextLong())), clock)
     private val context = EndpointContext(client, clock, metrics, settings.streamIdleTimeoutMs)
     private val streams =
-        PlatformStreams(HttpLog(client, settings.logUrl), scope, metrics, loop::submit)
+        PlatformStreams(HttpLog(client, settings.logUrl), scope, metrics, clock, loop::submit)
     private val poller = LoadPoller(scope, context.probe, loop::submit)
     private val verdicts = VerdictBoard()
     private val outcomes = OutcomeBoard(loop::submit)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
@@ -18,6 +18,7 @@
 import cowslipcart.core.node.OrderInput
 import cowslipcart.core.orders.OwnerEntry
 import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.wire.WireError
 import cowslipcart.wire.log.LogCodec
 import kotlinx.coroutines.CoroutineScope
@@ -29,19 +30,20 @@
     private val log: LogPort,
     private val scope: CoroutineScope,
     private val metrics: Metrics,
+    clock: RuntimeClock,
     private val control: (NodeInput) -> Unit
 ) {
     private val logger = LoggerFactory.getLogger(PlatformStreams::class.java)
-    private val configTail = StreamTail(log, CONFIG, metrics)
-    private val epochsTail = StreamTail(log, EPOCHS, metrics)
+    private val configTail = StreamTail(log, CONFIG, metrics, clock)
+    private val epochsTail = StreamTail(log, EPOCHS, metrics, clock)
 
     fun start() {
         configTail.start(
             scope,
-            { control(configInput(it)) },
+            { page, beganAtMs -> control(configInput(page, beganAtMs)) },
             { control(NodeInput.ConfigReadFailed) }
         )
-        epochsTail.start(scope, { control(epochsInput(it)) }, {})
+        epochsTail.start(scope, { page, _ -> control(epochsInput(page)) }, {})
     }
 
     fun readConfigNow() = configTail.readNow()
@@ -144,7 +146,7 @@
      * not: this host stops before it, since skipping it would put another configuration in force
      * than on the hosts that can read it.
      */
-    private fun configInput(page: LogPage): NodeInput.ConfigRead {
+    private fun configInput(page: LogPage, beganAtMs: Long): NodeInput.ConfigRead {
         val decoded = page.records.map { it to LogCodec.decodeConfig(it.payload) }
         val readable = decoded.takeWhile { (_, result) -> !isNewerVersion(result) }
         val records = readable.map { (record, result) ->
@@ -154,7 +156,7 @@
             val (record, result) = decoded[readable.size]
             decoded(record, result)
         }
-        return NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset)
+        return NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset, beganAtMs)
     }
 
     private fun isNewerVersion(result: Either<WireError, *>) =
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/StreamTail.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/StreamTail.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.StreamName
 import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.control.RuntimeClock
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.isActive
@@ -16,7 +17,8 @@
 internal class StreamTail(
     private val log: LogPort,
     private val stream: StreamName,
-    private val metrics: Metrics
+    private val metrics: Metrics,
+    private val clock: RuntimeClock
 ) {
     private val logger = LoggerFactory.getLogger(StreamTail::class.java)
     private val wake = Channel<Unit>(Channel.CONFLATED)
@@ -26,11 +28,21 @@
         wake.trySend(Unit)
     }
 
-    /** Reads on in [scope]; [onFailure] is called for each failed read. */
-    fun start(scope: CoroutineScope, onPage: (LogPage) -> Unit, onFailure: () -> Unit) {
+    /**
+     * Reads on in [scope].
+     *
+     * @param onPage called for each page with the time at which its read was sent
+     * @param onFailure called for each failed read
+     */
+    fun start(
+        scope: CoroutineScope,
+        onPage: (page: LogPage, beganAtMs: Long) -> Unit,
+        onFailure: () -> Unit
+    ) {
         scope.launch {
             var next = LogOffset(0)
             while (isActive) {
+                val beganAtMs = clock.nowMs()
                 log.read(stream, next, MAX_RECORDS, LONG_POLL_MS).fold(
                     { error ->
                         metrics.logCalls.labelValues("read", "failed").inc()
@@ -40,7 +52,7 @@
                     },
                     { page ->
                         metrics.logCalls.labelValues("read", "ok").inc()
-                        onPage(page)
+                        onPage(page, beganAtMs)
                         next = page.records.lastOrNull()?.offset?.next()
                             ?: maxOf(next, page.firstKeptOffset)
                     }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
@@ -171,12 +171,13 @@
     }
 
     private fun followConfig() {
+        val beganAtMs = time.nowMs
         world.log.read(world.log.config, configNext, host) { result ->
-            deliver { onConfigPage(result) }
+            deliver { onConfigPage(result, beganAtMs) }
         }
     }
 
-    private fun onConfigPage(result: LogResult<ConfigEntry>) = when (result) {
+    private fun onConfigPage(result: LogResult<ConfigEntry>, beganAtMs: Long) = when (result) {
         is Either.Left -> {
             handle(NodeInput.ConfigReadFailed)
             time.after(READ_RETRY_MS) { deliver { followConfig() } }
@@ -185,7 +186,9 @@
         is Either.Right -> {
             val page = result.value
             val records = page.records.map { ConfigRecord(it.offset, it.appendedAtMs, it.entry) }
-            handle(NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset))
+            handle(
+                NodeInput.ConfigRead(records, page.firstKeptOffset, page.endOffset, beganAtMs)
+            )
             configNext = page.records.lastOrNull()?.offset?.next()
                 ?: maxOf(configNext, page.firstKeptOffset)
             time.after(READ_INTERVAL_MS) { deliver { followConfig() } }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
@@ -85,6 +85,7 @@
         val controller = createController(identity, Random(random.nextLong()))
         val process = HostProcess(identity, controller, this)
         processes[host] = process
+        revisions.onStarted(process)
         requestCounts.remove(host)
         process.start()
     }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
@@ -50,7 +50,7 @@
             ConfigRecord(LogOffset(index.toLong()), WALL_START_MS, entry)
         }
         val end = LogOffset(entries.size.toLong())
-        hosts.forEach { input(it, NodeInput.ConfigRead(records, LogOffset(0), end)) }
+        hosts.forEach { input(it, NodeInput.ConfigRead(records, LogOffset(0), end, nowMs)) }
     }
 
     /** Advances by [durationMs], with a tick of each host every 20 ms. */
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/Faults.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/Faults.kt
@@ -84,6 +84,19 @@
         }
 }
 
+/** Takes each peer for one that has just read the log to its end. */
+internal class TrustsOldLogReads(inner: NodeController) : FaultyController(inner) {
+    override fun change(input: NodeInput): NodeInput {
+        if (input !is NodeInput.FromPeer) return input
+        return when (val message = input.message) {
+            is PeerMessage.Ping -> input.copy(message = message.copy(isLogReadable = true))
+            is PeerMessage.PingAck -> input.copy(message = message.copy(isLogReadable = true))
+            is PeerMessage.ConfigReply -> input.copy(message = message.copy(logReadAgeMs = 0))
+            else -> input
+        }
+    }
+}
+
 /** Drops messages for which [isDropped] holds. */
 internal class DropsMessages(
     inner: NodeController,
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/FaultsAreFoundTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/FaultsAreFoundTest.kt
@@ -49,6 +49,9 @@
             "operators-race" to ::IgnoresBaseRevision,
             "preset-survives-outage" to ::RevertsConfiguration,
             "not-ready-without-peer" to ::AlwaysReady,
+            "not-ready-behind-stale-peer" to ::TrustsOldLogReads,
+            "ready-through-peer" to
+                { inner -> DropsMessages(inner) { it is PeerMessage.ConfigReply } },
             "endpoint-leaves-while-list-lags" to ::IgnoresLeaving,
             "paused-host-wakes-with-grant" to ::IgnoresGrantAge,
             "graceful-drain" to ::CutsStreamsOnDrain,
@@ -69,6 +72,7 @@
             "late answers accepted" to ::AcceptsLateAnswers,
             "streams restarted" to ::RestartsStreams,
             "configuration reverted" to ::RevertsConfiguration,
+            "old reads of the log trusted" to ::TrustsOldLogReads,
             "retention hidden" to ::HidesRetention
         )
 
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/HistoryTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/HistoryTest.kt
@@ -1,6 +1,7 @@
 package cowslipcart.experiment.scenario
 
 import java.security.SecureRandom
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.test.fail
 import org.junit.jupiter.api.Test
@@ -32,6 +33,16 @@
         )
     }
 
+    /** Guards against a host that restarts in a log outage with an older preset than it served. */
+    @Test
+    fun `seeds 1552 and 2905 do not go back to an older revision`() {
+        for (seed in listOf(1_552L, 2_905L)) {
+            assertEquals(emptyList(), History(seed).run(), "seed $seed")
+            val violations = History(seed, faulty(::TrustsOldLogReads)).run()
+            assertTrue(violations.any(), "expected that seed $seed tells the fault, found it green")
+        }
+    }
+
     private fun seeds(): List<Long> {
         val count = System.getProperty("cowslipcart.seeds")?.toInt()
             ?: return (1L..FIXED_SEEDS).toList()
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/PresetTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/PresetTest.kt
@@ -95,17 +95,32 @@
         }
 
         @Test
-        fun `a daemon that starts in an outage becomes ready with the newest preset`() =
+        fun `a daemon that starts in an outage is ready with the newest preset when it ends`() =
             runBlocking {
                 val accepted = switchAt(cluster.daemons[0])
                 val preset = cluster.daemons[0].config().preset
                 cluster.setLogFaults("""{"outage":true}""")
                 val started = cluster.replaceDaemon(2)
+                watchNotReady(started)
+                cluster.setLogFaults("""{"outage":false}""")
                 awaitTrue("the new daemon to be ready", LONG_BOUND_MS) { started.isReady() }
                 val config = started.config()
                 assertEquals(accepted.revision to preset, config.revision to config.preset)
             }
 
+        /** The peers alone cannot know what a host served that has died. */
+        private suspend fun watchNotReady(daemon: DaemonHandle) {
+            awaitTrue("${daemon.hostId} to miss the log", LONG_BOUND_MS) {
+                "end of the log" in daemon.get("/readyz")?.body.orEmpty()
+            }
+            val endMs = nowMs() + WATCH_MS
+            awaitTrue("$WATCH_MS ms to pass", LONG_BOUND_MS) {
+                val ready = daemon.get("/readyz")
+                assertEquals(503, ready?.status, "$ready")
+                nowMs() >= endMs
+            }
+        }
+
         @Test
         fun `a daemon that starts in an outage is not ready while a peer is paused`() =
             runBlocking {
@@ -119,15 +134,12 @@
                         val missing = started.get("/readyz")?.body.orEmpty()
                         paused.hostId in missing && cluster.daemons[0].hostId !in missing
                     }
-                    val endMs = nowMs() + WATCH_MS
-                    awaitTrue("$WATCH_MS ms to pass", LONG_BOUND_MS) {
-                        val ready = started.get("/readyz")
-                        assertEquals(503, ready?.status, "$ready")
-                        nowMs() >= endMs
-                    }
+                    watchNotReady(started)
                 } finally {
                     paused.process.resume()
                 }
+                watchNotReady(cluster.daemons[2])
+                cluster.setLogFaults("""{"outage":false}""")
                 awaitTrue("the new daemon to be ready", LONG_BOUND_MS) {
                     cluster.daemons[2].isReady()
                 }
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -1,6 +1,7 @@
 package cowslipcart.wire.peer
 
 import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.GrantId
@@ -13,9 +14,9 @@
 
 /** Converts the wire form to a message; null for an [ErrorMessage], which is only counted. */
 internal fun PeerMessageDocument.toMessage(): PeerMessage? = when (this) {
-    is PingMessage -> PeerMessage.Ping(content.toPing(), isReady)
+    is PingMessage -> PeerMessage.Ping(content.toPing(), isReady, isLogReadable)
 
-    is PingAckMessage -> PeerMessage.PingAck(content.toPing(), isReady)
+    is PingAckMessage -> PeerMessage.PingAck(content.toPing(), isReady, isLogReadable)
 
     is PingRequestMessage -> PeerMessage.PingRequest(HostId(target))
 
@@ -63,9 +64,10 @@
 
     is CrashAckMessage -> PeerMessage.CrashAck(crashId)
 
-    ConfigFetchMessage -> PeerMessage.ConfigFetch
+    is ConfigFetchMessage -> PeerMessage.ConfigFetch(ConfigFetchId(fetchId))
 
-    is ConfigReplyMessage -> PeerMessage.ConfigReply(state.toState(), isReady)
+    is ConfigReplyMessage ->
+        PeerMessage.ConfigReply(ConfigFetchId(fetchId), state.toState(), logReadAgeMs)
 
     is QuotaAskMessage -> PeerMessage.QuotaAsk(OrganisationId(organisation), askedTokens)
 
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -19,14 +19,16 @@
 @SerialName("ping")
 internal class PingMessage(
     @SerialName("c") val content: PingDocument,
-    @SerialName("r") val isReady: Boolean
+    @SerialName("r") val isReady: Boolean,
+    @SerialName("l") val isLogReadable: Boolean
 ) : PeerMessageDocument
 
 @Serializable
 @SerialName("ping-ack")
 internal class PingAckMessage(
     @SerialName("c") val content: PingDocument,
-    @SerialName("r") val isReady: Boolean
+    @SerialName("r") val isReady: Boolean,
+    @SerialName("l") val isLogReadable: Boolean
 ) : PeerMessageDocument
 
 @Serializable
@@ -171,13 +173,14 @@
 
 @Serializable
 @SerialName("config-fetch")
-internal data object ConfigFetchMessage : PeerMessageDocument
+internal class ConfigFetchMessage(@SerialName("i") val fetchId: Long) : PeerMessageDocument
 
 @Serializable
 @SerialName("config-reply")
 internal class ConfigReplyMessage(
+    @SerialName("i") val fetchId: Long,
     @SerialName("s") val state: ConfigStateDocument,
-    @SerialName("r") val isReady: Boolean
+    @SerialName("a") val logReadAgeMs: Long? = null
 ) : PeerMessageDocument
 
 @Serializable
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -6,9 +6,10 @@
 
 /** Converts a message to its wire form. */
 internal fun PeerMessage.toDocument(): PeerMessageDocument = when (this) {
-    is PeerMessage.Ping -> PingMessage(content.toDocument(), isReady)
+    is PeerMessage.Ping -> PingMessage(content.toDocument(), isReady, isLogReadable)
 
-    is PeerMessage.PingAck -> PingAckMessage(content.toDocument(), isReady)
+    is PeerMessage.PingAck ->
+        PingAckMessage(content.toDocument(), isReady, isLogReadable)
 
     is PeerMessage.PingRequest -> PingRequestMessage(target.value)
 
@@ -48,9 +49,10 @@
 
     is PeerMessage.CrashAck -> CrashAckMessage(crashId)
 
-    PeerMessage.ConfigFetch -> ConfigFetchMessage
+    is PeerMessage.ConfigFetch -> ConfigFetchMessage(fetchId.value)
 
-    is PeerMessage.ConfigReply -> ConfigReplyMessage(state.toDocument(), isReady)
+    is PeerMessage.ConfigReply ->
+        ConfigReplyMessage(fetchId.value, state.toDocument(), logReadAgeMs)
 
     is PeerMessage.QuotaAsk -> QuotaAskMessage(organisation.value, askedTokens)
 
--- a/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerCodecTest.kt
@@ -17,6 +17,7 @@
 import cowslipcart.core.membership.PingContent
 import cowslipcart.core.membership.Rumor
 import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.Configuration
 import cowslipcart.core.model.DomainId
 import cowslipcart.core.model.EndpointId
@@ -79,9 +80,10 @@
             Rumor.EndpointLeaving(EndpointId("e"), 30)
         )
     )
+    private val configState = ConfigState(LogOffset(9), Configuration.EMPTY)
     private val messages: List<PeerMessage> = listOf(
-        PeerMessage.Ping(ping, isReady = true),
-        PeerMessage.PingAck(ping, isReady = false),
+        PeerMessage.Ping(ping, isReady = true, isLogReadable = false),
+        PeerMessage.PingAck(ping, isReady = false, isLogReadable = true),
         PeerMessage.PingRequest(HostId("b")),
         PeerMessage.AskCapacity(shard, request, 3),
         PeerMessage.CapacityGranted(shard, RequestId("r"), GrantId("g"), EndpointId("e"), 3),
@@ -128,8 +130,9 @@
             )
         ),
         PeerMessage.CrashAck("c"),
-        PeerMessage.ConfigFetch,
-        PeerMessage.ConfigReply(ConfigState(LogOffset(9), Configuration.EMPTY), true),
+        PeerMessage.ConfigFetch(ConfigFetchId(-8)),
+        PeerMessage.ConfigReply(ConfigFetchId(8), configState, null),
+        PeerMessage.ConfigReply(ConfigFetchId(8), configState, 70),
         PeerMessage.QuotaAsk(OrganisationId("o"), 10),
         PeerMessage.QuotaGranted(OrganisationId("o"), 10)
     )
