--- a/core/src/main/kotlin/cowslipcart/core/node/ConfigTransfer.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ConfigTransfer.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.node
 
 import cowslipcart.core.config.estimateSizeBytes
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.Declaration
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.LogOffset
@@ -9,8 +10,11 @@
  * Fetches the configuration from a peer that is ahead, in parts if it is large. Parts of one
  * transfer belong to one state; if the peer's state moves on, the transfer starts again.
  */
-internal class ConfigTransfer(private val outbox: Outbox) {
-    private class Fetch(val peer: HostId, var askedAtMs: Long) {
+internal class ConfigTransfer(
+    private val outbox: Outbox,
+    private val nextFetchId: (nowMs: Long) -> ConfigFetchId
+) {
+    private class Fetch(val peer: HostId, val id: ConfigFetchId, var askedAtMs: Long) {
         var tryCount = 1
         var parts: Parts? = null
     }
@@ -42,8 +46,9 @@
             if (nowMs - current.sinceMs < LOG_HEAD_START_MS) return
         }
         if (fetch != null) return
-        fetch = Fetch(from, nowMs)
-        outbox.send(from, PeerMessage.ConfigFetch)
+        val id = nextFetchId(nowMs)
+        fetch = Fetch(from, id, nowMs)
+        outbox.send(from, PeerMessage.ConfigFetch(id))
     }
 
     /** Peer [from] has sent its whole state. */
@@ -114,9 +119,9 @@
         fetch.askedAtMs = nowMs
         val parts = fetch.parts
         val message = if (parts == null) {
-            PeerMessage.ConfigFetch
+            PeerMessage.ConfigFetch(fetch.id)
         } else {
-            PeerMessage.ConfigPartFetch(parts.transferId, parts.nextIndex)
+            PeerMessage.ConfigPartFetch(fetch.id, parts.transferId, parts.nextIndex)
         }
         outbox.send(fetch.peer, message)
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -24,7 +24,6 @@
     private val membership = createMembershipView(self, random)
     private val outbox = Outbox(self.host) { membership.liveHosts[it]?.peerAddress }
     private val config = ConfigDesk(self.host, random, outbox)
-    private val parts = ConfigParts(random)
     private val shards = ShardDesk(self.host, random, outbox)
     private val claims = ClaimDesk(process, membership, outbox)
     private val crashes = CrashDesk(self.host, membership, outbox)
@@ -45,6 +44,7 @@
 
     override fun handle(input: NodeInput, nowMs: Long): List<NodeEffect> {
         shards.onInput(nowMs)
+        config.onInput(nowMs)
         dispatchInput(input, nowMs)
         while (true) {
             val message = outbox.toSelf.removeFirstOrNull() ?: break
@@ -106,12 +106,16 @@
         when (message) {
             is PeerMessage.Ping -> {
                 applyMembership(membership.onPing(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
+                val offset = message.content.configOffset
+                val status = PeerStatus(offset, message.isReady, message.isLogReadable)
+                config.onPeerStatus(from, status, nowMs)
             }
 
             is PeerMessage.PingAck -> {
                 applyMembership(membership.onPingAck(message.content, nowMs), nowMs)
-                config.onPeerOffset(from, message.content.configOffset, message.isReady, nowMs)
+                val offset = message.content.configOffset
+                val status = PeerStatus(offset, message.isReady, message.isLogReadable)
+                config.onPeerStatus(from, status, nowMs)
             }
 
             is PeerMessage.PingRequest ->
@@ -147,10 +151,9 @@
                 requests.perform(origin.onCrashSpread(message.crashId, nowMs), nowMs)
             }
 
-            PeerMessage.ConfigFetch -> outbox.send(from, parts.answerFetch(configReply()))
+            is PeerMessage.ConfigFetch -> config.onFetch(from, message, nowMs)
 
-            is PeerMessage.ConfigPartFetch ->
-                outbox.send(from, parts.answerPartFetch(configReply(), message))
+            is PeerMessage.ConfigPartFetch -> config.onPartFetch(from, message, nowMs)
 
             is PeerMessage.ConfigPart -> if (config.onPart(from, message, nowMs)) refresh(nowMs)
 
@@ -162,8 +165,6 @@
         }
     }
 
-    private fun configReply() = PeerMessage.ConfigReply(config.state, config.isReady)
-
     private fun onReplyToOrigin(message: PeerMessage.ToOrigin, nowMs: Long) {
         val effects = when (message) {
             is PeerMessage.CapacityGranted -> origin.onGranted(message.toReceivedGrant(), nowMs)
@@ -255,12 +256,14 @@
                     NodeEffect.SendPeer(
                         effect.to,
                         effect.address,
-                        PeerMessage.Ping(effect.ping, config.isReady)
+                        PeerMessage.Ping(effect.ping, config.isReady, config.isLogReadable)
                     )
                 )
 
-                is MembershipEffect.SendPingAck ->
-                    outbox.send(effect.to, PeerMessage.PingAck(effect.ack, config.isReady))
+                is MembershipEffect.SendPingAck -> outbox.send(
+                    effect.to,
+                    PeerMessage.PingAck(effect.ack, config.isReady, config.isLogReadable)
+                )
 
                 is MembershipEffect.SendPingRequest ->
                     outbox.send(effect.via, PeerMessage.PingRequest(effect.target))
--- a/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/PeerMessage.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.config.ConfigState
 import cowslipcart.core.membership.PingContent
 import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.HostId
@@ -32,13 +33,24 @@
     /** Decision or answer that the origin of a request takes. */
     public sealed interface ToOrigin : PeerMessage
 
-    /** Membership ping; [isReady] tells whether the sender serves requests. */
-    public data class Ping(public val content: PingContent, public val isReady: Boolean) :
-        PeerMessage
+    /**
+     * Membership ping.
+     *
+     * @property isReady whether the sender serves requests
+     * @property isLogReadable whether the sender's reads of the configuration stream reach its end
+     */
+    public data class Ping(
+        public val content: PingContent,
+        public val isReady: Boolean,
+        public val isLogReadable: Boolean
+    ) : PeerMessage
 
     /** Answer to a [Ping]. */
-    public data class PingAck(public val content: PingContent, public val isReady: Boolean) :
-        PeerMessage
+    public data class PingAck(
+        public val content: PingContent,
+        public val isReady: Boolean,
+        public val isLogReadable: Boolean
+    ) : PeerMessage
 
     /** Asks the receiver to ping [target]. */
     public data class PingRequest(public val target: HostId) : PeerMessage
@@ -153,18 +165,29 @@
     public data class CrashAck(public val crashId: String) : PeerMessage
 
     /** Asks for the configuration and its offset. */
-    public data object ConfigFetch : PeerMessage
+    public data class ConfigFetch(public val fetchId: ConfigFetchId) : PeerMessage
 
-    /** Answer to a [ConfigFetch]. */
-    public data class ConfigReply(public val state: ConfigState, public val isReady: Boolean) :
-        PeerMessage
+    /**
+     * Answer to a [ConfigFetch].
+     *
+     * @property logReadAgeMs how long before this answer the sender began its last read of the log
+     * that found no record behind [state]; null if there was none
+     */
+    public data class ConfigReply(
+        public val fetchId: ConfigFetchId,
+        public val state: ConfigState,
+        public val logReadAgeMs: Long?
+    ) : PeerMessage
 
     /**
      * Asks for a further part of a state that is sent in parts. If that state is no longer in force
      * at the receiver, the answer is that to a [ConfigFetch].
      */
-    public data class ConfigPartFetch(public val transferId: Long, public val index: Int) :
-        PeerMessage
+    public data class ConfigPartFetch(
+        public val fetchId: ConfigFetchId,
+        public val transferId: Long,
+        public val index: Int
+    ) : PeerMessage
 
     /**
      * Answer to a [ConfigFetch] or [ConfigPartFetch] if the state is too large for one message.
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -1,6 +1,7 @@
 package cowslipcart.wire.peer
 
 import cowslipcart.core.model.AttemptId
+import cowslipcart.core.model.ConfigFetchId
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.GrantId
@@ -13,9 +14,9 @@
 
 /** Converts the wire form to a message; null for an [ErrorMessage], which is only counted. */
 internal fun PeerMessageDocument.toMessage(): PeerMessage? = when (this) {
-    is PingMessage -> PeerMessage.Ping(content.toPing(), isReady)
+    is PingMessage -> PeerMessage.Ping(content.toPing(), isReady, isLogReadable)
 
-    is PingAckMessage -> PeerMessage.PingAck(content.toPing(), isReady)
+    is PingAckMessage -> PeerMessage.PingAck(content.toPing(), isReady, isLogReadable)
 
     is PingRequestMessage -> PeerMessage.PingRequest(HostId(target))
 
@@ -63,11 +64,12 @@
 
     is CrashAckMessage -> PeerMessage.CrashAck(crashId)
 
-    ConfigFetchMessage -> PeerMessage.ConfigFetch
+    is ConfigFetchMessage -> PeerMessage.ConfigFetch(ConfigFetchId(fetchId))
 
     is ConfigReplyMessage -> toReply()
 
-    is ConfigPartFetchMessage -> PeerMessage.ConfigPartFetch(transferId, index)
+    is ConfigPartFetchMessage ->
+        PeerMessage.ConfigPartFetch(ConfigFetchId(fetchId), transferId, index)
 
     is ConfigPartMessage -> toPart()
 
@@ -78,7 +80,8 @@
     is ErrorMessage -> null
 }
 
-private fun ConfigReplyMessage.toReply() = PeerMessage.ConfigReply(state.toState(), isReady)
+private fun ConfigReplyMessage.toReply() =
+    PeerMessage.ConfigReply(ConfigFetchId(fetchId), state.toState(), logReadAgeMs)
 
 private fun ConfigPartMessage.toPart(): PeerMessage.ConfigPart {
     val found = checksumOf(reply)
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -6,9 +6,10 @@
 
 /** Converts a message to its wire form. */
 internal fun PeerMessage.toDocument(): PeerMessageDocument = when (this) {
-    is PeerMessage.Ping -> PingMessage(content.toDocument(), isReady)
+    is PeerMessage.Ping -> PingMessage(content.toDocument(), isReady, isLogReadable)
 
-    is PeerMessage.PingAck -> PingAckMessage(content.toDocument(), isReady)
+    is PeerMessage.PingAck ->
+        PingAckMessage(content.toDocument(), isReady, isLogReadable)
 
     is PeerMessage.PingRequest -> PingRequestMessage(target.value)
 
@@ -48,11 +49,12 @@
 
     is PeerMessage.CrashAck -> CrashAckMessage(crashId)
 
-    PeerMessage.ConfigFetch -> ConfigFetchMessage
+    is PeerMessage.ConfigFetch -> ConfigFetchMessage(fetchId.value)
 
     is PeerMessage.ConfigReply -> toReplyDocument()
 
-    is PeerMessage.ConfigPartFetch -> ConfigPartFetchMessage(transferId, index)
+    is PeerMessage.ConfigPartFetch ->
+        ConfigPartFetchMessage(fetchId.value, transferId, index)
 
     is PeerMessage.ConfigPart -> toPartDocument()
 
@@ -62,7 +64,7 @@
 }
 
 private fun PeerMessage.ConfigReply.toReplyDocument() =
-    ConfigReplyMessage(state.toDocument(), isReady)
+    ConfigReplyMessage(fetchId.value, state.toDocument(), logReadAgeMs)
 
 private fun PeerMessage.ConfigPart.toPartDocument(): ConfigPartMessage {
     val bytes = peerCbor.encodeToByteArray(
