Grant an endpoint only after its first load report to the owner

Cause: a new owner of a shard granted its endpoints before their first load reports. It may have missed the notice that an endpoint leaves; the list shows it late. Change: an endpoint that the owner did not poll before, or polled at another address, owes one report. While an endpoint owes reports it is closed in the scheduler, as a full one is, so waiting requests keep their place and are granted with the report. This replaces giving grants back after a pause of the owner, which dropped the request from the queue. Ruled out: counting such endpoints as unavailable, since streams that wait to resume there would be ended. The slopes network answers each watch with a report, as it would grant nothing otherwise.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
@@ -21,6 +21,9 @@
     /** Whether the configuration lets the endpoint take new work. */
     var isEnabled: Boolean = true
 
+    /** Whether the owner knows the endpoint well enough to give it new work. */
+    var isReported: Boolean = true
+
     /** Whether the endpoint announced in its load report that it leaves. */
     var isLeaving: Boolean = false
 
@@ -106,8 +109,8 @@
     }
 
     /** Whether any request of this class of tiers could be admitted. */
-    fun isOpen(isTop: Boolean): Boolean = isAvailable && !isClaimed && !isIsolated &&
-        emptyingFor == null && hasSlot(isTop, 0)
+    fun isOpen(isTop: Boolean): Boolean = isAvailable && isReported && !isClaimed &&
+        !isIsolated && emptyingFor == null && hasSlot(isTop, 0)
 
     /** Whether a request that needs [tokens] can start now. */
     fun admits(isTop: Boolean, tokens: Long, nowMs: Long): Boolean =
--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointTable.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointTable.kt
@@ -47,6 +47,7 @@
             val known = byId.getOrPut(spec.id) { EndpointState(spec, takeIndex(), nowMs) }
             known.redeclare(spec)
             known.isEnabled = spec.id !in config.unavailable
+            known.isReported = spec.id !in config.unreported
         }
         for (state in byId.values) if (state.spec.id !in declared) state.isEnabled = false
         dropUnused(declared.keys)
--- a/core/src/main/kotlin/cowslipcart/core/capacity/IsolationRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/IsolationRule.kt
@@ -30,7 +30,7 @@
         val current = emptying
         if (current == null && !mayIsolateAnother(queue, nowMs)) return null
         val endpoint = current ?: chooseEndpoint(suspect) ?: return null
-        if (endpoint.occupiedCount == 0) return endpoint
+        if (endpoint.occupiedCount == 0 && endpoint.isReported) return endpoint
         if (current == null) {
             endpoint.emptyingFor = suspect
             emptying = endpoint
--- a/core/src/main/kotlin/cowslipcart/core/capacity/ShardScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/ShardScheduler.kt
@@ -64,6 +64,8 @@
  * @property endpoints endpoints of the shard, drained and leaving ones included
  * @property unavailable endpoints that take no new work: drained, leaving or dead
  * @property weights weight of each organisation; 1.0 where absent
+ * @property unreported endpoints that get no new work before their next load report; requests wait
+ * for them as for full ones
  */
 public data class ShardConfig(
     public val shard: ShardId,
@@ -71,7 +73,8 @@
     public val unavailable: Set<EndpointId>,
     public val tiers: Map<Tier, TierSpec>,
     public val preset: PresetSpec?,
-    public val weights: Map<OrganisationId, Double>
+    public val weights: Map<OrganisationId, Double>,
+    public val unreported: Set<EndpointId> = emptySet()
 )
 
 /** Policy of a [ShardScheduler]; all but [CowslipCart] are baselines for measurements. */
--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -12,7 +12,6 @@
 import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.ShardId
-import cowslipcart.core.origin.unusedReport
 import kotlin.random.Random
 
 /** Owner side of the shards that this host owns. */
@@ -28,8 +27,12 @@
     private var leaving: Set<EndpointId> = emptySet()
     private val failureCounts = HashMap<EndpointId, Int>()
 
-    /** Load reports that an endpoint has to give before it gets new work, after [onPause]. */
+    /**
+     * Load reports that an endpoint has to give before it gets new work. An owner may have missed
+     * the notice that it leaves: before it became the owner, or in [onPause].
+     */
     private val owedReports = HashMap<EndpointId, Int>()
+    private var watchedAddresses: Map<EndpointId, String> = emptyMap()
     private var lastInputMs: Long? = null
 
     /** Returns the host that owns [shard] now, or null if no host is live. */
@@ -53,6 +56,8 @@
         this.leaving = leaving
         val mine = allShards().filter { ownerOf(it) == self }
         owned.keys.retainAll(mine.toSet())
+        val endpoints = mine.flatMap { endpointsOf(it) }
+        awaitFirstReports(endpoints)
         for (shard in mine) {
             val config = shardConfig(shard)
             val existing = owned[shard]
@@ -64,13 +69,23 @@
                 decide(shard, existing.scheduler.reconfigure(config, nowMs))
             }
         }
-        outbox.emit(NodeEffect.WatchEndpoints(mine.flatMap { endpointsOf(it) }))
+        outbox.emit(NodeEffect.WatchEndpoints(endpoints))
+    }
+
+    /** The poll of an endpoint that was not watched starts at once. */
+    private fun awaitFirstReports(endpoints: List<EndpointSpec>) {
+        val addresses = endpoints.associate { it.id to it.address }
+        owedReports.keys.retainAll(addresses.keys)
+        for ((id, address) in addresses) {
+            if (watchedAddresses[id] != address) owedReports.putIfAbsent(id, 1)
+        }
+        watchedAddresses = addresses
     }
 
     /** Notes the time of each input, so that a pause of this host is noticed. */
     fun onInput(nowMs: Long) {
         val isPause = lastInputMs?.let { nowMs - it >= PAUSE_MS } ?: false
-        if (isPause) onPause()
+        if (isPause) onPause(nowMs)
         lastInputMs = nowMs
     }
 
@@ -78,12 +93,17 @@
      * While this host was paused an endpoint can have left, so none gets new work before it is
      * known again. Its first report may have been under way before the pause, the second was not.
      */
-    private fun onPause() {
+    private fun onPause(nowMs: Long) {
         for (shard in owned.keys) {
             endpointsOf(shard).forEach { owedReports[it.id] = REPORTS_AFTER_PAUSE }
+            reconfigure(shard, nowMs)
         }
     }
 
+    private fun reconfigure(shard: ShardId, nowMs: Long) = withShard(shard) {
+        it.scheduler.reconfigure(shardConfig(shard), nowMs)
+    }
+
     /** Handles a message to the owner of a shard; it is ignored if another host owns it. */
     fun onMessage(message: PeerMessage, nowMs: Long) {
         when (message) {
@@ -116,9 +136,11 @@
     fun onLoad(report: LoadReport, nowMs: Long): Boolean {
         val wasDead = isDead(report.endpoint)
         failureCounts.remove(report.endpoint)
-        owedReports.computeIfPresent(report.endpoint) { _, count -> (count - 1).takeIf { it > 0 } }
+        val owedCount = owedReports.remove(report.endpoint) ?: 0
+        if (owedCount > 1) owedReports[report.endpoint] = owedCount - 1
         val shard = shardOf(report.endpoint) ?: return wasDead
-        owned[shard]?.let { decide(shard, it.scheduler.reportLoad(report, nowMs)) }
+        withShard(shard) { it.scheduler.reportLoad(report, nowMs) }
+        if (owedCount == 1) reconfigure(shard, nowMs)
         return wasDead
     }
 
@@ -152,23 +174,11 @@
 
     private fun decide(shard: ShardId, decisions: List<SchedulerDecision>) {
         for (decision in decisions) {
-            if (decision is SchedulerDecision.Grant && decision.endpoint in owedReports) {
-                giveBack(shard, decision)
-            } else {
-                log(shard, decision)
-                send(shard, decision)
-            }
+            log(shard, decision)
+            send(shard, decision)
         }
     }
 
-    /** Takes a grant back that was not sent; the origin asks again within 500 ms. */
-    private fun giveBack(shard: ShardId, grant: SchedulerDecision.Grant) {
-        val state = owned[shard] ?: return
-        state.onDecision(grant)
-        val release = PeerMessage.CapacityReleased(shard, unusedReport(grant.grantId))
-        decide(shard, state.onReleased(release, checkNotNull(lastInputMs)))
-    }
-
     private fun send(shard: ShardId, decision: SchedulerDecision) {
         val requestId = decision.request.requestId
         val askCount = owned[shard]?.onDecision(decision) ?: return
@@ -227,7 +237,8 @@
             unavailable = endpoints.map { it.id }.filterTo(mutableSetOf()) { isUnavailable(it) },
             tiers = configuration.tiers,
             preset = configuration.preset,
-            weights = configuration.organisationWeights
+            weights = configuration.organisationWeights,
+            unreported = endpoints.map { it.id }.filterTo(mutableSetOf()) { it in owedReports }
         )
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/node/ShardDeskTest.kt
@@ -0,0 +1,123 @@
+package cowslipcart.core.node
+
+import cowslipcart.core.capacity.LoadReport
+import cowslipcart.core.capacity.POOL
+import cowslipcart.core.capacity.endpoint
+import cowslipcart.core.capacity.request
+import cowslipcart.core.model.Configuration
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.PoolKind
+import cowslipcart.core.model.PoolSpec
+import cowslipcart.core.model.PresetName
+import cowslipcart.core.model.PresetSpec
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.model.TierPolicy
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Nested
+
+/** Guards against an owner that grants an endpoint of which it does not know that it leaves. */
+class ShardDeskTest {
+    private val self = HostId("a")
+    private val other = HostId("b")
+    private val outbox = Outbox(HostId("c")) { "127.0.0.1:1" }
+    private val desk = ShardDesk(self, Random(1), outbox)
+    private val first = endpoint("e1")
+    private var askCount = 0L
+    private var nowMs = 0L
+
+    private fun own(vararg endpoints: EndpointSpec, owner: HostId = self) {
+        val preset = PresetSpec(PresetName("p"), mapOf(Tier(0) to TierPolicy(1.0, 9)), 0.0)
+        val pool = PoolSpec(POOL, PoolKind.Model("m"), 1)
+        val declarations = (endpoints.toList() + pool + preset).associateBy { it.key }
+        val configuration = Configuration(Revision(1), declarations, preset.name)
+        input { desk.refresh(configuration, setOf(owner), emptySet(), nowMs) }
+    }
+
+    private fun report(id: EndpointId) = input {
+        desk.onLoad(LoadReport(id, 0, 0, 0, false), nowMs)
+    }
+
+    /** Asks anew and returns where the request was granted. */
+    private fun ask(isSuspect: Boolean = false): EndpointId? {
+        val request = request("r${++askCount}", tier = 0, isSuspect = isSuspect)
+        outbox.drain()
+        input { desk.onMessage(PeerMessage.AskCapacity(ShardId(POOL, 0), request, 1), nowMs) }
+        return sentGrants().firstOrNull()?.endpoint
+    }
+
+    private fun sentGrants() = outbox.drain().filterIsInstance<NodeEffect.SendPeer>()
+        .mapNotNull { it.message as? PeerMessage.CapacityGranted }
+
+    private fun input(action: () -> Unit) {
+        nowMs += 20
+        desk.onInput(nowMs)
+        action()
+    }
+
+    @Nested
+    inner class FirstReport {
+        @Test
+        fun `a new owner grants an endpoint only after its report`() {
+            own(first)
+            assertEquals(null, ask())
+            report(first.id)
+            assertEquals(first.id, ask())
+        }
+
+        @Test
+        fun `requests that wait for the report are granted with it`() {
+            own(first)
+            repeat(2) { ask() }
+            report(first.id)
+            assertEquals(listOf("r1", "r2"), sentGrants().map { it.requestId.value })
+        }
+
+        @Test
+        fun `a suspect waits for the report as well`() {
+            own(first)
+            assertEquals(null, ask(isSuspect = true))
+            report(first.id)
+            assertEquals(1, sentGrants().size)
+        }
+
+        @Test
+        fun `an endpoint that is declared later or at another address has to report`() {
+            own(first)
+            report(first.id)
+            own(first.copy(address = "127.0.0.1:9"))
+            assertEquals(null, ask())
+            report(first.id)
+            assertEquals(first.id, ask())
+        }
+
+        @Test
+        fun `an owner that lost the shard and has it again waits for a report again`() {
+            own(first)
+            report(first.id)
+            own(first, owner = other)
+            own(first)
+            assertEquals(null, ask())
+        }
+
+        @Test
+        fun `an owner that stays the owner does not wait again`() {
+            own(first)
+            report(first.id)
+            own(first)
+            assertEquals(first.id, ask())
+        }
+
+        @Test
+        fun `a missing report is no report`() {
+            own(first)
+            desk.onLoadFailed(first.id)
+            assertEquals(null, ask())
+        }
+    }
+}
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.capacity.GrantEnd
 import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.capacity.LoadReport
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.config.ConfigRecord
 import cowslipcart.core.membership.HostList
@@ -109,6 +110,10 @@
                 handle(host, NodeInput.StreamEnded(effect.requestId, end))
             }
 
+            is NodeEffect.WatchEndpoints -> effect.endpoints.forEach {
+                handle(host, NodeInput.LoadRead(LoadReport(it.id, 0, 0, 0, false)))
+            }
+
             else -> Unit
         }
     }
