Take an unreadable record of the stream epochs as void

Cause: the daemon left out records of the stream epochs that it could not decode. The replay saw a gap and accepted no epoch before the next checkpoint, on every host alike, so keyed chats were refused once the last epoch had ended. Change: such a record is passed on without entry and is void, as on the stream config. A record of a newer version is still left out, as it may be valid for hosts that can read it. Conclusion: bytes that no version can read are void for all readers, so the order of the valid records, and with it the owner of each key, is the same everywhere.

--- a/core/src/main/kotlin/cowslipcart/core/claims/KeyOwnership.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/KeyOwnership.kt
@@ -29,6 +29,18 @@
     ) : EpochEntry
 }
 
+/**
+ * A record of the stream `epochs` with its place in the log.
+ *
+ * @property appendedAtMs time stamp of the log service, milliseconds since 1970
+ * @property entry null if no version can read the record; it is void on every host
+ */
+public data class EpochRecord(
+    public val offset: LogOffset,
+    public val appendedAtMs: Long,
+    public val entry: EpochEntry?
+)
+
 /** Who decides about a key. */
 public sealed interface KeyOwner {
     /** This host process, for all time. */
@@ -50,7 +62,7 @@
      * Applies a record; a void one and one below [nextOffset] change nothing. After a gap the
      * epochs that are known stay in force, and no others are accepted before a valid checkpoint.
      */
-    public fun apply(offset: LogOffset, entry: EpochEntry)
+    public fun apply(record: EpochRecord)
 
     /** Returns the owner of [key]. */
     public fun ownerOf(key: RequestKey): KeyOwner
--- a/core/src/main/kotlin/cowslipcart/core/claims/ReplayedKeyEpochs.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/ReplayedKeyEpochs.kt
@@ -14,15 +14,17 @@
     override var nextOffset: LogOffset = LogOffset(0)
         private set
 
-    override fun apply(offset: LogOffset, entry: EpochEntry) {
+    override fun apply(record: EpochRecord) {
+        val offset = record.offset
         if (offset < nextOffset) return
         if (offset > nextOffset) isComplete = false
         nextOffset = offset.next()
         recordsSinceCheckpoint++
-        when (entry) {
+        when (val entry = record.entry) {
             is EpochEntry.Epoch -> if (isComplete && isNext(entry)) epochs.addLast(entry)
             is EpochEntry.ExtendEpoch -> if (isComplete) extend(entry)
             is EpochEntry.Checkpoint -> if (entry.throughOffset.next() == offset) restore(entry)
+            null -> Unit
         }
         dropOldEpochs()
     }
--- a/core/src/main/kotlin/cowslipcart/core/node/ClaimDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ClaimDesk.kt
@@ -4,7 +4,7 @@
 import cowslipcart.core.claims.BatcherEffect
 import cowslipcart.core.claims.ClaimBatcher
 import cowslipcart.core.claims.ClaimItem
-import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.claims.EpochRecord
 import cowslipcart.core.claims.KeyOwner
 import cowslipcart.core.claims.createClaimBatcher
 import cowslipcart.core.claims.createKeyEpochs
@@ -12,7 +12,6 @@
 import cowslipcart.core.claims.partitionOf
 import cowslipcart.core.membership.MembershipView
 import cowslipcart.core.membership.rendezvousOwner
-import cowslipcart.core.model.LogOffset
 
 /** Routes claims to batchers and key owners, and is both for the keys of this host. */
 internal class ClaimDesk(
@@ -100,9 +99,7 @@
         apply(effects)
     }
 
-    fun onEpochs(entries: List<Pair<LogOffset, EpochEntry>>) {
-        for ((offset, entry) in entries) epochs.apply(offset, entry)
-    }
+    fun onEpochs(records: List<EpochRecord>) = records.forEach { epochs.apply(it) }
 
     fun tick(wallNowMs: Long, nowMs: Long) {
         this.wallNowMs = wallNowMs
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -85,7 +85,7 @@
 
             NodeInput.ConfigReadFailed -> config.onReadFailed()
 
-            is NodeInput.EpochsRead -> claims.onEpochs(input.entries)
+            is NodeInput.EpochsRead -> claims.onEpochs(input.records)
 
             is NodeInput.ClaimsRead,
             is NodeInput.ClaimsReadFailed,
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -4,7 +4,7 @@
 import cowslipcart.core.capacity.GrantProgress
 import cowslipcart.core.capacity.LoadReport
 import cowslipcart.core.claims.ClaimRecord
-import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.claims.EpochRecord
 import cowslipcart.core.config.ConfigRecord
 import cowslipcart.core.log.LogError
 import cowslipcart.core.membership.HostList
@@ -70,7 +70,7 @@
     public data object ConfigReadFailed : NodeInput
 
     /** Records of the stream `epochs`. */
-    public data class EpochsRead(public val entries: List<Pair<LogOffset, EpochEntry>>) : NodeInput
+    public data class EpochsRead(public val records: List<EpochRecord>) : NodeInput
 
     /** Records of a claims partition. */
     public data class ClaimsRead(
--- a/core/src/test/kotlin/cowslipcart/core/claims/EpochHistory.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/EpochHistory.kt
@@ -12,7 +12,7 @@
 internal class LiveViewEpochs(private val live: () -> List<AttemptOrigin>) : KeyEpochs {
     override val nextOffset: LogOffset = LogOffset(0)
 
-    override fun apply(offset: LogOffset, entry: EpochEntry) = Unit
+    override fun apply(record: EpochRecord) = Unit
 
     override fun ownerOf(key: RequestKey): KeyOwner {
         val host = rendezvousOwner(hashInput(key), live().map { it.host })
@@ -59,7 +59,11 @@
     }
 
     private fun readEpochs() = shared.log.read(epochs.nextOffset, {}) { page ->
-        process.run { page.records.forEach { epochs.apply(it.offset, it.payload) } }
+        process.run {
+            page.records.forEach {
+                epochs.apply(EpochRecord(it.offset, it.appendedAtMs, it.payload))
+            }
+        }
     }
 
     private fun proposeEpoch() {
--- a/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
@@ -15,7 +15,10 @@
     private val nextEpoch =
         EpochEntry.Epoch(2, listOf(b), NOW_MS + MINUTE_MS, NOW_MS + 2 * MINUTE_MS)
 
-    private fun KeyEpochs.applyAll(vararg entries: EpochEntry) =
+    private fun KeyEpochs.apply(offset: LogOffset, entry: EpochEntry?, atMs: Long = NOW_MS) =
+        apply(EpochRecord(offset, atMs, entry))
+
+    private fun KeyEpochs.applyAll(vararg entries: EpochEntry?) =
         entries.forEach { apply(nextOffset, it) }
 
     private fun KeyEpochs.ownerAt(afterMs: Long) = ownerOf(keyAt(NOW_MS + afterMs))
@@ -110,6 +113,13 @@
         }
     }
 
+    /** Guards against a record that blocks the stream until the next checkpoint. */
+    @Test
+    fun `a record that no version can read is void`() {
+        epochs.applyAll(firstEpoch, null, nextEpoch)
+        assertEquals(KeyOwner.Known(b), epochs.ownerAt(MINUTE_MS))
+    }
+
     /** Guards against key times that nobody covers and against needless records. */
     @Nested
     inner class ProposeEntry {
--- a/core/src/test/kotlin/cowslipcart/core/claims/SoftClaimsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/SoftClaimsTest.kt
@@ -13,7 +13,8 @@
 
     private fun epochsOf(owner: AttemptOrigin): KeyEpochs = createKeyEpochs().apply {
         val untilMs = NOW_MS + 600 * MINUTE_MS
-        apply(nextOffset, EpochEntry.Epoch(1, listOf(owner), NOW_MS - 600 * MINUTE_MS, untilMs))
+        val epoch = EpochEntry.Epoch(1, listOf(owner), NOW_MS - 600 * MINUTE_MS, untilMs)
+        apply(EpochRecord(nextOffset, untilMs, epoch))
     }
 
     private fun claim(claim: ClaimItem.Claim, nowMs: Long = NOW_MS) =
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/PlatformStreams.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.claims.ClaimItem
 import cowslipcart.core.claims.ClaimRecord
 import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.claims.EpochRecord
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.config.ConfigRecord
 import cowslipcart.core.log.LogError
@@ -162,9 +163,20 @@
     private fun isNewerVersion(result: Either<WireError, *>) =
         result.leftOrNull() is WireError.UnknownVersion
 
+    /**
+     * Bytes that no version can read are void on every host alike. A record of a newer version may
+     * be valid on hosts that can read it; it is left out, so that this host finds a gap and takes
+     * no further epoch before the next checkpoint.
+     */
     private fun epochsInput(page: LogPage) = NodeInput.EpochsRead(
         page.records.mapNotNull { record ->
-            decoded(record, LogCodec.decodeEpoch(record.payload))?.let { record.offset to it }
+            val result = LogCodec.decodeEpoch(record.payload)
+            val entry = decoded(record, result)
+            if (isNewerVersion(result)) {
+                null
+            } else {
+                EpochRecord(record.offset, record.appendedAtMs, entry)
+            }
         }
     )
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/platform/PlatformStreamsTest.kt
@@ -0,0 +1,83 @@
+package cowslipcart.daemon.platform
+
+import arrow.core.Either
+import arrow.core.right
+import cowslipcart.core.claims.EpochEntry
+import cowslipcart.core.claims.EpochRecord
+import cowslipcart.core.log.LogError
+import cowslipcart.core.log.LogPage
+import cowslipcart.core.log.LogPort
+import cowslipcart.core.log.LogRecord
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StreamName
+import cowslipcart.core.node.NodeInput
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.wire.log.LogCodec
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+
+/** Guards against a record that stops the replay of the stream `epochs`. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class PlatformStreamsTest {
+    private val entry = EpochEntry.ExtendEpoch(1, 9)
+    private val valid = LogCodec.encodeEpoch(entry)
+    private val inputs = mutableListOf<NodeInput>()
+
+    /** The version is the first value of the envelope; both numbers take one byte. */
+    private val newer = valid.copyOf().also { bytes ->
+        val position = bytes.indexOfFirst { it == LogCodec.VERSION.toByte() }
+        bytes[position] = (LogCodec.VERSION + 1).toByte()
+    }
+
+    private fun read(vararg payloads: ByteArray) = runTest {
+        val log = OnePageLog(payloads.toList())
+        PlatformStreams(log, backgroundScope, Metrics(), RuntimeClock(), inputs::add).start()
+        runCurrent()
+    }
+
+    private fun epochs() = inputs.filterIsInstance<NodeInput.EpochsRead>().single().records
+
+    @Test
+    fun `a record that cannot be read is passed on as void`() {
+        read(valid, byteArrayOf(1, 2, 3), valid)
+        assertEquals(
+            listOf(entry, null, entry).mapIndexed { index, entry -> record(index, entry) },
+            epochs()
+        )
+    }
+
+    @Test
+    fun `a record of a newer version is left out, as it is not void for hosts that can read it`() {
+        read(valid, newer, valid)
+        assertEquals(listOf(record(0, entry), record(2, entry)), epochs())
+    }
+
+    private fun record(index: Int, entry: EpochEntry?) =
+        EpochRecord(LogOffset(index.toLong()), index * 10L, entry)
+
+    /** Has one page in the stream `epochs` and answers nothing else. */
+    private class OnePageLog(private val payloads: List<ByteArray>) : LogPort {
+        override suspend fun append(
+            stream: StreamName,
+            payload: ByteArray
+        ): Either<LogError, LogOffset> = awaitCancellation()
+
+        override suspend fun read(
+            stream: StreamName,
+            from: LogOffset,
+            maxCount: Int,
+            waitMs: Long
+        ): Either<LogError, LogPage> {
+            if (stream.value != "epochs" || from.value > 0) awaitCancellation()
+            val records = payloads.mapIndexed { index, payload ->
+                LogRecord(LogOffset(index.toLong()), index * 10L, payload)
+            }
+            return LogPage(records, LogOffset(0), LogOffset(payloads.size.toLong())).right()
+        }
+    }
+}
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import cowslipcart.core.claims.ClaimRecord
+import cowslipcart.core.claims.EpochRecord
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.config.ConfigRecord
 import cowslipcart.core.log.LogError
@@ -200,7 +201,9 @@
             deliver {
                 result.onRight { page ->
                     if (page.records.isNotEmpty()) {
-                        handle(NodeInput.EpochsRead(page.records.map { it.offset to it.entry }))
+                        val records = page.records
+                            .map { EpochRecord(it.offset, it.appendedAtMs, it.entry) }
+                        handle(NodeInput.EpochsRead(records))
                         epochsNext = page.records.last().offset.next()
                     }
                 }
