Read cache events of engines in the daemon

Cause: Engines publish cache events and the core takes them, but the daemon never read them, so an owner on real processes did not learn of evictions.

Change: CacheDesk plans the reads (each engine once a second, 16 KiB a read, bounded bytes a second for the host, growing waits after failures). CacheCursor asks again for the last known event, so that a restart and a gap are noticed. CacheCorrection counts missing events and drops claims without evidence of the last 30 s when more than a quarter could be wrong; a restart drops all claims. An eviction whose block was granted less than 5 s ago is put off, as it may be older than the grant.

Before: CacheEventsTest with events that are read and not applied is red: the request goes to the engine that evicted the prefix. After: green (2 of 2 runs). CacheGapTest has four mutations, all red.

Conclusion: Requests no longer follow evicted prefixes, and a restart is seen.

The calls in PrefixIndexTest have a time as new argument; what they check is unchanged.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/BaselineScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/BaselineScheduler.kt
@@ -66,6 +66,8 @@
 
     override fun reportCache(events: List<CacheEvent>, nowMs: Long): Unit = Unit
 
+    override fun reportCacheGap(endpoint: EndpointId, gap: CacheGap, nowMs: Long): Unit = Unit
+
     override fun adopt(running: List<RunningGrant>, nowMs: Long): List<SchedulerDecision> {
         for (grant in running) {
             this.running[grant.grantId] = grant.request
--- a/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -1,5 +1,6 @@
 package cowslipcart.core.capacity
 
+import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.RequestId
 import kotlin.random.Random
@@ -16,6 +17,7 @@
     private val refusals = RefusalRule(state, placement, isolation)
     private val shed = ShedRule(state, giveWay, refusals)
     private val voiding = VoidRule(state)
+    private val cache = CacheCorrection(state.endpoints)
     private var sequence = 0L
     private var lastUpkeepMs = Long.MIN_VALUE
 
@@ -86,15 +88,12 @@
 
     override fun reportCache(events: List<CacheEvent>, nowMs: Long) {
         state.start(nowMs)
-        val prefixes = state.endpoints.prefixes
-        for (event in events) {
-            val index = state.endpoints.find(event.endpoint)?.index ?: continue
-            if (event.isStored) {
-                prefixes.store(index, event.block)
-            } else {
-                prefixes.evict(index, event.block)
-            }
-        }
+        cache.apply(events, nowMs)
+    }
+
+    override fun reportCacheGap(endpoint: EndpointId, gap: CacheGap, nowMs: Long) {
+        state.start(nowMs)
+        cache.apply(endpoint, gap, nowMs)
     }
 
     override fun adopt(running: List<RunningGrant>, nowMs: Long): List<SchedulerDecision> {
@@ -229,6 +228,7 @@
             endpoint.decodeSpeed.relax(nowMs)
             endpoint.expireForeign(nowMs)
         }
+        cache.settle(nowMs)
         voiding.findUnconfirmed().forEach { end(it, nowMs) }
         state.endpoints.refreshAll()
     }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
@@ -30,6 +30,9 @@
     /** Whether a queued request of higher priority waits for this endpoint in the current pass. */
     var isClaimed: Boolean = false
 
+    /** Cache events that were missing since the prefix index was last cleared of doubtful claims. */
+    var missingCacheEvents: Long = 0L
+
     /** Requests that run at the endpoint without a grant of this owner, from its load reports. */
     var foreignCount: Int = 0
         private set
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GrantIssuer.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GrantIssuer.kt
@@ -37,7 +37,7 @@
         endpoint.prefillBusyUntilMs = nowMs + waitMs + readMs
         state.grants.add(running)
         if (request.resumeOn == null) {
-            state.endpoints.prefixes.touch(endpoint.index, request.prefixBlocks)
+            state.endpoints.prefixes.touch(endpoint.index, request.prefixBlocks, nowMs)
         }
         return running
     }
@@ -62,7 +62,7 @@
         state.grants.add(running)
         endpoint.recordProgress(running, grant.sentTokens, nowMs)
         state.endpoints.refresh(endpoint)
-        state.endpoints.prefixes.touch(endpoint.index, grant.request.prefixBlocks)
+        state.endpoints.prefixes.touch(endpoint.index, grant.request.prefixBlocks, nowMs)
     }
 
     /** Endpoints and reason of a grant in the form of the log. */
--- a/core/src/main/kotlin/cowslipcart/core/capacity/PrefixIndex.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/PrefixIndex.kt
@@ -61,20 +61,41 @@
         for (word in 0 until wordCount) setDepths(word, alive[word], blocks.size)
     }
 
+    /** Number of blocks that the endpoint is taken to hold. */
+    fun count(index: Int): Int = caches[index]?.blocks?.size ?: 0
+
+    /** Forgets the blocks of an endpoint that were neither read nor stored at or after [sinceMs]. */
+    fun forgetBefore(index: Int, sinceMs: Long) {
+        val cache = caches[index] ?: return
+        val iterator = cache.blocks.iterator()
+        while (iterator.hasNext()) {
+            val (block, evidence) = iterator.next()
+            if (max(evidence.grantedAtMs, evidence.storedAtMs) >= sinceMs) continue
+            iterator.remove()
+            clearBit(block, index)
+        }
+    }
+
     /** Records that the endpoint reads a prompt with [blocks]. */
-    fun touch(index: Int, blocks: List<PrefixBlock>) {
+    fun touch(index: Int, blocks: List<PrefixBlock>, nowMs: Long) {
         val cache = caches[index] ?: return
+        val evidence = Evidence(grantedAtMs = nowMs, storedAtMs = nowMs)
         // From the end, so that the start of a prefix is evicted last, as engines do.
         for (position in minOf(blocks.size, cache.blockLimit) - 1 downTo 0) {
-            add(cache, blocks[position])
+            add(cache, blocks[position], evidence)
         }
     }
 
     /** Records that the endpoint stored a block. */
-    fun store(index: Int, block: PrefixBlock) {
-        caches[index]?.let { add(it, block) }
+    fun store(index: Int, block: PrefixBlock, nowMs: Long) {
+        val cache = caches[index] ?: return
+        val grantedAtMs = evidence(index, block)?.grantedAtMs ?: NEVER
+        add(cache, block, Evidence(grantedAtMs, storedAtMs = nowMs))
     }
 
+    /** What shows that the endpoint holds the block; null if it is not taken to hold it. */
+    fun evidence(index: Int, block: PrefixBlock): Evidence? = caches[index]?.blocks?.get(block)
+
     /** Records that the endpoint does not hold a block. */
     fun evict(index: Int, block: PrefixBlock) {
         if (caches[index]?.blocks?.remove(block) != null) clearBit(block, index)
@@ -89,8 +110,8 @@
         }
     }
 
-    private fun add(cache: Cache, block: PrefixBlock) {
-        if (cache.blocks.put(block, Unit) == null) {
+    private fun add(cache: Cache, block: PrefixBlock, evidence: Evidence) {
+        if (cache.blocks.put(block, evidence) == null) {
             val set = holders.getOrPut(block) {
                 spareSets.removeLastOrNull() ?: LongArray(wordCount)
             }
@@ -118,9 +139,12 @@
         holders.entries.forEach { it.setValue(it.value.copyOf(words)) }
     }
 
+    /** Times of the last grant and of the last event by which an endpoint holds a block. */
+    class Evidence(val grantedAtMs: Long, val storedAtMs: Long)
+
     /** Blocks of one endpoint, least recently used first. */
     private inner class Cache(val index: Int) {
-        val blocks = LinkedHashMap<PrefixBlock, Unit>(16, 0.75f, true)
+        val blocks = LinkedHashMap<PrefixBlock, Evidence>(16, 0.75f, true)
         var blockLimit = 1
 
         fun evictSurplus() {
@@ -131,4 +155,8 @@
             }
         }
     }
+
+    private companion object {
+        const val NEVER = Long.MIN_VALUE / 2
+    }
 }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/ShardScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/ShardScheduler.kt
@@ -45,6 +45,9 @@
     /** Takes late changes of prefix caches. */
     public fun reportCache(events: List<CacheEvent>, nowMs: Long)
 
+    /** Takes that changes of a prefix cache are not known; call it after [reportCache]. */
+    public fun reportCacheGap(endpoint: EndpointId, gap: CacheGap, nowMs: Long)
+
     /** Adopts grants of an earlier owner that are still running. */
     public fun adopt(running: List<RunningGrant>, nowMs: Long): List<SchedulerDecision>
 
--- a/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/DefaultNodeController.kt
@@ -14,17 +14,30 @@
 import cowslipcart.core.quarantine.createSuspectRegistry
 import kotlin.random.Random
 
-/** Creates the control state of the host process [self]. */
-public fun createNodeController(self: HostIdentity, random: Random): NodeController =
-    DefaultNodeController(self, random)
-
-private class DefaultNodeController(private val self: HostIdentity, random: Random) :
-    NodeController {
+/**
+ * Creates the control state of the host process [self].
+ *
+ * @param cacheReadBytesPerS most that this host reads of cache events on average; 0 for no reads
+ */
+public fun createNodeController(
+    self: HostIdentity,
+    random: Random,
+    cacheReadBytesPerS: Long = DEFAULT_CACHE_READ_BYTES_PER_S
+): NodeController = DefaultNodeController(self, random, cacheReadBytesPerS)
+
+/** Takes all events of about 130 prompt blocks a second that are read and evict others. */
+public const val DEFAULT_CACHE_READ_BYTES_PER_S: Long = 16_384
+
+private class DefaultNodeController(
+    private val self: HostIdentity,
+    random: Random,
+    cacheReadBytesPerS: Long
+) : NodeController {
     private val process = AttemptOrigin(self.host, self.incarnation)
     private val membership = createMembershipView(self, random)
     private val outbox = Outbox(self.host) { membership.liveHosts[it]?.peerAddress }
     private val config = ConfigDesk(self.host, random, outbox)
-    private val shards = ShardDesk(self.host, random, outbox)
+    private val shards = ShardDesk(self.host, random, outbox, cacheReadBytesPerS)
     private val claims = ClaimDesk(process, membership, outbox)
     private val crashes = CrashDesk(self.host, membership, outbox)
     private val inquiries = KeyInquiryDesk(self.host, membership, outbox)
@@ -78,7 +91,9 @@
 
             is NodeInput.LoadFailed -> if (shards.onLoadFailed(input.endpoint)) refresh(nowMs)
 
-            is NodeInput.CacheRead -> shards.onCache(input.endpoint, input.events, nowMs)
+            is NodeInput.CacheRead -> shards.onCacheRead(input, nowMs)
+
+            is NodeInput.CacheReadFailed -> shards.onCacheReadFailed(input.endpoint, nowMs)
 
             is NodeInput.ConfigRead -> if (config.onRead(input)) refresh(nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeEffect.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeEffect.kt
@@ -1,5 +1,6 @@
 package cowslipcart.core.node
 
+import cowslipcart.core.capacity.CacheGap
 import cowslipcart.core.claims.ClaimItem
 import cowslipcart.core.claims.EpochEntry
 import cowslipcart.core.config.ConfigEntry
@@ -98,6 +99,20 @@
     /** The hosts that are known to run, for the operator. */
     public data class PublishHosts(public val hosts: List<KnownHost>) : NodeEffect
 
+    /**
+     * Read the cache events of [endpoint] from [fromIndex] on, at most [maxBytes] of the answer;
+     * [NodeInput.CacheRead] or [NodeInput.CacheReadFailed] follows.
+     */
+    public data class ReadCacheEvents(
+        public val endpoint: EndpointSpec,
+        public val fromIndex: Long,
+        public val maxBytes: Int
+    ) : NodeEffect
+
+    /** Report that cache events of [endpoint] are not known. */
+    public data class ReportCacheGap(public val endpoint: EndpointId, public val gap: CacheGap) :
+        NodeEffect
+
     /** Close connections to a peer that was declared dead. */
     public data class ForgetPeer(public val host: HostId) : NodeEffect
 }
--- a/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/NodeInput.kt
@@ -1,8 +1,8 @@
 package cowslipcart.core.node
 
-import cowslipcart.core.capacity.CacheEvent
 import cowslipcart.core.capacity.GrantProgress
 import cowslipcart.core.capacity.LoadReport
+import cowslipcart.core.capacity.NumberedCacheEvent
 import cowslipcart.core.claims.ClaimRecord
 import cowslipcart.core.claims.EpochEntry
 import cowslipcart.core.config.ConfigRecord
@@ -48,12 +48,24 @@
     /** An endpoint did not report its load. */
     public data class LoadFailed(public val endpoint: EndpointId) : NodeInput
 
-    /** An endpoint reported changes of its prefix cache. */
+    /**
+     * An endpoint reported changes of its prefix cache.
+     *
+     * @property fromIndex number that was asked from
+     * @property isTruncated whether there was more than the read could take
+     * @property sizeBytes size of what was read
+     */
     public data class CacheRead(
         public val endpoint: EndpointId,
-        public val events: List<CacheEvent>
+        public val fromIndex: Long,
+        public val events: List<NumberedCacheEvent>,
+        public val isTruncated: Boolean,
+        public val sizeBytes: Int
     ) : NodeInput
 
+    /** An endpoint did not report the changes of its prefix cache. */
+    public data class CacheReadFailed(public val endpoint: EndpointId) : NodeInput
+
     /** Records of the stream `config`. */
     public data class ConfigRead(
         public val records: List<ConfigRecord>,
--- a/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/ShardDesk.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.PoolKind
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.origin.unusedReport
 import kotlin.random.Random
@@ -19,8 +20,10 @@
 internal class ShardDesk(
     private val self: HostId,
     private val random: Random,
-    private val outbox: Outbox
+    private val outbox: Outbox,
+    cacheReadBytesPerS: Long
 ) {
+    private val caches = CacheDesk(cacheReadBytesPerS, outbox)
     private val owned = HashMap<ShardId, OwnedShard>()
     private var configuration = Configuration.EMPTY
     private var layout = ShardLayout(Configuration.EMPTY)
@@ -65,6 +68,7 @@
             }
         }
         outbox.emit(NodeEffect.WatchEndpoints(mine.flatMap { endpointsOf(it) }))
+        caches.watch(mine.filter(::isModel).flatMap { endpointsOf(it) }, nowMs)
     }
 
     /** Notes the time of each input, so that a pause of this host is noticed. */
@@ -128,13 +132,23 @@
         return count == MAX_LOAD_FAILURES
     }
 
-    fun onCache(endpoint: EndpointId, events: List<CacheEvent>, nowMs: Long) {
-        val shard = shardOf(endpoint) ?: return
-        owned[shard]?.scheduler?.reportCache(events, nowMs)
+    fun onCacheRead(page: NodeInput.CacheRead, nowMs: Long) {
+        val endpoint = page.endpoint
+        val reading = caches.onRead(page, nowMs) ?: return
+        val scheduler = shardOf(endpoint)?.let { owned[it] }?.scheduler ?: return
+        val events = reading.events.map { CacheEvent(endpoint, it.block, it.isStored) }
+        scheduler.reportCache(events, nowMs)
+        reading.gap?.let {
+            scheduler.reportCacheGap(endpoint, it, nowMs)
+            outbox.emit(NodeEffect.ReportCacheGap(endpoint, it))
+        }
     }
 
+    fun onCacheReadFailed(endpoint: EndpointId, nowMs: Long) = caches.onReadFailed(endpoint, nowMs)
+
     fun tick(nowMs: Long) {
         for ((shard, state) in owned) decide(shard, state.scheduler.tick(nowMs))
+        caches.tick(nowMs)
     }
 
     private fun onAsk(message: PeerMessage.AskCapacity, nowMs: Long) {
@@ -234,6 +248,10 @@
     private fun endpointsOf(shard: ShardId): List<EndpointSpec> =
         layout.endpointsByShard[shard].orEmpty()
 
+    /** Plain services have no prefix cache. */
+    private fun isModel(shard: ShardId): Boolean =
+        configuration.pools[shard.pool]?.kind is PoolKind.Model
+
     private fun shardOf(endpoint: EndpointId): ShardId? = layout.shardByEndpoint[endpoint]
 
     private fun isUnavailable(endpoint: EndpointId): Boolean =
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/CacheCursorTest.kt
@@ -0,0 +1,68 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.PrefixBlock
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Nested
+
+/** Guards against missing events that go unnoticed and events that are taken twice. */
+class CacheCursorTest {
+    private val cursor = CacheCursor()
+
+    private fun events(vararg indexes: Long) =
+        indexes.map { NumberedCacheEvent(it, PrefixBlock(it * 10), isStored = true) }
+
+    private fun gapOf(vararg indexes: Long) = cursor.take(events(*indexes)).gap
+
+    @Nested
+    inner class Continuation {
+        @Test
+        fun `asks again for the last known event and takes it once`() {
+            cursor.take(events(0, 1, 2))
+            assertEquals(2, cursor.fromIndex)
+            assertEquals(CacheReading(events(3), null), cursor.take(events(2, 3)))
+        }
+
+        @Test
+        fun `an idle endpoint repeats its last event`() {
+            cursor.take(events(0, 1))
+            assertEquals(CacheReading(emptyList(), null), cursor.take(events(1)))
+        }
+    }
+
+    @Nested
+    inner class Missing {
+        @Test
+        fun `numbers that were left out are counted`() {
+            assertEquals(CacheGap.Missing(3), gapOf(0, 2, 5))
+        }
+
+        @Test
+        fun `numbers that the endpoint no longer has are counted`() {
+            cursor.take(events(0, 1))
+            assertEquals(CacheGap.Missing(7), gapOf(9, 10))
+        }
+
+        @Test
+        fun `what was before the first page is not missing`() {
+            assertEquals(null, gapOf(70, 71))
+        }
+    }
+
+    @Nested
+    inner class Restart {
+        @Test
+        fun `an endpoint without the last known event has restarted`() {
+            cursor.take(events(0, 1, 2))
+            assertEquals(CacheGap.Restarted, gapOf())
+            assertEquals(0, cursor.fromIndex)
+        }
+
+        @Test
+        fun `an endpoint that has caught up with the numbers has restarted`() {
+            cursor.take(events(0, 1, 2))
+            val other = listOf(NumberedCacheEvent(2, PrefixBlock(7), isStored = true))
+            assertEquals(CacheReading(emptyList(), CacheGap.Restarted), cursor.take(other))
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/CacheGapTest.kt
@@ -0,0 +1,107 @@
+package cowslipcart.core.capacity
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.PrefixBlock
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Nested
+
+/** Guards against claims of the prefix index that stay wrong for ever, or are given up too easily. */
+class CacheGapTest {
+    private val scheduler = schedulerOf(config(endpoint("a"), endpoint("b")))
+    private val prefix = (1..40).toList()
+    private val b = EndpointId("b")
+
+    /** Reason of a grant to a request with the prefix, which only "b" was seen to hold. */
+    private fun reasonAt(nowMs: Long) =
+        scheduler.submit(request("r", prefill = 2_560, prefix = prefix), nowMs)
+            .grants.single().reason
+
+    private fun storeAt(nowMs: Long) = scheduler.reportCache(
+        prefix.map { CacheEvent(b, PrefixBlock(it.toLong()), isStored = true) },
+        nowMs
+    )
+
+    private fun missAt(count: Long, nowMs: Long) =
+        scheduler.reportCacheGap(b, CacheGap.Missing(count), nowMs)
+
+    @Nested
+    inner class Missing {
+        @Test
+        fun `few missing events leave the claims`() {
+            storeAt(0)
+            missAt(10, 60_000)
+            assertEquals("prefix", reasonAt(60_000))
+        }
+
+        @Test
+        fun `missing events add up until claims without late evidence are forgotten`() {
+            storeAt(0)
+            missAt(5, 60_000)
+            missAt(6, 60_000)
+            assertEquals("least-wait", reasonAt(60_000))
+        }
+
+        @Test
+        fun `claims that late events show are kept`() {
+            storeAt(31_000)
+            missAt(1_000, 60_000)
+            assertEquals("prefix", reasonAt(60_000))
+        }
+
+        @Test
+        fun `claims that late grants show are kept`() {
+            storeAt(0)
+            reasonAt(40_000)
+            missAt(1_000, 60_000)
+            val next = scheduler.submit(request("s", prefill = 2_560, prefix = prefix), 60_000)
+            assertEquals("b", next.grantedEndpoint)
+        }
+    }
+
+    @Nested
+    inner class LateEviction {
+        /** The request keeps its grant on "b" until the reason of a second one is read. */
+        private fun grantAndEvict() {
+            storeAt(0)
+            reasonAt(10_000)
+            val events = prefix.map { CacheEvent(b, PrefixBlock(it.toLong()), isStored = false) }
+            scheduler.reportCache(events, 10_500)
+        }
+
+        private fun secondReasonAt(nowMs: Long): String {
+            scheduler.tick(nowMs)
+            return scheduler.submit(request("s", prefill = 2_560, prefix = prefix), nowMs)
+                .grants.single().reason
+        }
+
+        @Test
+        fun `an eviction does not undo a grant that may have come after it`() {
+            grantAndEvict()
+            assertEquals("prefix", secondReasonAt(11_000))
+        }
+
+        @Test
+        fun `an eviction counts when no event shows that the grant stored the prompt`() {
+            grantAndEvict()
+            assertEquals("least-wait", secondReasonAt(16_000))
+        }
+
+        @Test
+        fun `an eviction before the grant is void when the prompt was stored`() {
+            grantAndEvict()
+            storeAt(12_000)
+            assertEquals("prefix", secondReasonAt(16_000))
+        }
+    }
+
+    @Nested
+    inner class Restart {
+        @Test
+        fun `all claims are forgotten`() {
+            storeAt(60_000)
+            scheduler.reportCacheGap(b, CacheGap.Restarted, 60_000)
+            assertEquals("least-wait", reasonAt(60_000))
+        }
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -15,6 +15,7 @@
 import cowslipcart.daemon.control.PublishedState
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.control.VerdictBoard
+import cowslipcart.daemon.endpoint.CacheEventReader
 import cowslipcart.daemon.endpoint.EndpointContext
 import cowslipcart.daemon.endpoint.EndpointOrders
 import cowslipcart.daemon.endpoint.LoadPoller
@@ -76,7 +77,12 @@
         DomainId(settings.failureDomain),
         peerAddress
     )
-    private val loop = ControlLoop(createNodeController(identity, Random(random.nextLong())), clock)
+    private val controller = createNodeController(
+        identity,
+        Random(random.nextLong()),
+        settings.cacheReadBytesPerS
+    )
+    private val loop = ControlLoop(controller, clock)
     private val context = EndpointContext(client, clock, metrics, settings.streamIdleTimeoutMs)
     private val streams =
         PlatformStreams(HttpLog(client, settings.logUrl), scope, metrics, loop::submit)
@@ -130,7 +136,9 @@
         verdicts,
         outcomes,
         DecisionLog(metrics),
-        OrderRunner(scope, EndpointOrders(client), loop::submit)
+        OrderRunner(scope, EndpointOrders(client), loop::submit),
+        CacheEventReader(scope, client, metrics, loop::submit),
+        metrics
     )
 
     private fun httpServer(): HttpServer {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/DaemonCommand.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/DaemonCommand.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
+import cowslipcart.core.node.DEFAULT_CACHE_READ_BYTES_PER_S
 
 /** Exit status for settings that cannot be used. */
 public const val EXIT_BAD_SETTINGS: Int = 2
@@ -32,6 +33,10 @@
         "--stream-idle-timeout-ms",
         "longest silence of an endpoint"
     ).default("60000")
+    private val cacheReadBytesPerS by flag(
+        "--cache-read-bytes-per-s",
+        "most that is read of cache events on average; 0 for none"
+    ).default(DEFAULT_CACHE_READ_BYTES_PER_S.toString())
     private val logFormat by flag("--log-format", "text or json").default("text")
 
     override fun help(context: Context): String =
@@ -51,6 +56,7 @@
             drainLimitMs = drainLimitMs,
             maxBodyBytes = maxBodyBytes,
             streamIdleTimeoutMs = streamIdleTimeoutMs,
+            cacheReadBytesPerS = cacheReadBytesPerS,
             logFormat = logFormat
         )
         checkSettings(raw).fold(
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
@@ -44,12 +44,40 @@
 
     val logCalls: Counter = counter("cowslipcart_log_calls", "Calls to the log", "call", "result")
 
+    private val promptTokensBySource: Counter = counter(
+        "cowslipcart_prompt_tokens",
+        "Prompt tokens of finished answers by source: read, or taken from a prefix cache",
+        "source"
+    )
+
+    val cacheReads: Counter =
+        counter("cowslipcart_cache_reads", "Reads of cache events of endpoints", "result")
+
+    val cacheReadBytes: Counter =
+        counter("cowslipcart_cache_read_bytes", "Bytes of pages of cache events")
+
+    val missingCacheEvents: Counter = counter(
+        "cowslipcart_cache_events_missing",
+        "Cache events that endpoints did not report or no longer had"
+    )
+
+    val cacheRestarts: Counter = counter(
+        "cowslipcart_cache_restarts",
+        "Sequences of cache events that started anew"
+    )
+
     val firstToken: Histogram = Histogram.builder()
         .name("cowslipcart_first_token_seconds")
         .help("Time from arrival to the first byte of the answer")
         .labelNames("tier")
         .register(registry)
 
+    /** Counts the prompt of an answer by what the endpoint read and what it had cached. */
+    fun countPrompt(promptTokens: Int, cachedTokens: Int) {
+        promptTokensBySource.labelValues("read").inc((promptTokens - cachedTokens).toDouble())
+        promptTokensBySource.labelValues("cached").inc(cachedTokens.toDouble())
+    }
+
     /** Registers a gauge that is read when metrics are collected. */
     fun gauge(name: String, help: String, read: () -> Double) {
         GaugeWithCallback.builder()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Settings.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Settings.kt
@@ -23,6 +23,7 @@
     public val drainLimitMs: Long,
     public val maxBodyBytes: Int,
     public val streamIdleTimeoutMs: Long,
+    public val cacheReadBytesPerS: Long,
     public val isLogJson: Boolean
 )
 
@@ -40,6 +41,7 @@
     val drainLimitMs: String,
     val maxBodyBytes: String,
     val streamIdleTimeoutMs: String,
+    val cacheReadBytesPerS: String,
     val logFormat: String
 )
 
@@ -64,6 +66,8 @@
             check.number("--max-body-bytes", raw.maxBodyBytes, 1_024L..67_108_864L).toInt(),
         streamIdleTimeoutMs =
             check.number("--stream-idle-timeout-ms", raw.streamIdleTimeoutMs, 100L..3_600_000L),
+        cacheReadBytesPerS = check
+            .number("--cache-read-bytes-per-s", raw.cacheReadBytesPerS, 0L..10_000_000L),
         isLogJson = check.choice("--log-format", raw.logFormat, listOf("text", "json")) == "json"
     )
     return if (check.faults.isEmpty()) settings.right() else SettingsError(check.faults).left()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/EffectRunner.kt
@@ -1,7 +1,10 @@
 package cowslipcart.daemon.control
 
+import cowslipcart.core.capacity.CacheGap
 import cowslipcart.core.node.NodeEffect
 import cowslipcart.core.node.OrderEffect
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.endpoint.CacheEventReader
 import cowslipcart.daemon.endpoint.LoadPoller
 import cowslipcart.daemon.endpoint.OrderRunner
 import cowslipcart.daemon.peer.PeerNetwork
@@ -21,7 +24,9 @@
     private val verdicts: VerdictBoard,
     private val outcomes: OutcomeBoard,
     private val decisions: DecisionLog,
-    private val orders: OrderRunner
+    private val orders: OrderRunner,
+    private val caches: CacheEventReader,
+    private val metrics: Metrics
 ) : EffectHandler {
     private val log = LoggerFactory.getLogger(EffectRunner::class.java)
 
@@ -75,6 +80,10 @@
 
             is NodeEffect.WatchEndpoints -> poller.watch(effect.endpoints)
 
+            is NodeEffect.ReadCacheEvents -> caches.start(effect)
+
+            is NodeEffect.ReportCacheGap -> reportCacheGap(effect)
+
             is NodeEffect.OutcomeFound -> outcomes.found(effect.queryId, effect.outcome)
 
             is NodeEffect.LogDecision -> decisions.write(effect.decision)
@@ -85,6 +94,17 @@
         }
     }
 
+    private fun reportCacheGap(effect: NodeEffect.ReportCacheGap) {
+        when (val gap = effect.gap) {
+            is CacheGap.Missing -> metrics.missingCacheEvents.inc(gap.count.toDouble())
+
+            CacheGap.Restarted -> {
+                metrics.cacheRestarts.inc()
+                log.info("cache events of {} started anew", effect.endpoint)
+            }
+        }
+    }
+
     private fun performOrder(effect: OrderEffect) {
         when (effect) {
             is OrderEffect.AppendTakeOver -> streams.appendTakeOver(effect.entry)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
@@ -163,7 +163,10 @@
             receivedTokens++
             context.metrics.tokens.inc()
         }
-        chunk.usage?.let { usage = it }
+        chunk.usage?.let {
+            usage = it
+            context.metrics.countPrompt(it.promptTokens, it.cachedTokens)
+        }
         answer.onChunk(chunk, data, write)
         return null
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/SettingsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/SettingsTest.kt
@@ -19,6 +19,7 @@
         drainLimitMs = "30000",
         maxBodyBytes = "4096",
         streamIdleTimeoutMs = "1000",
+        cacheReadBytesPerS = "16384",
         logFormat = "json"
     )
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/CacheEventReaderTest.kt
@@ -0,0 +1,50 @@
+package cowslipcart.daemon.endpoint
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import org.junit.jupiter.api.Nested
+
+/** Guards against pages that are lost or misread because they are long or wrong. */
+class CacheEventReaderTest {
+    private fun event(index: Int) = """{"index":$index,"block":"fedcba9876543210","stored":true}"""
+
+    private val body = """{"events":[${event(0)},${event(1)}],"next_index":2}""".encodeToByteArray()
+
+    @Nested
+    inner class Whole {
+        @Test
+        fun `hashes beyond the positive numbers are read`() {
+            val page = parseCachePage(body, 1_000).getOrNull()
+            assertEquals(listOf(0L, 1L), page?.events?.map { it.index })
+            assertEquals(-0x123456789abcdf0, page?.events?.first()?.block?.value)
+            assertEquals(false, page?.isTruncated)
+        }
+    }
+
+    @Nested
+    inner class Truncated {
+        @Test
+        fun `whole events before the limit are taken`() {
+            val page = parseCachePage(body, body.size - 20).getOrNull()
+            assertEquals(listOf(0L), page?.events?.map { it.index })
+            assertEquals(true, page?.isTruncated)
+        }
+    }
+
+    @Nested
+    inner class Malformed {
+        @Test
+        fun `a body that is no page is an error`() {
+            for (text in listOf(
+                "",
+                "[]",
+                """{"events":[{"index":-1}]}""",
+                body.drop(1).toString()
+            )) {
+                val error = parseCachePage(text.encodeToByteArray(), 1_000).leftOrNull()
+                assertIs<CacheReadError.Malformed>(error, "expected an error for '$text'")
+            }
+        }
+    }
+}
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/HostProcess.kt
@@ -139,6 +139,8 @@
             // No scenario declares a state that endpoints are ordered into.
             is OrderEffect,
             NodeEffect.ReadConfigNow,
+            is NodeEffect.ReadCacheEvents,
+            is NodeEffect.ReportCacheGap,
             is NodeEffect.PublishHosts,
             is NodeEffect.ForgetPeer
             -> Unit
--- /dev/null
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/CacheEventsTest.kt
@@ -0,0 +1,61 @@
+package cowslipcart.systemtest
+
+import kotlin.test.assertEquals
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestInstance
+
+/** Guards against an owner that goes on believing in prefixes that an engine has evicted. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+internal class CacheEventsTest {
+    private lateinit var cluster: Cluster
+    private val daemon get() = cluster.daemons.first()
+
+    @BeforeAll
+    fun startCluster() = runBlocking {
+        val engineArguments = listOf("--cache-tokens", "8192", "--cache-event-lag-ms", "100")
+        cluster = Cluster.start(ClusterPlan(daemonCount = 1, engineArguments = engineArguments))
+    }
+
+    @AfterAll
+    fun stopCluster() = cluster.close()
+
+    @Test
+    fun `a prefix that was evicted stops attracting requests`() = runBlocking {
+        val prompt = words("shared", 2_000)
+        val first = engineThatRuns(prompt)
+        assertEquals(first, engineThatRuns(prompt), "expected the engine with the prefix")
+        val second = cluster.engines.first { it != first }
+        second.post(CHAT_PATH, chatBody(prompt, 1))
+        first.post(CHAT_PATH, chatBody(words("other", 9_000), 1))
+        awaitTrue("an eviction among the events") {
+            "\"stored\":false" in first.get("/cache-events?from=0")
+        }
+        awaitCacheReads()
+        assertEquals(second, engineThatRuns(prompt), "expected the engine that kept the prefix")
+    }
+
+    /** Sends a chat to the daemon and returns the engine that ran it. */
+    private suspend fun engineThatRuns(prompt: String): StandinHandle {
+        val before = cluster.engines.map { it.get("/journal") }
+        val answer = daemon.chat(chatBody(prompt, 1))
+        assertEquals(200, answer.status, "expected an answer, found $answer")
+        val after = cluster.engines.map { it.get("/journal") }
+        return cluster.engines[before.indices.single { before[it] != after[it] }]
+    }
+
+    /** Both engines are read in turn each second, so six reads include one of each from now on. */
+    private suspend fun awaitCacheReads() {
+        val name = "cowslipcart_cache_reads_total{result=\"read\"}"
+        val before = daemon.gauge(name) ?: 0.0
+        awaitTrue("six reads of cache events") { (daemon.gauge(name) ?: 0.0) >= before + 6 }
+    }
+
+    private fun words(name: String, count: Int) = (1..count).joinToString(" ") { "$name-$it" }
+
+    private companion object {
+        const val CHAT_PATH = "/v1/chat/completions"
+    }
+}
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/Cluster.kt
@@ -17,7 +17,8 @@
     val engineCount: Int = 2,
     val engineSlots: Int = 16,
     val serviceCount: Int = 1,
-    val daemonArguments: List<String> = emptyList()
+    val daemonArguments: List<String> = emptyList(),
+    val engineArguments: List<String> = emptyList()
 )
 
 /** A call that took effect in the plain service. */
@@ -127,7 +128,9 @@
     private suspend fun launch() = coroutineScope {
         val log = async { standin("log") }
         val hosts = async { standin("hosts", "--lag-ms", "100") }
-        val engines = (1..plan.engineCount).map { async { standin("engine") } }
+        val engines = (1..plan.engineCount).map {
+            async { standin("engine", *plan.engineArguments.toTypedArray()) }
+        }
         val services = (1..plan.serviceCount).map { async { standin("service") } }
         this@Cluster.log = log.await()
         this@Cluster.hosts = hosts.await()
