Ask the shards of a session in one order

Cause: X-Session was accepted and not used. Requests of one session whose prompts start differently asked different shards first, with other caches.

Change: The origin orders the shards of a pool by a rendezvous hash over organisation and session; without a session the first prefix block takes its place, as before. After ShardFull it asks the next one in that order, no longer the lowest number, so that what a full shard turns away is spread. X-Session is bounded to 1 to 128 characters.

Conclusion: A hint for the first shard only.

--- a/core/src/main/kotlin/cowslipcart/core/membership/Rendezvous.kt
+++ b/core/src/main/kotlin/cowslipcart/core/membership/Rendezvous.kt
@@ -10,8 +10,11 @@
     hosts.maxWithOrNull(compareBy({ rendezvousScore(key, it.value) }, { it.value }))
 
 /** Returns the index below [count] with the highest hash of (index, [key]). */
-public fun rendezvousIndex(key: String, count: Int): Int =
-    (0 until count).maxBy { rendezvousScore(key, it.toString()) }
+public fun rendezvousIndex(key: String, count: Int): Int = rendezvousIndex(key, 0 until count)
+
+/** Returns the one of [candidates], at least one, with the highest hash of (index, [key]). */
+public fun rendezvousIndex(key: String, candidates: Iterable<Int>): Int =
+    candidates.maxBy { rendezvousScore(key, it.toString()) }
 
 private fun rendezvousScore(key: String, candidate: String): Long = stableHash("$key/$candidate")
 
--- a/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
@@ -63,6 +63,12 @@
     override fun toString(): String = value
 }
 
+/** Name that a caller gives to related requests; unique within its organisation. */
+@JvmInline
+public value class SessionId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /**
  * Identifies one attempt to claim a key: host, incarnation and a counter, so that no two attempts
  * share an id even after a restart.
--- a/core/src/main/kotlin/cowslipcart/core/origin/CallerRequest.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CallerRequest.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.PrefixBlock
 import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.SessionId
 import cowslipcart.core.model.Tier
 
 /**
@@ -18,6 +19,8 @@
  * @property timeLeftMs time until the caller's deadline; null without deadline
  * @property prefillTokens estimated prompt length
  * @property outputTokens estimated or requested length of the answer
+ * @property session requests of one session ask the shards of a pool in the same order; null if the
+ * caller named none
  */
 public data class CallerRequest(
     public val requestId: RequestId,
@@ -31,5 +34,6 @@
     public val timeLeftMs: Long?,
     public val prefillTokens: Int,
     public val outputTokens: Int,
-    public val prefixBlocks: List<PrefixBlock>
+    public val prefixBlocks: List<PrefixBlock>,
+    public val session: SessionId? = null
 )
--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -185,19 +185,27 @@
         return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, resume, nowMs), 1))
     }
 
+    private fun firstShard(request: CallerRequest): ShardId =
+        checkNotNull(nextShard(request, emptySet())) {
+            "expected a shard of ${request.pool}, found none"
+        }
+
     /**
-     * Requests with the same first prefix block start at the same shard, so that they find its
-     * prefix cache.
+     * The shard to ask next. Requests with the same [shardKey] ask the shards in the same order, so
+     * that they find the same prefix caches.
      */
-    private fun firstShard(request: CallerRequest): ShardId {
-        val key = request.prefixBlocks.firstOrNull()?.value?.toString() ?: request.requestId.value
-        return ShardId(request.pool, rendezvousIndex(key, shardCounts.shardCountFor(request)))
+    private fun nextShard(request: CallerRequest, tried: Set<ShardId>): ShardId? {
+        val untried = (0 until shardCounts.shardCountFor(request))
+            .filter { ShardId(request.pool, it) !in tried }
+        if (untried.isEmpty()) return null
+        return ShardId(request.pool, rendezvousIndex(shardKey(request), untried))
     }
 
-    private fun nextShard(request: CallerRequest, tried: Set<ShardId>): ShardId? =
-        (0 until shardCounts.shardCountFor(request))
-            .map { ShardId(request.pool, it) }
-            .firstOrNull { it !in tried }
+    /** The session, else the first prefix block; a short prompt without either is spread. */
+    private fun shardKey(request: CallerRequest): String =
+        request.session?.let { "${request.organisation}/$it" }
+            ?: request.prefixBlocks.firstOrNull()?.value?.toString()
+            ?: request.requestId.value
 
     /** The owner granted after it had received the echoed ask, so the ask's age bounds the grant's. */
     private fun isFresh(state: RequestState.Waiting, grant: ReceivedGrant, nowMs: Long): Boolean {
--- a/core/src/test/kotlin/cowslipcart/core/origin/OriginFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginFixture.kt
@@ -11,7 +11,9 @@
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.PrefixBlock
 import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.SessionId
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.model.Tier
 import kotlin.random.Random
@@ -30,10 +32,13 @@
         isRepeatable: Boolean = true,
         timeLeftMs: Long? = null,
         id: RequestId = requestId,
-        tier: Tier = Tier(0)
+        tier: Tier = Tier(0),
+        organisation: String = "org",
+        session: String? = null,
+        prefix: List<Long> = emptyList()
     ) = CallerRequest(
         requestId = id,
-        organisation = OrganisationId("org"),
+        organisation = OrganisationId(organisation),
         tier = tier,
         pool = PoolId("pool"),
         key = key?.let { RequestKey(OrganisationId("org"), it, 1_000) },
@@ -43,7 +48,8 @@
         timeLeftMs = timeLeftMs,
         prefillTokens = 100,
         outputTokens = 10,
-        prefixBlocks = emptyList()
+        prefixBlocks = prefix.map(::PrefixBlock),
+        session = session?.let(::SessionId)
     )
 
     fun start(request: CallerRequest = request(), nowMs: Long = 0): List<OriginEffect> =
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerHeaders.kt
@@ -9,6 +9,7 @@
 import cowslipcart.core.claims.parseRequestKey
 import cowslipcart.core.model.Configuration
 import cowslipcart.core.model.OrganisationSpec
+import cowslipcart.core.model.SessionId
 import cowslipcart.core.model.Tier
 import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
@@ -17,7 +18,7 @@
 import java.security.MessageDigest
 
 /** Hints of a caller, checked against its organisation. */
-internal class CallerHints(val tier: Tier?, val deadlineMs: Long?, val session: String?)
+internal class CallerHints(val tier: Tier?, val deadlineMs: Long?, val session: SessionId?)
 
 /** Finds the organisation by the hash of the bearer token. */
 internal fun authenticate(
@@ -62,7 +63,17 @@
                 "found '${deadlineText?.take(MAX_QUOTED)}'"
         )
     }
-    CallerHints(tier, deadlineMs, single(headers, "X-Session").bind())
+    CallerHints(tier, deadlineMs, readSession(headers).bind())
+}
+
+private fun readSession(headers: Headers): Either<HttpError, SessionId?> = either {
+    val text = single(headers, "X-Session").bind()
+    ensure(text == null || text.length in 1..MAX_SESSION_LENGTH) {
+        HttpError.BadRequest(
+            "X-Session: expected 1 to $MAX_SESSION_LENGTH characters, found ${text?.length}"
+        )
+    }
+    text?.let { SessionId(it) }
 }
 
 /** Reads the idempotency key, null if none was sent. */
@@ -109,3 +120,6 @@
 private const val BEARER_PREFIX = "Bearer "
 private const val MAX_DEADLINE_MS = 24 * 3_600_000L
 private const val MAX_QUOTED = 40
+
+/** Room for a UUID with a prefix; the name is hashed once for each shard. */
+private const val MAX_SESSION_LENGTH = 128
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestFactory.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/RequestFactory.kt
@@ -45,7 +45,8 @@
             timeLeftMs = hints.deadlineMs,
             prefillTokens = countTokens(chat.prompt),
             outputTokens = chat.maxTokens ?: DEFAULT_OUTPUT_TOKENS,
-            prefixBlocks = prefixBlocksOf(chat.prompt)
+            prefixBlocks = prefixBlocksOf(chat.prompt),
+            session = hints.session
         )
     }
 
@@ -75,7 +76,8 @@
             timeLeftMs = hints.deadlineMs,
             prefillTokens = 1,
             outputTokens = 1,
-            prefixBlocks = emptyList()
+            prefixBlocks = emptyList(),
+            session = hints.session
         )
     }
 
