Show the shed rule with several shards on whole hosts

Cause: Only a spec of the origin showed that a request is shed after all shards have replied ShardFull.

Change: Scenarios can declare shards and the queue limit, and send with a session. Two scenarios with two shards and three hosts: the full shard's request runs in the other shard, where lower-tier work gives way; and it waits while the owner of the other shard is paused and declared dead. Two faults in test code.

The views that lag are those of a paused owner that is not yet declared dead.

--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Caller.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Caller.kt
@@ -27,7 +27,8 @@
     val content: String,
     val promptTokens: Int,
     val outputTokens: Int,
-    val deadlineMs: Long?
+    val deadlineMs: Long?,
+    val session: String? = null
 ) {
     /** Key with its scope. */
     val scopedKey: String? get() = keyUuid?.let { "$organisation/$it" }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Deployment.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Deployment.kt
@@ -56,19 +56,19 @@
         ORGANISATIONS.forEach {
             add(organisation(it, LIMIT_TOKENS_PER_S.takeIf { _ -> it == LIMITED }))
         }
-        add(PoolSpec(PoolId(Route.CHAT.pool), PoolKind.Model("assistant"), 1))
+        add(PoolSpec(PoolId(Route.CHAT.pool), PoolKind.Model("assistant"), setup.shardCount))
         val routes = listOf(
             RouteSpec("POST", "/sign-offs", false, Tier(0)),
             RouteSpec("GET", "/stock", true, Tier(0))
         )
         add(PoolSpec(PoolId(Route.SIGN_OFF.pool), PoolKind.Service(routes), 1))
         endpoints(setup).forEach { add(it.first) }
-        PRESETS.forEach { add(preset(it)) }
+        PRESETS.forEach { add(preset(it, setup.maxQueued)) }
     }
 
-    private fun preset(name: String) = PresetSpec(
+    private fun preset(name: String, maxQueued: Int) = PresetSpec(
         PresetName(name),
-        TIERS.indices.associate { Tier(it) to TierPolicy(1.0, MAX_QUEUED) },
+        TIERS.indices.associate { Tier(it) to TierPolicy(1.0, maxQueued) },
         0.0
     )
 
@@ -85,6 +85,4 @@
         canResume = pool == Route.CHAT.pool,
         checksFencing = false
     )
-
-    private const val MAX_QUEUED = 200
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/ScenarioFile.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/ScenarioFile.kt
@@ -44,10 +44,21 @@
     val slots: Int = 4,
     val listLagMs: Long = 1_000,
     val seed: Long = 1,
+    val shards: Int = 1,
+    val maxQueued: Int = 200,
     val steps: List<YamlNode>
 ) {
     val setup: WorldSetup
-        get() = WorldSetup(hosts, runners, services, slots, listLagMs, seed)
+        get() = WorldSetup(
+            hosts,
+            runners,
+            services,
+            slots,
+            listLagMs,
+            seed,
+            shards,
+            maxQueued
+        )
 }
 
 private class StepException(val line: Int, val detail: String) : Exception(detail)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/ScenarioRunner.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/ScenarioRunner.kt
@@ -90,7 +90,8 @@
             content = step.content ?: step.request,
             promptTokens = step.promptTokens,
             outputTokens = step.outputTokens,
-            deadlineMs = step.deadlineMs
+            deadlineMs = step.deadlineMs,
+            session = step.session
         )
     )
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Step.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Step.kt
@@ -17,7 +17,8 @@
         val tier: Int = 0,
         val promptTokens: Int = 100,
         val outputTokens: Int = 20,
-        val deadlineMs: Long? = null
+        val deadlineMs: Long? = null,
+        val session: String? = null
     ) : Step
 
     /** A caller makes the request [of] again; what is not given stays the same. */
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Traffic.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/Traffic.kt
@@ -8,6 +8,7 @@
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.SessionId
 import cowslipcart.core.model.ShardId
 import cowslipcart.core.model.Tier
 import cowslipcart.core.node.NodeEffect
@@ -41,7 +42,8 @@
             timeLeftMs = call.deadlineMs,
             prefillTokens = call.promptTokens,
             outputTokens = call.outputTokens,
-            prefixBlocks = emptyList()
+            prefixBlocks = emptyList(),
+            session = call.session?.let(::SessionId)
         )
     }
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/scenario/World.kt
@@ -26,7 +26,9 @@
     val serviceCount: Int = 2,
     val slotCount: Int = 4,
     val listLagMs: Long = 1_000,
-    val seed: Long = 1
+    val seed: Long = 1,
+    val shardCount: Int = 1,
+    val maxQueued: Int = 200
 )
 
 /** Several hosts with all that they talk to, in one process and virtual time. */
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/Faults.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/Faults.kt
@@ -1,5 +1,6 @@
 package cowslipcart.experiment.scenario
 
+import cowslipcart.core.capacity.RefusalReason
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.membership.HostIdentity
 import cowslipcart.core.model.LogOffset
@@ -93,6 +94,28 @@
         input.takeUnless { it is NodeInput.FromPeer && isDropped(it.message) }
 }
 
+/** Sheds a request when the first shard is full. */
+internal class ShedsAfterOneShard(inner: NodeController) : FaultyController(inner) {
+    override fun change(input: NodeInput): NodeInput {
+        val message = (input as? NodeInput.FromPeer)?.message
+        if (message !is PeerMessage.CapacityRefused) return input
+        if (message.reason != RefusalReason.SHARD_FULL) return input
+        return input.copy(message = message.copy(reason = RefusalReason.TIER_STOPPED))
+    }
+}
+
+/** Takes a shard that has not answered the second ask for a full one. */
+internal class TakesSilenceForFull(inner: NodeController) : FaultyController(inner) {
+    override fun change(effect: NodeEffect, nowMs: Long): List<NodeEffect> {
+        val message = (effect as? NodeEffect.SendPeer)?.message
+        if (message !is PeerMessage.AskCapacity || message.askCount < 2) return listOf(effect)
+        val id = message.request.requestId
+        val refusal =
+            PeerMessage.CapacityRefused(message.shard, id, RefusalReason.SHARD_FULL, null)
+        return listOf(effect) + inner.handle(NodeInput.FromPeer(effect.to, refusal), nowMs)
+    }
+}
+
 /** Does not notice that endpoints leave. */
 internal class IgnoresLeaving(inner: NodeController) : FaultyController(inner) {
     override fun change(input: NodeInput): NodeInput = when (input) {
--- a/experiment/src/test/kotlin/cowslipcart/experiment/scenario/FaultsAreFoundTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/scenario/FaultsAreFoundTest.kt
@@ -59,7 +59,9 @@
             "give-way" to ::RestartsStreams,
             "late-answer" to ::AcceptsLateAnswers,
             "other-organisation" to ::IgnoresOrganisation,
-            "limit" to ::IgnoresSize
+            "limit" to ::IgnoresSize,
+            "full-shard-next-has-lower-tier" to ::ShedsAfterOneShard,
+            "full-shard-next-is-silent" to ::TakesSilenceForFull
         )
 
         val HISTORIES: Map<String, (NodeController) -> NodeController> = mapOf(
