Ask shards again whose refusal is old before a request is shed

Cause: The origin remembered each ShardFull for the whole life of a request. A request that waited in the queue of the last shard and was turned away there was shed although a shard that had refused it seconds before ran lower-tier work.

Change: After a wait of 1 s or more at a shard the earlier refusals no longer count and those shards are asked again. Refusals that follow at once still add up, so a round through full shards ends. The longest wait of 60 s counts from the first ask on, no longer anew at each shard.

Before: scenario full-shard-has-room-again red: urgent request told not-run while three tier 2 requests ran in the other shard.

Conclusion: The rule now holds for refusals older than 1 s. Within a round of quick refusals a shard that refused first can still get lower-tier work before the last one refuses. Ruled out: an age limit on each refusal, since a round through many distant shards could then never end.

--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -20,7 +20,7 @@
     private val shardCounts: ShardCounts
 ) {
     fun begin(tracked: TrackedRequest, nowMs: Long): List<OriginEffect> =
-        ask(tracked, firstShard(tracked.request), emptySet(), null, nowMs)
+        ask(tracked, firstShard(tracked.request), emptySet(), nowMs, nowMs)
 
     /** Waits again at the same shard after the request gave way. */
     fun beginResume(
@@ -73,9 +73,9 @@
             return table.endUnknown(tracked, stoppedForUrgentWork(), nowMs)
         }
         if (reason == RefusalReason.SHARD_FULL || reason == RefusalReason.NO_ENDPOINT) {
-            val tried = state.triedShards + state.shard
+            val tried = shardsThatCount(state, nowMs) + state.shard
             val next = nextShard(tracked.request, tried)
-            if (next != null) return ask(tracked, next, tried, null, nowMs)
+            if (next != null) return ask(tracked, next, tried, state.sinceMs, nowMs)
         }
         val detail = when (reason) {
             RefusalReason.SHARD_FULL -> "no capacity"
@@ -177,14 +177,30 @@
         tracked: TrackedRequest,
         shard: ShardId,
         triedShards: Set<ShardId>,
-        resume: Resume?,
+        sinceMs: Long,
         nowMs: Long
     ): List<OriginEffect> {
         val asks = mapOf(1L to nowMs)
-        tracked.state = RequestState.Waiting(shard, 1, asks, triedShards, nowMs, resume)
-        return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, resume, nowMs), 1))
+        tracked.state = RequestState.Waiting(
+            shard,
+            1,
+            asks,
+            triedShards,
+            sinceMs,
+            resume = null,
+            askedAtMs = nowMs
+        )
+        return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, null, nowMs), 1))
     }
 
+    /**
+     * Shards whose earlier refusal still counts. While the request waited in a queue, the others may
+     * have got room or work of a lower tier, so they are asked again before it is shed. Refusals
+     * that follow one another at once all count, so that a round through full shards ends.
+     */
+    private fun shardsThatCount(state: RequestState.Waiting, nowMs: Long): Set<ShardId> =
+        if (nowMs - state.askedAtMs < STALE_REFUSAL_MS) state.triedShards else emptySet()
+
     private fun firstShard(request: CallerRequest): ShardId =
         checkNotNull(nextShard(request, emptySet())) {
             "expected a shard of ${request.pool}, found none"
@@ -219,6 +235,7 @@
 
     private companion object {
         const val RETRY_AFTER_MS = 1_000L
+        const val STALE_REFUSAL_MS = 1_000L
         val TOP_TIER = Tier(0)
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/origin/RequestState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/RequestState.kt
@@ -24,7 +24,10 @@
      * Waits for capacity. [askSentAtMs] is indexed by the ask count; only asks that a usable grant
      * can echo are kept.
      *
+     * @property triedShards shards whose refusal still counts
+     * @property sinceMs start of the wait, at whatever shards
      * @property askAgainAtMs time of the ask to a new owner; null if none is due
+     * @property askedAtMs time of the first ask to [shard]
      */
     data class Waiting(
         val shard: ShardId,
@@ -33,7 +36,8 @@
         val triedShards: Set<ShardId>,
         val sinceMs: Long,
         val resume: Resume?,
-        val askAgainAtMs: Long? = null
+        val askAgainAtMs: Long? = null,
+        val askedAtMs: Long = sinceMs
     ) : RequestState
 
     /** Bytes may have reached [endpoint]. */
--- a/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OriginControllerTest.kt
@@ -258,6 +258,29 @@
             assertTrue(first != second)
             assertIs<Rejection.NotRun>(end.rejection())
         }
+
+        @Test
+        fun `a shard is asked again after a wait in the queue of another`() {
+            val many = OriginFixture(shardCount = 2)
+            val full = RefusalReason.SHARD_FULL
+            val first = many.start().only<OriginEffect.SendAsk>().shard
+            val second =
+                many.origin.onRefused(first, id, full, 500, 5).only<OriginEffect.SendAsk>().shard
+
+            val again = many.origin.onRefused(second, id, full, 500, 3_000)
+            assertEquals(first, again.only<OriginEffect.SendAsk>().shard)
+            val end = many.origin.onRefused(first, id, full, 500, 3_010)
+            assertIs<Rejection.NotRun>(end.rejection())
+        }
+
+        @Test
+        fun `the wait at all shards together is bounded`() {
+            val many = OriginFixture(shardCount = 2)
+            val first = many.start().only<OriginEffect.SendAsk>().shard
+            many.origin.onRefused(first, id, RefusalReason.SHARD_FULL, 500, 50_000)
+            val end = many.origin.tick(OriginController.MAX_WAIT_MS)
+            assertIs<Rejection.NotRun>(end.rejection())
+        }
     }
 
     private fun dispatched() {
