--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -20,7 +20,7 @@
     private val shardCounts: ShardCounts
 ) {
     fun begin(tracked: TrackedRequest, nowMs: Long): List<OriginEffect> =
-        ask(tracked, firstShard(tracked.request), emptySet(), null, nowMs)
+        ask(tracked, firstShard(tracked.request), emptySet(), nowMs, nowMs)
 
     /** Waits again at the same shard after the request gave way. */
     fun beginResume(
@@ -73,9 +73,9 @@
             return table.endUnknown(tracked, stoppedForUrgentWork(), nowMs)
         }
         if (reason == RefusalReason.SHARD_FULL || reason == RefusalReason.NO_ENDPOINT) {
-            val tried = state.triedShards + state.shard
+            val tried = shardsThatCount(state, nowMs) + state.shard
             val next = nextShard(tracked.request, tried)
-            if (next != null) return ask(tracked, next, tried, null, nowMs)
+            if (next != null) return ask(tracked, next, tried, state.sinceMs, nowMs)
         }
         val detail = when (reason) {
             RefusalReason.SHARD_FULL -> "no capacity"
@@ -177,27 +177,51 @@
         tracked: TrackedRequest,
         shard: ShardId,
         triedShards: Set<ShardId>,
-        resume: Resume?,
+        sinceMs: Long,
         nowMs: Long
     ): List<OriginEffect> {
         val asks = mapOf(1L to nowMs)
-        tracked.state = RequestState.Waiting(shard, 1, asks, triedShards, nowMs, resume)
-        return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, resume, nowMs), 1))
+        tracked.state = RequestState.Waiting(
+            shard,
+            1,
+            asks,
+            triedShards,
+            sinceMs,
+            resume = null,
+            askedAtMs = nowMs
+        )
+        return listOf(OriginEffect.SendAsk(shard, capacityRequest(tracked, null, nowMs), 1))
     }
 
     /**
-     * Requests with the same first prefix block start at the same shard, so that they find its
-     * prefix cache.
+     * Shards whose earlier refusal still counts. While the request waited in a queue, the others may
+     * have got room or work of a lower tier, so they are asked again before it is shed. Refusals
+     * that follow one another at once all count, so that a round through full shards ends.
+     */
+    private fun shardsThatCount(state: RequestState.Waiting, nowMs: Long): Set<ShardId> =
+        if (nowMs - state.askedAtMs < STALE_REFUSAL_MS) state.triedShards else emptySet()
+
+    private fun firstShard(request: CallerRequest): ShardId =
+        checkNotNull(nextShard(request, emptySet())) {
+            "expected a shard of ${request.pool}, found none"
+        }
+
+    /**
+     * The shard to ask next. Requests with the same [shardKey] ask the shards in the same order, so
+     * that they find the same prefix caches.
      */
-    private fun firstShard(request: CallerRequest): ShardId {
-        val key = request.prefixBlocks.firstOrNull()?.value?.toString() ?: request.requestId.value
-        return ShardId(request.pool, rendezvousIndex(key, shardCounts.shardCountFor(request)))
+    private fun nextShard(request: CallerRequest, tried: Set<ShardId>): ShardId? {
+        val untried = (0 until shardCounts.shardCountFor(request))
+            .filter { ShardId(request.pool, it) !in tried }
+        if (untried.isEmpty()) return null
+        return ShardId(request.pool, rendezvousIndex(shardKey(request), untried))
     }
 
-    private fun nextShard(request: CallerRequest, tried: Set<ShardId>): ShardId? =
-        (0 until shardCounts.shardCountFor(request))
-            .map { ShardId(request.pool, it) }
-            .firstOrNull { it !in tried }
+    /** The session, else the first prefix block; a short prompt without either is spread. */
+    private fun shardKey(request: CallerRequest): String =
+        request.session?.let { "${request.organisation}/$it" }
+            ?: request.prefixBlocks.firstOrNull()?.value?.toString()
+            ?: request.requestId.value
 
     /** The owner granted after it had received the echoed ask, so the ask's age bounds the grant's. */
     private fun isFresh(state: RequestState.Waiting, grant: ReceivedGrant, nowMs: Long): Boolean {
@@ -211,6 +235,7 @@
 
     private companion object {
         const val RETRY_AFTER_MS = 1_000L
+        const val STALE_REFUSAL_MS = 1_000L
         val TOP_TIER = Tier(0)
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/node/ShardDeskTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/node/ShardDeskTest.kt
@@ -26,7 +26,7 @@
     private val self = HostId("a")
     private val other = HostId("b")
     private val outbox = Outbox(HostId("c")) { "127.0.0.1:1" }
-    private val desk = ShardDesk(self, Random(1), outbox)
+    private val desk = ShardDesk(self, Random(1), outbox, cacheReadBytesPerS = 0)
     private val first = endpoint("e1")
     private var askCount = 0L
     private var nowMs = 0L
