Send frequent messages between hosts as arrays in version 2

Change: version 2 of the frames: a CBOR sequence of version, message type and message. Asks, grants, releases, progress, pings, quotas and claims are arrays; ids, UUIDs, hashes and addresses are bytes where that gives the same text again. A frame of version 1 names the newest version of its sender, which older hosts ignore; newer versions are sent only to hosts that have named them. bin/slopes counts version 2 and the bytes of each message type, and has idle bytes long after the start.

Conclusion: integer keys in place of names were ruled out: the one-letter names cost one byte more each, the ids and names of types far more. Log records keep their form, since a newer version stops older hosts.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -33,6 +33,7 @@
 import cowslipcart.daemon.peer.PeerListener
 import cowslipcart.daemon.peer.PeerNetwork
 import cowslipcart.daemon.peer.PeerServer
+import cowslipcart.daemon.peer.PeerVersions
 import cowslipcart.daemon.peer.boundPort
 import cowslipcart.daemon.platform.HostListPoller
 import cowslipcart.daemon.platform.HttpLog
@@ -70,7 +71,8 @@
     private val published = PublishedState()
     private val registry = SessionRegistry()
     private val handshake = Handshake(settings.peerSecret)
-    private val peers = PeerNetwork(host, scope, handshake, selector, metrics)
+    private val versions = PeerVersions()
+    private val peers = PeerNetwork(host, scope, handshake, selector, metrics, versions)
     private val peerAddress =
         settings.peerListen.copy(port = peerSocket.boundPort).toString()
     private val identity = HostIdentity(
@@ -92,7 +94,7 @@
     /** Starts everything. Returns the ports that were bound. */
     suspend fun start(): BoundPorts {
         registerGauges()
-        val peerServer = PeerServer(host, handshake, metrics) { loop.submit(it) }
+        val peerServer = PeerServer(host, handshake, metrics, versions) { loop.submit(it) }
         peerServer.start(scope, peerSocket)
         loop.start(scope, effectRunner())
         streams.start()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerNetwork.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.node.PeerMessage
 import cowslipcart.daemon.Metrics
 import cowslipcart.wire.peer.PeerCodec
+import cowslipcart.wire.peer.PeerProtocol
 import io.ktor.network.selector.SelectorManager
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
@@ -17,7 +18,8 @@
     private val scope: CoroutineScope,
     private val handshake: Handshake,
     private val selector: SelectorManager,
-    private val metrics: Metrics
+    private val metrics: Metrics,
+    private val versions: PeerVersions
 ) {
     private val log = LoggerFactory.getLogger(PeerNetwork::class.java)
 
@@ -34,7 +36,7 @@
                 known?.takeIf { it.job.isActive } ?: open(address)
             }
         )
-        val frame = PeerCodec.encode(self, message)
+        val frame = PeerProtocol.encode(self, to, message, versions.versionFor(to))
         if (frame.size > PeerCodec.MAX_FRAME_BYTES) {
             // The receiver would close the connection, and all that waits in it would be lost.
             metrics.peerErrors.labelValues("frame-length").inc()
@@ -51,6 +53,7 @@
 
     /** Closes the connection to a host that was declared dead. */
     fun forget(host: HostId) {
+        versions.forget(host)
         val address = addresses.remove(host) ?: return
         peers.remove(address)?.job?.cancel()
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
@@ -6,6 +6,7 @@
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.wire.WireError
 import cowslipcart.wire.peer.PeerCodec
+import cowslipcart.wire.peer.PeerProtocol
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -29,6 +30,7 @@
     private val self: HostId,
     private val handshake: Handshake,
     private val metrics: Metrics,
+    private val versions: PeerVersions,
     private val inbox: PeerInbox
 ) {
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
@@ -99,7 +101,7 @@
             val frame = reader.readFrame()
             metrics.peerFrames.labelValues("received").inc()
             metrics.peerBytes.labelValues("received").inc(frame.size.toLong())
-            PeerCodec.decode(frame).fold(
+            PeerProtocol.decode(frame, peer, self).fold(
                 { error -> reportError(peer, error, writer) },
                 { decoded ->
                     val message = decoded.message
@@ -108,6 +110,7 @@
                     } else if (decoded.from != peer) {
                         metrics.peerErrors.labelValues("sender").inc()
                     } else {
+                        versions.learn(peer, decoded.newestVersion)
                         inbox.deliver(NodeInput.FromPeer(peer, message))
                     }
                 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
@@ -14,7 +14,7 @@
 import cowslipcart.core.node.PeerMessage
 import cowslipcart.core.node.createNodeController
 import cowslipcart.core.origin.StreamEnd
-import cowslipcart.wire.peer.PeerCodec
+import cowslipcart.wire.peer.PeerProtocol
 import kotlin.random.Random
 
 /**
@@ -32,6 +32,7 @@
     val hosts: List<HostId> = identities.map { it.host }
     val cpuUs = HashMap<HostId, Double>()
     val sentBytes = HashMap<HostId, Long>()
+    val bytesByType = sortedMapOf<String, Long>()
     val sentMessages = HashMap<HostId, Long>()
     var answeredCount = 0
         private set
@@ -74,6 +75,7 @@
         cpuUs.clear()
         sentBytes.clear()
         sentMessages.clear()
+        bytesByType.clear()
         answeredCount = 0
     }
 
@@ -88,9 +90,15 @@
         when (effect) {
             is NodeEffect.SendPeer -> {
                 if (effect.to !in nodes) return
-                val size = PeerCodec.encode(host, effect.message).size + FRAME_HEADER_BYTES
+                val size = PeerProtocol.encode(
+                    host,
+                    effect.to,
+                    effect.message,
+                    PeerProtocol.NEWEST_VERSION
+                ).size + FRAME_HEADER_BYTES
                 sentBytes.merge(host, size.toLong(), Long::plus)
                 sentMessages.merge(host, 1, Long::plus)
+                bytesByType.merge(effect.message.javaClass.simpleName, size.toLong(), Long::plus)
                 deliveries += Delivery(host, effect.to, effect.message)
             }
 
@@ -116,6 +124,6 @@
     companion object {
         const val WALL_START_MS = 1_796_000_000_000L
         private const val TICK_MS = 20L
-        private const val FRAME_HEADER_BYTES = 4
+        const val FRAME_HEADER_BYTES = 4
     }
 }
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/FrameSizes.kt
@@ -0,0 +1,103 @@
+package cowslipcart.experiment.slopes
+
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantProgress
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.claims.ClaimVerdict
+import cowslipcart.core.membership.HostState
+import cowslipcart.core.membership.PingContent
+import cowslipcart.core.membership.Rumor
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.origin.requestIdOf
+import cowslipcart.wire.peer.PeerProtocol
+
+/** One line for each frequent message with the size of its frame in each version. */
+internal fun measureFrameSizes(): List<String> = frameSizesBytes().map { (name, sizes) ->
+    "frame of $name: ${sizes.joinToString()} bytes in versions 1 and 2"
+}
+
+/** Bytes of a typical frame of each frequent message, with its length field, in each version. */
+internal fun frameSizesBytes(): Map<String, List<Int>> {
+    val from = Samples.identity(0).host
+    val to = Samples.identity(1).host
+    return frequentMessages().associate { (name, message) ->
+        name to (PeerProtocol.FIRST_VERSION..PeerProtocol.NEWEST_VERSION).map { version ->
+            val frame = PeerProtocol.encode(from, to, message, version)
+            frame.size + DirectNetwork.FRAME_HEADER_BYTES
+        }
+    }
+}
+
+private fun frequentMessages(): List<Pair<String, PeerMessage>> = listOf(
+    "an ask with 10 prefix hashes" to PeerMessage.AskCapacity(shard, capacityRequest(), 1),
+    "a grant" to PeerMessage.CapacityGranted(
+        shard,
+        requestIdOf(Samples.origin(1), REQUEST_NUMBER),
+        grantId(0),
+        Samples.endpoint(1).id,
+        1
+    ),
+    "a release" to PeerMessage.CapacityReleased(
+        shard,
+        GrantReport(grantId(0), GrantEnd.COMPLETED, 640, 0, 200, 80, 5_000)
+    ),
+    "progress of 1 stream" to progress(1),
+    "progress of 2 streams" to progress(2),
+    "a ping without rumors" to ping(0),
+    "a ping with 2 rumors" to ping(2),
+    "a ping with 8 rumors" to ping(8),
+    "a quota ask" to PeerMessage.QuotaAsk(Samples.organisation(1).id, 5_000),
+    "a quota grant" to PeerMessage.QuotaGranted(Samples.organisation(1).id, 5_000),
+    "a claim" to PeerMessage.ClaimRequest(null, Samples.claim(1, DirectNetwork.WALL_START_MS)),
+    "a claim reply" to PeerMessage.ClaimReply(
+        Samples.claim(1, DirectNetwork.WALL_START_MS).attempt,
+        ClaimVerdict.Won
+    )
+)
+
+private val shard = ShardId(Samples.pool, 123)
+
+private fun grantId(number: Int) = GrantId("9edb0a5d5c318000-${GRANT_NUMBER + number}")
+
+private fun progress(count: Int) =
+    PeerMessage.CapacityProgress(shard, List(count) { GrantProgress(grantId(it), 400) })
+
+private fun ping(rumorCount: Int): PeerMessage {
+    val rumors = List(rumorCount) { Rumor.Host(Samples.identity(it + 2), HostState.LIVE, 0) }
+    val content = PingContent(
+        Samples.identity(0),
+        PING_NUMBER,
+        HostState.LIVE,
+        0,
+        LogOffset(CONFIG_OFFSET),
+        rumors
+    )
+    return PeerMessage.Ping(content, isReady = true, isLogReadable = true)
+}
+
+private fun capacityRequest(): CapacityRequest {
+    val request = Samples.request(requestIdOf(Samples.origin(0), REQUEST_NUMBER), 7)
+    return CapacityRequest(
+        requestId = request.requestId,
+        origin = Samples.identity(0).host,
+        organisation = request.organisation,
+        tier = request.tier,
+        pool = request.pool,
+        timeLeftMs = request.timeLeftMs,
+        prefillTokens = request.prefillTokens,
+        outputTokens = request.outputTokens,
+        prefixBlocks = request.prefixBlocks,
+        isSuspect = false,
+        isInterruptible = true,
+        resumeOn = null
+    )
+}
+
+private const val REQUEST_NUMBER = 100_000L
+private const val GRANT_NUMBER = 100_000
+private const val CONFIG_OFFSET = 100_000L
+private const val PING_NUMBER = -6_000_000_000_000_000_000L
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
@@ -25,16 +25,23 @@
 internal fun measureRequests(): List<Slope> {
     val cpu = mutableListOf<Slope.Point>()
     val bytes = mutableListOf<Slope.Point>()
+    val bytesByType = sortedMapOf<String, MutableList<Slope.Point>>()
     runRequests(REQUEST_COUNTS.last())
     for (count in REQUEST_COUNTS) {
         val network = runRequests(count)
         cpu += Slope.Point(count.toDouble(), network.cpuUs.values.sum())
         bytes += Slope.Point(count.toDouble(), network.sentBytes.values.sum().toDouble())
+        network.bytesByType.forEach { (type, sum) ->
+            bytesByType.getOrPut(type) { mutableListOf() } +=
+                Slope.Point(count.toDouble(), sum.toDouble())
+        }
     }
     return listOf(
         Slope("control time of all hosts", "requests", "us", cpu),
         Slope("peer bytes of all hosts", "requests", "bytes", bytes)
-    )
+    ) + bytesByType.map { (type, points) ->
+        Slope("peer bytes of $type", "requests", "bytes", points)
+    }
 }
 
 private fun runRequests(count: Int): DirectNetwork {
@@ -60,22 +67,38 @@
     val cpu = mutableListOf<Slope.Point>()
     val bytes = mutableListOf<Slope.Point>()
     for (count in HOST_COUNTS) {
-        val network = DirectNetwork(count)
-        network.join()
-        network.publish(Samples.publish(100, 600, shardCount = 200), Samples.switch(1))
-        network.advance(IDLE_WARM_UP_MS)
-        network.resetCounters()
-        network.advance(IDLE_MS)
+        val network = runIdle(count, IDLE_WARM_UP_MS)
         val hostSeconds = count * IDLE_MS / 1_000.0
         cpu += Slope.Point(count.toDouble(), network.cpuUs.values.sum() / hostSeconds)
         bytes += Slope.Point(count.toDouble(), network.sentBytes.values.sum() / hostSeconds)
     }
     return listOf(
         Slope("idle control time of a host and second", "hosts", "us", cpu),
-        Slope("idle peer bytes of a host and second", "hosts", "bytes", bytes)
+        Slope("idle peer bytes of a host and second", "hosts", "bytes", bytes),
+        measureSettled()
     )
 }
 
+/** Idle bytes when the news of the start has reached all hosts and is no longer repeated. */
+private fun measureSettled(): Slope {
+    val points = SETTLED_HOST_COUNTS.map { count ->
+        val network = runIdle(count, SETTLED_AFTER_MS)
+        val hostSeconds = count * IDLE_MS / 1_000.0
+        Slope.Point(count.toDouble(), network.sentBytes.values.sum() / hostSeconds)
+    }
+    return Slope("settled idle peer bytes of a host and second", "hosts", "bytes", points)
+}
+
+private fun runIdle(hostCount: Int, warmUpMs: Long): DirectNetwork {
+    val network = DirectNetwork(hostCount)
+    network.join()
+    network.publish(Samples.publish(100, 600, shardCount = 200), Samples.switch(1))
+    network.advance(warmUpMs)
+    network.resetCounters()
+    network.advance(IDLE_MS)
+    return network
+}
+
 /** Configuration with many organisations. */
 internal fun measureConfiguration(): List<Slope> {
     val heap = mutableListOf<Slope.Point>()
@@ -190,6 +213,10 @@
 private val REQUEST_COUNTS = listOf(5_000, 10_000, 20_000)
 private val HOST_COUNTS = listOf(10, 25, 50, 100)
 private const val IDLE_WARM_UP_MS = 8_000L
+private val SETTLED_HOST_COUNTS = listOf(10, 25, 50)
+
+/** 50 rumors are sent 18 times each at 16 a second. */
+private const val SETTLED_AFTER_MS = 90_000L
 private const val IDLE_MS = 4_000L
 private val ORGANISATION_COUNTS = listOf(1_000, 5_000, 23_000)
 private val CLAIM_COUNTS = listOf(10_000, 40_000, 160_000)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.claims.RequestKey
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.membership.HostIdentity
+import cowslipcart.core.membership.stableHash
 import cowslipcart.core.model.AttemptId
 import cowslipcart.core.model.Declaration
 import cowslipcart.core.model.DomainId
@@ -88,7 +89,7 @@
         timeLeftMs = 30_000,
         prefillTokens = 640,
         outputTokens = 200,
-        prefixBlocks = List(10) { PrefixBlock(organisation * 1_000L + it) }
+        prefixBlocks = List(10) { PrefixBlock(stableHash("$organisation/$it")) }
     )
 
     fun claim(number: Int, keyTimeMs: Long): ClaimItem.Claim {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/SlopesMain.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/SlopesMain.kt
@@ -1,14 +1,17 @@
 package cowslipcart.experiment.slopes
 
-private val MEASUREMENTS: Map<String, () -> List<Slope>> = linkedMapOf(
-    "requests" to ::measureRequests,
-    "idle" to ::measureIdle,
-    "configuration" to ::measureConfiguration,
-    "changes" to ::measureChanges,
-    "claims" to ::measureClaims,
-    "decisions" to { listOf(measureDecisions()) }
+private val MEASUREMENTS: Map<String, () -> List<String>> = linkedMapOf(
+    "requests" to { describe(measureRequests()) },
+    "frames" to ::measureFrameSizes,
+    "idle" to { describe(measureIdle()) },
+    "configuration" to { describe(measureConfiguration()) },
+    "changes" to { describe(measureChanges()) },
+    "claims" to { describe(measureClaims()) },
+    "decisions" to { listOf(measureDecisions().describe()) }
 )
 
+private fun describe(slopes: List<Slope>) = slopes.map { it.describe() }
+
 /**
  * Entry point of `bin/slopes`: measures what docs/CAPACITY.md extrapolates. The arguments name the
  * measurements to run; without any, all are run.
@@ -20,6 +23,6 @@
         val measure = checkNotNull(MEASUREMENTS[name]) {
             "expected one of ${MEASUREMENTS.keys}, found $name"
         }
-        measure().forEach { println(it.describe()) }
+        measure().forEach { println(it) }
     }
 }
--- /dev/null
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/CompactIds.kt
@@ -0,0 +1,157 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.PrefixBlock
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.origin.originOf
+import cowslipcart.core.origin.requestIdOf
+import java.nio.ByteBuffer
+import java.util.UUID
+
+/**
+ * Compact bytes of texts that this system makes itself. The first byte tells a number form from the
+ * text, which is sent where the number form would not give the same text again.
+ */
+internal object CompactIds {
+    private const val TEXT: Byte = 0
+    private const val NUMBERS: Byte = 1
+    private const val IPV4_PARTS = 4
+    private const val BITS_PER_BYTE = 8
+
+    /** [host] is the host that both sides know to have taken the request. */
+    fun encode(id: RequestId, host: HostId): ByteArray {
+        val process = originOf(id)
+        val number = id.value.substringAfterLast('~').toLongOrNull()
+        val isCompact = process?.host == host && number != null && number >= 0 &&
+            requestIdOf(process, number) == id
+        if (!isCompact) return text(id.value)
+        return numbers(checkNotNull(process).incarnation.value, checkNotNull(number))
+    }
+
+    fun decodeRequestId(bytes: ByteArray, host: HostId): RequestId =
+        decode(bytes, { RequestId(it) }) { incarnation, number ->
+            requestIdOf(AttemptOrigin(host, IncarnationId(incarnation)), number)
+        }
+
+    fun encode(id: GrantId): ByteArray {
+        val prefix = id.value.substringBefore('-').toULongOrNull(radix = 16)
+        val number = id.value.substringAfter('-', "").toLongOrNull()
+        val isCompact = prefix != null && number != null && number >= 0 &&
+            grantIdOf(prefix.toLong(), number) == id
+        if (!isCompact) return text(id.value)
+        return numbers(checkNotNull(prefix).toLong(), checkNotNull(number))
+    }
+
+    fun decodeGrantId(bytes: ByteArray): GrantId = decode(bytes, { GrantId(it) }, ::grantIdOf)
+
+    /** An IPv4 address with its port takes 7 bytes. */
+    fun encodeAddress(address: String): ByteArray {
+        val parts = address.substringBeforeLast(':').split('.').mapNotNull { it.toUByteOrNull() }
+        val port = address.substringAfterLast(':', "").toUShortOrNull()
+        if (parts.size != IPV4_PARTS || port == null) return text(address)
+        val bytes = ByteBuffer.allocate(1 + IPV4_PARTS + Short.SIZE_BYTES).put(NUMBERS)
+        parts.forEach { bytes.put(it.toByte()) }
+        val encoded = bytes.putShort(port.toShort()).array()
+        return if (decodeAddress(encoded) == address) encoded else text(address)
+    }
+
+    fun decodeAddress(bytes: ByteArray): String {
+        if (isText(bytes)) return bytes.decodeToString(startIndex = 1)
+        require(bytes.size == 1 + IPV4_PARTS + Short.SIZE_BYTES) {
+            "expected an address of 7 bytes, found ${bytes.size}"
+        }
+        val parts = bytes.slice(1..IPV4_PARTS).map { it.toUByte() }
+        val port = ByteBuffer.wrap(bytes).getShort(1 + IPV4_PARTS).toUShort()
+        return parts.joinToString(".") + ":$port"
+    }
+
+    /** A UUID in its usual form takes 17 bytes. */
+    fun encodeUuid(uuid: String): ByteArray {
+        val parsed = try {
+            UUID.fromString(uuid)
+        } catch (_: IllegalArgumentException) {
+            return text(uuid)
+        }
+        if (parsed.toString() != uuid) return text(uuid)
+        return ByteBuffer.allocate(1 + 2 * Long.SIZE_BYTES).put(NUMBERS)
+            .putLong(parsed.mostSignificantBits).putLong(parsed.leastSignificantBits).array()
+    }
+
+    fun decodeUuid(bytes: ByteArray): String {
+        if (isText(bytes)) return bytes.decodeToString(startIndex = 1)
+        require(bytes.size == 1 + 2 * Long.SIZE_BYTES) {
+            "expected a UUID of 17 bytes, found ${bytes.size}"
+        }
+        val buffer = ByteBuffer.wrap(bytes)
+        return UUID(buffer.getLong(1), buffer.getLong(1 + Long.SIZE_BYTES)).toString()
+    }
+
+    /** A hash of 16 hex digits takes 9 bytes. */
+    fun encodeHash(hash: String): ByteArray {
+        val value = hash.toULongOrNull(radix = 16)?.toLong()
+        if (value == null || hashOf(value) != hash) return text(hash)
+        return ByteBuffer.allocate(1 + Long.SIZE_BYTES).put(NUMBERS).putLong(value).array()
+    }
+
+    fun decodeHash(bytes: ByteArray): String {
+        if (isText(bytes)) return bytes.decodeToString(startIndex = 1)
+        require(bytes.size == 1 + Long.SIZE_BYTES) {
+            "expected a hash of 9 bytes, found ${bytes.size}"
+        }
+        return hashOf(ByteBuffer.wrap(bytes).getLong(1))
+    }
+
+    private fun hashOf(value: Long) =
+        value.toULong().toString(radix = 16).padStart(2 * Long.SIZE_BYTES, '0')
+
+    fun encodeBlocks(blocks: List<PrefixBlock>): ByteArray {
+        val buffer = ByteBuffer.allocate(blocks.size * Long.SIZE_BYTES)
+        blocks.forEach { buffer.putLong(it.value) }
+        return buffer.array()
+    }
+
+    fun decodeBlocks(bytes: ByteArray): List<PrefixBlock> {
+        require(bytes.size % Long.SIZE_BYTES == 0) {
+            "expected a multiple of 8 bytes of hashes, found ${bytes.size}"
+        }
+        val buffer = ByteBuffer.wrap(bytes)
+        return List(bytes.size / Long.SIZE_BYTES) { PrefixBlock(buffer.getLong()) }
+    }
+
+    private fun grantIdOf(prefix: Long, number: Long) =
+        GrantId("${prefix.toULong().toString(16)}-$number")
+
+    private fun isText(bytes: ByteArray): Boolean {
+        require(bytes.isNotEmpty()) { "expected an id of at least 1 byte, found 0" }
+        return bytes[0] == TEXT
+    }
+
+    private fun text(value: String): ByteArray = byteArrayOf(TEXT) + value.encodeToByteArray()
+
+    /** [number] without its leading zero bytes follows the 8 bytes of [random]. */
+    private fun numbers(random: Long, number: Long): ByteArray {
+        val bytes = ByteBuffer.allocate(1 + 2 * Long.SIZE_BYTES)
+            .put(NUMBERS).putLong(random).putLong(number).array()
+        val zeroBytes = java.lang.Long.numberOfLeadingZeros(number) / BITS_PER_BYTE
+        val head = 1 + Long.SIZE_BYTES
+        return bytes.copyOfRange(0, head) + bytes.copyOfRange(head + zeroBytes, bytes.size)
+    }
+
+    private fun <T> decode(
+        bytes: ByteArray,
+        ofText: (String) -> T,
+        ofNumbers: (Long, Long) -> T
+    ): T {
+        val head = 1 + Long.SIZE_BYTES
+        if (isText(bytes)) return ofText(bytes.decodeToString(startIndex = 1))
+        require(bytes.size in head..head + Long.SIZE_BYTES) {
+            "expected an id of $head to ${head + Long.SIZE_BYTES} bytes, found ${bytes.size}"
+        }
+        val number = bytes.drop(head)
+            .fold(0L) { sum, byte -> (sum shl BITS_PER_BYTE) or byte.toUByte().toLong() }
+        return ofNumbers(ByteBuffer.wrap(bytes).getLong(1), number)
+    }
+}
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerCodec.kt
@@ -14,7 +14,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
-/** CBOR form of the messages between hosts. A frame holds one envelope. */
+/** Version 1 of the frames between hosts: each holds one envelope. */
 @OptIn(ExperimentalSerializationApi::class)
 public object PeerCodec {
     /** Version of the messages. */
@@ -27,7 +27,9 @@
     private class Envelope(
         @SerialName("v") val version: Int,
         @SerialName("f") val from: String,
-        @SerialName("m") val body: ByteArray
+        @SerialName("m") val body: ByteArray,
+        // Ignored by hosts that know version 1 only.
+        @SerialName("n") val newestVersion: Int = VERSION
     )
 
     /** Encodes [message] of host [from]. */
@@ -58,7 +60,7 @@
 
     private fun decodeBody(envelope: Envelope): Either<WireError, PeerFrame> = try {
         val document = peerCbor.decodeFromByteArray<PeerMessageDocument>(envelope.body)
-        PeerFrame(HostId(envelope.from), document.toMessage()).right()
+        PeerFrame(HostId(envelope.from), document.toMessage(), envelope.newestVersion).right()
     } catch (e: SerializationException) {
         malformed(e).left()
     } catch (e: IllegalArgumentException) {
@@ -70,7 +72,12 @@
 
     private fun encodeDocument(from: HostId, document: PeerMessageDocument): ByteArray =
         peerCbor.encodeToByteArray(
-            Envelope(VERSION, from.value, peerCbor.encodeToByteArray(document))
+            Envelope(
+                VERSION,
+                from.value,
+                peerCbor.encodeToByteArray(document),
+                PeerProtocol.NEWEST_VERSION
+            )
         )
 
     private fun malformed(e: Exception) =
@@ -81,5 +88,10 @@
  * A decoded frame.
  *
  * @property message null for an error report of the peer
+ * @property newestVersion newest version that the sender understands, as far as the frame tells
  */
-public class PeerFrame(public val from: HostId, public val message: PeerMessage?)
+public class PeerFrame(
+    public val from: HostId,
+    public val message: PeerMessage?,
+    public val newestVersion: Int
+)
--- /dev/null
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerProtocolTest.kt
@@ -0,0 +1,174 @@
+package cowslipcart.wire.peer
+
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
+import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.membership.HostState
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.ShardId
+import cowslipcart.core.node.PeerMessage
+import cowslipcart.core.origin.requestIdOf
+import cowslipcart.wire.WireError
+import java.util.HexFormat
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.junit.jupiter.api.Nested
+
+/** Guards against fields that are lost in version 2 and against hosts that cannot read a frame. */
+class PeerProtocolTest {
+    private val from = PeerSamples.from
+    private val to = HostId("host-2")
+    private val request = PeerMessage.PingRequest(HostId("b"))
+    private val shard = ShardId(PoolId("p"), 2)
+
+    @Nested
+    inner class VersionTwo {
+        @Test
+        fun `each message comes back as it was`() {
+            for (message in PeerSamples.messages) {
+                val decoded = decode(encode(message)).getOrNull()
+
+                assertEquals(message, decoded?.message)
+                assertEquals(from, decoded?.from)
+            }
+        }
+
+        @Test
+        fun `ids in the form of this system and in any other come back as they were`() {
+            val own = requestIdOf(AttemptOrigin(to, IncarnationId(Long.MIN_VALUE)), Long.MAX_VALUE)
+            val foreign = requestIdOf(AttemptOrigin(from, IncarnationId(0)), 0)
+            val requests = listOf(own, foreign, RequestId("$to~0~00"), RequestId("\u00e4~"))
+            val grants =
+                listOf("ffffffffffffffff-1", "0-0", "00-1", "-", "a-${Long.MAX_VALUE}", "")
+            for (request in requests) {
+                for (grant in grants) {
+                    val message = PeerMessage
+                        .CapacityGranted(shard, request, GrantId(grant), EndpointId("e"), 1)
+                    assertEquals(message, decode(encode(message)).getOrNull()?.message)
+                }
+            }
+        }
+
+        @Test
+        fun `addresses come back as they were`() {
+            for (address in listOf("10.0.1.2:65535", "010.0.1.2:1", "[::1]:80", "h:1", "")) {
+                assertEquals(address, CompactIds.decodeAddress(CompactIds.encodeAddress(address)))
+            }
+        }
+
+        @Test
+        fun `uuids and hashes come back as they were`() {
+            val uuid = "01a2400c-0001-7962-8632-000000000001"
+            for (text in listOf(uuid, uuid.uppercase(), "1-1-1-1-1", "")) {
+                assertEquals(text, CompactIds.decodeUuid(CompactIds.encodeUuid(text)))
+            }
+            for (text in listOf("000000000000000f", "f", "F00000000000000f", "-000000000000001")) {
+                assertEquals(text, CompactIds.decodeHash(CompactIds.encodeHash(text)))
+            }
+        }
+
+        @Test
+        fun `each end of a grant and state of a host has a number`() {
+            for (end in GrantEnd.entries) {
+                val report = GrantReport(GrantId("g"), end, 1, 2, 3, null, 5)
+                val message = PeerMessage.CapacityReleased(shard, report)
+                assertEquals(message, decode(encode(message)).getOrNull()?.message)
+            }
+            val ping = assertIs<PeerMessage.Ping>(PeerSamples.messages.first())
+            for (state in HostState.entries) {
+                val message = ping.copy(content = ping.content.copy(state = state))
+                assertEquals(message, decode(encode(message)).getOrNull()?.message)
+            }
+        }
+
+        @Test
+        fun `truncated and changed frames are errors or other messages and no exceptions`() {
+            val random = Random(SEED)
+            for (message in PeerSamples.messages) {
+                val frame = encode(message)
+                for (length in 0 until frame.size) {
+                    assertTrue(decode(frame.copyOf(length)).isLeft())
+                }
+                repeat(200) {
+                    val changed = frame.copyOf()
+                    changed[random.nextInt(frame.size)] = random.nextInt().toByte()
+                    decode(changed)
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class Rollout {
+        @Test
+        fun `a host that has named no version gets frames of version 1`() {
+            val frame = PeerProtocol.encode(from, to, request, version = 1)
+
+            assertEquals(request, PeerCodec.decode(frame).getOrNull()?.message)
+        }
+
+        @Test
+        fun `a frame of version 1 names the newest version of its sender`() {
+            val frame = PeerCodec.encode(from, request)
+
+            assertEquals(PeerProtocol.NEWEST_VERSION, decode(frame).getOrNull()?.newestVersion)
+        }
+
+        @Test
+        fun `a frame of a host that knows version 1 only is read`() {
+            // {"v": 1, "f": "a", "m": bytes of ["ping-request", {"t": "b"}]}, as version 1 wrote it.
+            val hex = "a361760161666161616d53826c70696e672d72657175657374a161746162"
+
+            val decoded = decode(HexFormat.of().parseHex(hex)).getOrNull()
+
+            assertEquals(request, decoded?.message)
+            assertEquals(PeerProtocol.FIRST_VERSION, decoded?.newestVersion)
+        }
+
+        @Test
+        fun `a host that knows version 1 only reads a frame of version 1`() {
+            val frame = PeerCodec.encode(from, request)
+            val found = peerCbor.decodeFromByteArray(FirstEnvelope.serializer(), frame)
+
+            assertEquals(1, found.version)
+            assertEquals(from.value, found.from)
+            val body = peerCbor.decodeFromByteArray(PeerMessageDocument.serializer(), found.body)
+            assertEquals("b", assertIs<PingRequestMessage>(body).target)
+        }
+
+        @Test
+        fun `a later version and an unknown message are named in the error`() {
+            assertEquals(
+                WireError.UnknownVersion(PeerProtocol.NEWEST_VERSION, 3),
+                decode(byteArrayOf(3, 0)).leftOrNull()
+            )
+            assertIs<WireError.UnknownMessage>(decode(byteArrayOf(2, 23, 0)).leftOrNull())
+        }
+    }
+
+    /** The envelope as hosts know it that know version 1 only. */
+    @Serializable
+    private class FirstEnvelope(
+        @SerialName("v") val version: Int,
+        @SerialName("f") val from: String,
+        @SerialName("m") val body: ByteArray
+    )
+
+    private fun encode(message: PeerMessage) = PeerProtocol.encode(from, to, message, version = 2)
+
+    private fun decode(frame: ByteArray) = PeerProtocol.decode(frame, from, to)
+
+    private companion object {
+        const val SEED = 20_261_204
+    }
+}
