Test the choice of the version for each host

Cause: the rule for hosts of two versions had no test in the daemon.

Before: no test. After: see the tests of the daemon.

Conclusion: two real daemons of different versions were not run.

--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/peer/PeerVersionsTest.kt
@@ -0,0 +1,37 @@
+package cowslipcart.daemon.peer
+
+import cowslipcart.core.model.HostId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import org.junit.jupiter.api.Nested
+
+/** Guards against frames of a version that the other host cannot read. */
+class PeerVersionsTest {
+    private val versions = PeerVersions()
+    private val host = HostId("a")
+
+    @Nested
+    inner class VersionFor {
+        @Test
+        fun `a host that has named no version gets the first one`() {
+            assertEquals(1, versions.versionFor(host))
+        }
+
+        @Test
+        fun `a host that was replaced by an older version gets that version again`() {
+            versions.learn(host, 2)
+            assertEquals(2, versions.versionFor(host))
+
+            versions.learn(host, 1)
+            assertEquals(1, versions.versionFor(host))
+        }
+
+        @Test
+        fun `nothing is known of the successor of a dead host`() {
+            versions.learn(host, 2)
+            versions.forget(host)
+
+            assertEquals(1, versions.versionFor(host))
+        }
+    }
+}
