Wait longer for a cached prefix when a start elsewhere is late

Cause: when the time for passing over endpoints had run out, a request started elsewhere and read a cached prompt again, also when the first token was too late in any case. Change: such a request keeps waiting while the endpoint turns its slots over within four times the estimate, and at most 40 s beyond the first limit. A stalled or dead endpoint and one whose slots all go to others end the wait; the test for the stalled endpoint is unchanged. A request that waits longer is parked for 100 ms as before. Conclusion: the wait is bounded by what the endpoint does, not by the deadline.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Dispatcher.kt
@@ -39,8 +39,7 @@
             if (endpoint != null && placement.canStart) {
                 grant(queue, work, endpoint, nowMs, out)
             } else if (endpoint != null && placement.isByChoice) {
-                val untilMs = minOf(nowMs + PARK_MS, work.passOverUntilMs ?: nowMs)
-                queue.park(work, endpoint, untilMs)
+                queue.park(work, endpoint, parkUntilMs(work, nowMs))
             } else {
                 deferred += work
                 // Less urgent work must not take the place that this request waits for.
@@ -54,6 +53,11 @@
         return mayGoOn
     }
 
+    private fun parkUntilMs(work: QueuedWork, nowMs: Long): Long {
+        val passOverUntilMs = work.passOverUntilMs?.takeIf { it > nowMs }
+        return minOf(nowMs + PARK_MS, passOverUntilMs ?: Long.MAX_VALUE)
+    }
+
     private fun resumeInterrupted(
         queue: TierQueue,
         nowMs: Long,
--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
@@ -44,6 +44,10 @@
     /** Until when the endpoint reads the prompts that it was given. */
     var prefillBusyUntilMs: Double = 0.0
 
+    /** Until when a slot should have been freed again, by the estimate at the last change. */
+    var slotDueMs: Double = 0.0
+        private set
+
     var reservedTokens: Long = 0L
         private set
     var remainingOutputTokens: Long = 0L
@@ -155,6 +159,11 @@
         remainingOutputTokens += work.recordProgress(sentTokens, nowMs)
     }
 
+    /** Records that a slot was taken or freed, from which the next change is estimated. */
+    fun recordTurnover(nowMs: Long) {
+        slotDueMs = nowMs + slotWaitMs * SLOT_PATIENCE
+    }
+
     /** Takes a foreign count; the less of two reports counts, as one may be off by a delay. */
     fun recordForeign(count: Int, nowMs: Long) {
         foreignCount = min(count, lastForeignCount)
@@ -208,6 +217,9 @@
         const val FOREIGN_LIFETIME_MS = 5_000L
         const val LEAST_SLOT_WAIT_MS = 20.0
 
+        // Ends come irregularly; a gap of four times the mean is rare for independent streams.
+        const val SLOT_PATIENCE = 4.0
+
         const val MOST_TOP_BACKLOG_MS = 500.0
         const val MOST_LOWER_BACKLOG_MS = 50.0
 
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GrantTable.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GrantTable.kt
@@ -31,6 +31,7 @@
         if (work.request.isInterruptible) interruptible += work
         work.endpoint.add(work)
         endpoints.refresh(work.endpoint)
+        work.endpoint.recordTurnover(work.grantedAtMs)
     }
 
     fun remove(work: RunningWork, nowMs: Long) {
@@ -43,6 +44,7 @@
         givingWay -= work
         work.endpoint.remove(work, nowMs)
         endpoints.refresh(work.endpoint)
+        work.endpoint.recordTurnover(nowMs)
     }
 
     /** Records that the origin was told to give way. */
--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -11,6 +11,7 @@
     private val nearest = NearestCandidates()
     private var bestNow: EndpointState? = null
     private var bestNowMs = 0.0
+    private var bestNowFirstTokenMs = 0.0
     private var bestLater: EndpointState? = null
     private var bestLaterMs = 0.0
     private var bestLaterWaitMs = 0.0
@@ -94,6 +95,7 @@
         if (canStartHere && (bestNow == null || costMs < bestNowMs)) {
             bestNow = state
             bestNowMs = costMs
+            bestNowFirstTokenMs = waitMs + readMs
         }
         if (!canStartHere && (bestLater == null || costMs < bestLaterMs)) {
             bestLater = state
@@ -112,12 +114,23 @@
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
         val untilMs = work.passOverUntilMs ?: (nowMs + passOverMs(work, nowMs))
         work.passOverUntilMs = untilMs
-        if (nowMs >= untilMs) return
+        if (nowMs >= untilMs && !mayWaitLonger(work, later, nowMs, untilMs)) return
         endpoint = later
         canStart = false
         isByChoice = true
     }
 
+    // An immediate start that misses the time for the first token gains nothing and reads a cached
+    // prompt again. The wait still ends when the endpoint fails to turn a slot over as estimated,
+    // and after a fixed time when other requests take each slot that it frees.
+    private fun mayWaitLonger(
+        work: QueuedWork,
+        later: EndpointState,
+        nowMs: Long,
+        untilMs: Long
+    ): Boolean = nowMs + bestNowFirstTokenMs > work.firstTokenDueMs &&
+        nowMs <= later.slotDueMs && nowMs < untilMs + MOST_EXTRA_PASS_OVER_MS
+
     private fun passOverMs(work: QueuedWork, nowMs: Long): Long {
         val waitMs = (bestLaterWaitMs * PASS_OVER_FACTOR).toLong()
         if (work.isTop) return waitMs
@@ -135,5 +148,8 @@
         const val SPREAD_MS = 100.0
         const val PASS_OVER_MARGIN_MS = 20.0
         const val PASS_OVER_FACTOR = 2.0
+
+        // At 10 s and 20 s most of the saved prefill of the burst workloads is lost again.
+        const val MOST_EXTRA_PASS_OVER_MS = 40_000L
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
@@ -85,6 +85,34 @@
             assertEquals("a", scheduler.tick(1_000).grantedEndpoint)
         }
 
+        /** Lets streams of the top tier take each slot of b; returns when r starts on a. */
+        private fun startWhileBServesOthers(timeLeftMs: Long? = null): Long? {
+            warmUpB()
+            var top = scheduler.submit(request("top", tier = 0, output = 10, resumeOn = "b"), 0)
+            val waiting = request("r", prefill = 2_560, prefix = prefix, timeLeftMs = timeLeftMs)
+            scheduler.submit(waiting, 0)
+            for (nowMs in 200L..60_000L step 200) {
+                val next = request("top-$nowMs", tier = 0, output = 10, resumeOn = "b")
+                val queued = scheduler.submit(next, nowMs)
+                if ("r" in queued.grants.ids) return nowMs
+                top = scheduler.release(report(top.grants.single().grantId, output = 10), nowMs)
+                if ("r" in top.grants.ids) return nowMs
+            }
+            return null
+        }
+
+        @Test
+        fun `waits for an endpoint that frees slots in time when a start elsewhere is late`() {
+            val startMs = startWhileBServesOthers()
+            assertTrue((startMs ?: 0) > 10_000, "expected a start after 10 s, got $startMs ms")
+        }
+
+        @Test
+        fun `stops waiting for an endpoint whose slots all go to others`() {
+            val startMs = startWhileBServesOthers()
+            assertTrue((startMs ?: 60_000) < 45_000, "expected a start within 45 s, got $startMs")
+        }
+
         @Test
         fun `is forgotten when the grant was not used`() {
             val first = scheduler.submit(
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -41,6 +41,7 @@
     private val times = HashMap<Tier, Double>()
     private val cached = config.endpoints.associate { it.id to ArrayList<PrefixBlock>() }
     private val busyUntilMs = config.endpoints.associate { it.id to 0.0 }.toMutableMap()
+    private val slotDueMs = config.endpoints.associate { it.id to 0.0 }.toMutableMap()
     private var number = 0
 
     fun submit(request: CapacityRequest, nowMs: Long): List<String> {
@@ -64,8 +65,9 @@
     fun release(id: RequestId, isUsed: Boolean, nowMs: Long): List<String> {
         val ended = running.single { it.request.requestId == id }
         running -= ended
+        val spec = config.endpoints.single { it.id == ended.endpoint }
+        slotDueMs[spec.id] = nowMs + slotWaitMs(spec) * 4
         if (!isUsed) {
-            val spec = config.endpoints.single { it.id == ended.endpoint }
             busyUntilMs.merge(
                 spec.id,
                 -(ended.uncached * 1_000.0 / spec.prefillTokensPerS),
@@ -133,6 +135,7 @@
         waiting -= work
         val uncached = uncached(work, spec)
         running += Runs(work.request, spec.id, uncached)
+        slotDueMs[spec.id] = nowMs + slotWaitMs(spec) * 4
         val waitMs = max(0.0, busyUntilMs.getValue(spec.id) - nowMs)
         busyUntilMs[spec.id] = nowMs + waitMs + uncached * (1_000.0 / spec.prefillTokensPerS)
         val blocks = cached.getValue(spec.id)
@@ -174,9 +177,13 @@
         val slackMs = if (work.request.tier.rank == 0) 0 else ((work.dueMs - nowMs) * 0.25).toLong()
         val untilMs = nowMs + max(passOverMs, slackMs)
         if (work.passOverUntilMs == Long.MAX_VALUE) work.passOverUntilMs = untilMs
-        if (nowMs >= work.passOverUntilMs) return now.first to true
+        val firstTokenMs = waitsMs.getValue(now.first.id) +
+            uncached(work, now.first) * (1_000.0 / now.first.prefillTokensPerS)
+        val mayWait = nowMs + firstTokenMs > work.dueMs &&
+            nowMs <= slotDueMs.getValue(later.first.id) && nowMs < work.passOverUntilMs + 40_000
+        if (nowMs >= work.passOverUntilMs && !mayWait) return now.first to true
         work.parkedOn = later.first
-        work.parkedUntilMs = minOf(nowMs + 100, work.passOverUntilMs)
+        work.parkedUntilMs = listOf(nowMs + 100, work.passOverUntilMs).filter { it > nowMs }.min()
         return later.first to false
     }
 
