Interrupt work only where the waiting request will start

Cause: a late request that waits for one endpoint by choice told lower work on other endpoints to give way. It did not use the slots, and the interrupted work resumed at once. Change: while a request waits for an endpoint by choice, only work on that endpoint gives way for it. When that endpoint is gone, stalls or the wait is over, all endpoints count again. A request for which nothing could be interrupted may still force room later.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GiveWayRule.kt
@@ -46,7 +46,7 @@
 
     /** Tells the running work that loses least to give way until [work] fits on its endpoint. */
     fun makeRoom(work: QueuedWork, nowMs: Long, out: MutableList<SchedulerDecision>) {
-        val victim = findVictim(work) ?: return
+        val victim = findVictim(work, nowMs) ?: return
         tell(victim, nowMs, out)
         val endpoint = victim.endpoint
         val others = endpoint.running
@@ -70,17 +70,15 @@
 
     // A victim whose end alone makes room comes first; an endpoint that became slow may hold more
     // work than its slots, and emptying it would waste the most.
-    private fun findVictim(work: QueuedWork): RunningWork? {
+    private fun findVictim(work: QueuedWork, nowMs: Long): RunningWork? {
+        val only = work.request.resumeOn ?: placement.findAwaited(work, nowMs)?.spec?.id
         val eligible = state.grants.interruptibleBelow(work.request.tier)
             .filter { it.endpoint.isAvailable && it.endpoint.emptyingFor == null }
-            .filter {
-                work.request.resumeOn == null || it.endpoint.spec.id == work.request.resumeOn
-            }
+            .filter { only == null || it.endpoint.spec.id == only }
         val sufficient = eligible.take(MOST_VICTIMS)
             .firstOrNull { fitsAfter(work, it.endpoint, 1, it.reservedTokens) }
         if (sufficient != null || work.hasForcedRoom) return sufficient
-        work.hasForcedRoom = true
-        return eligible.firstOrNull()
+        return eligible.firstOrNull()?.also { work.hasForcedRoom = true }
     }
 
     private fun fitsAfter(work: QueuedWork, endpoint: EndpointState, count: Int, tokens: Long) =
--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -48,9 +48,16 @@
         if (resumeOn != null) {
             return table.find(resumeOn)?.admits(work.isTop, work.reservedTokens, nowMs) ?: false
         }
+        val awaited = findAwaited(work, nowMs)
+        if (awaited != null) return awaited.admits(work.isTop, work.reservedTokens, nowMs)
         return table.all.any { it.admits(work.isTop, work.reservedTokens, nowMs) }
     }
 
+    /** The endpoint that the request waits for by choice, while that is worth it. */
+    fun findAwaited(work: QueuedWork, nowMs: Long): EndpointState? = work.awaited?.takeIf {
+        it.isAvailable && nowMs <= it.slotDueMs && nowMs < work.awaitedUntilMs
+    }
+
     /** Time to finish the request on the best endpoint if that were empty; infinite without one. */
     fun bestCaseMs(work: QueuedWork): Double {
         val resumeOn = work.request.resumeOn
@@ -111,6 +118,7 @@
         endpoint = now ?: later
         canStart = now != null
         isByChoice = false
+        work.awaited = null
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
         val untilMs = work.passOverUntilMs ?: (nowMs + passOverMs(work, nowMs))
         work.passOverUntilMs = untilMs
@@ -118,6 +126,8 @@
         endpoint = later
         canStart = false
         isByChoice = true
+        work.awaited = later
+        work.awaitedUntilMs = untilMs + MOST_EXTRA_PASS_OVER_MS
     }
 
     // An immediate start that misses the time for the first token gains nothing and reads a cached
--- a/core/src/main/kotlin/cowslipcart/core/capacity/QueuedWork.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/QueuedWork.kt
@@ -25,6 +25,12 @@
     /** Until when the request may pass over free endpoints; null if it has not done so. */
     var passOverUntilMs: Long? = null
 
+    /** Endpoint that the last choice waited for although another was free; null if none. */
+    var awaited: EndpointState? = null
+
+    /** Until when [awaited] may be waited for. */
+    var awaitedUntilMs: Long = 0
+
     /** Endpoint that the request waits for although it could start elsewhere; null if none. */
     var parkedOn: EndpointState? = null
 
--- a/core/src/test/kotlin/cowslipcart/core/capacity/GiveWayTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/GiveWayTest.kt
@@ -1,5 +1,7 @@
 package cowslipcart.core.capacity
 
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.PrefixBlock
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import org.junit.jupiter.api.Nested
@@ -52,6 +54,21 @@
             assertEquals(emptyList(), schedulerWith(lower).top())
         }
 
+        @Test
+        fun `not on an endpoint that the waiting request passes over`() {
+            val prefix = (1..40).toList()
+            val scheduler =
+                schedulerOf(config(endpoint("a", slots = 1), endpoint("b", slots = 1)))
+            scheduler.reportCache(
+                prefix.map { CacheEvent(EndpointId("b"), PrefixBlock(it.toLong()), true) },
+                0
+            )
+            scheduler.submit(request("on-b", tier = 0, output = 40, resumeOn = "b"), 0)
+            scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            scheduler.submit(request("lower", tier = 2, output = 500), 0)
+            assertEquals(emptyList(), scheduler.tick(1_000).giveWays.ids)
+        }
+
         @Test
         fun `once for each waiting request`() {
             val scheduler =
