Start late requests before their deadline gets out of reach

Cause: the breaches are tier 1 requests that are refused for their deadline while tier 2 is queued. Change: a late request goes first in its organisation 16 s instead of 8 s before its last start, and it stops waiting for a better endpoint 3 s before a start elsewhere could no longer finish.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.model.EndpointId
 import kotlin.math.max
+import kotlin.math.min
 
 /**
  * Choice of the endpoint for one request. The result is left in the properties until the next
@@ -12,6 +13,7 @@
     private var bestNow: EndpointState? = null
     private var bestNowMs = 0.0
     private var bestNowFirstTokenMs = 0.0
+    private var bestNowFinishMs = 0.0
     private var bestLater: EndpointState? = null
     private var bestLaterMs = 0.0
     private var bestLaterWaitMs = 0.0
@@ -103,6 +105,7 @@
             bestNow = state
             bestNowMs = costMs
             bestNowFirstTokenMs = waitMs + readMs
+            bestNowFinishMs = finishMs
         }
         if (!canStartHere && (bestLater == null || costMs < bestLaterMs)) {
             bestLater = state
@@ -122,12 +125,13 @@
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
         val untilMs = work.passOverUntilMs ?: (nowMs + passOverMs(work, nowMs))
         work.passOverUntilMs = untilMs
-        if (nowMs >= untilMs && !mayWaitLonger(work, later, nowMs, untilMs)) return
+        val longestMs = max(untilMs, longestWaitUntilMs(work, untilMs))
+        if (nowMs >= untilMs && !mayWaitLonger(work, later, nowMs, longestMs)) return
         endpoint = later
         canStart = false
         isByChoice = true
         work.awaited = later
-        work.awaitedUntilMs = untilMs + MOST_EXTRA_PASS_OVER_MS
+        work.awaitedUntilMs = longestMs
     }
 
     // An immediate start that misses the time for the first token gains nothing and reads a cached
@@ -137,9 +141,15 @@
         work: QueuedWork,
         later: EndpointState,
         nowMs: Long,
-        untilMs: Long
+        longestMs: Long
     ): Boolean = nowMs + bestNowFirstTokenMs > work.firstTokenDueMs &&
-        nowMs <= later.slotDueMs && nowMs < untilMs + MOST_EXTRA_PASS_OVER_MS
+        nowMs <= later.slotDueMs && nowMs < longestMs
+
+    // Before the deadline gets out of reach elsewhere, the request starts there.
+    private fun longestWaitUntilMs(work: QueuedWork, untilMs: Long): Long {
+        val lastStartMs = work.deadlineMs - bestNowFinishMs.toLong() - LAST_START_SLACK_MS
+        return min(untilMs + MOST_EXTRA_PASS_OVER_MS, lastStartMs)
+    }
 
     private fun passOverMs(work: QueuedWork, nowMs: Long): Long {
         val waitMs = (bestLaterWaitMs * PASS_OVER_FACTOR).toLong()
@@ -161,5 +171,8 @@
 
         // At 10 s and 20 s most of the saved prefill of the burst workloads is lost again.
         const val MOST_EXTRA_PASS_OVER_MS = 40_000L
+
+        // Time for errors of the estimate and for the wait until an endpoint is open.
+        const val LAST_START_SLACK_MS = 3_000L
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/TierQueue.kt
@@ -188,8 +188,10 @@
     private companion object {
         const val MOST_IDLE_FLOWS = 1_024
 
-        // Time in which a slot and the reading of other prompts can be awaited.
-        const val START_SOON_MS = 8_000L
+        // Time in which a slot and the reading of other prompts can be awaited. At 8 s, tier 1 lost
+        // requests to their deadlines behind others of its tier at 1.5 times capacity; from 24 s on
+        // late requests take the slots of those in time.
+        const val START_SOON_MS = 16_000L
 
         val FLOW_ORDER: Comparator<Flow> = Comparator { left, right ->
             var order = left.startTag.compareTo(right.startTag)
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
@@ -113,6 +113,12 @@
             assertTrue((startMs ?: 60_000) < 45_000, "expected a start within 45 s, got $startMs")
         }
 
+        @Test
+        fun `starts elsewhere before the deadline gets out of reach there`() {
+            val startMs = startWhileBServesOthers(timeLeftMs = 10_000)
+            assertTrue((startMs ?: 10_000) < 3_000, "expected a start within 3 s, got $startMs")
+        }
+
         @Test
         fun `is forgotten when the grant was not used`() {
             val first = scheduler.submit(
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -116,7 +116,7 @@
         val chosen = heads.minWithOrNull(
             compareBy({ shareOf(it[0]).tag }, { it[0].deadlineMs }, { shareOf(it[0]).number })
         ) ?: return null
-        val soon = chosen.firstOrNull { it.isLate }?.takeIf { it.checkMs - nowMs < 8_000 }
+        val soon = chosen.firstOrNull { it.isLate }?.takeIf { it.checkMs - nowMs < 16_000 }
         if (hasLower && soon != null) return soon
         for (work in chosen) {
             if (work.isLate || work.dueMs > nowMs) break
@@ -154,6 +154,7 @@
         nowMs: Long
     ): Pair<EndpointSpec, Boolean>? {
         val waitsMs = HashMap<EndpointId, Double>()
+        val finishesMs = HashMap<EndpointId, Double>()
         val costs = config.endpoints.filter { it.id !in config.unavailable }.mapNotNull { spec ->
             val own = running.filter { it.endpoint == spec.id }
             val hasRoom = isOpen(spec, work.request.tier, claimed) && hasBudget(spec, work)
@@ -167,6 +168,7 @@
             val finishMs =
                 waitMs + readMs + work.request.outputTokens * 1_000.0 / spec.decodeTokensPerS
             val costMs = waitMs + readMs * weight + own.size.toDouble() / spec.slotCount * 100
+            finishesMs[spec.id] = finishMs
             Triple(spec, isNow, costMs).takeIf { work.deadlineMs - nowMs >= finishMs }
         }
         val now = costs.filter { it.second }.minByOrNull { it.third }
@@ -180,7 +182,8 @@
         val firstTokenMs = waitsMs.getValue(now.first.id) +
             uncached(work, now.first) * (1_000.0 / now.first.prefillTokensPerS)
         val mayWait = nowMs + firstTokenMs > work.dueMs &&
-            nowMs <= slotDueMs.getValue(later.first.id) && nowMs < work.passOverUntilMs + 40_000
+            nowMs <= slotDueMs.getValue(later.first.id) && nowMs < work.passOverUntilMs + 40_000 &&
+            nowMs < work.deadlineMs - finishesMs.getValue(now.first.id).toLong() - 3_000
         if (nowMs >= work.passOverUntilMs && !mayWait) return now.first to true
         work.parkedOn = later.first
         work.parkedUntilMs = listOf(nowMs + 100, work.passOverUntilMs).filter { it > nowMs }.min()
