Shed queued lower tiers before a deadline refusal after a wait

Cause: a request that had waited was refused for its deadline while lower tiers were queued. Change: before such a refusal, also on a repeated ask and when a stream that gave way cannot finish, the queued lower tiers that compete for the same endpoints are shed. A refusal on arrival sheds nothing. It does not save the refused request; it keeps the promise that nobody below is served in its stead.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -28,7 +28,7 @@
             end(running, nowMs)
         }
         val refused = enqueue(request, isCharged = false, nowMs)
-        if (refused != null) return listOf(refused) + decide(nowMs)
+        if (refused.isNotEmpty()) return refused + decide(nowMs)
         return decide(nowMs) { out -> afterQueued(request.requestId, nowMs, out) }
     }
 
@@ -59,7 +59,7 @@
         end(work, nowMs)
         if (resume == null) return decide(nowMs)
         val refused = enqueue(resume, isCharged = true, nowMs)
-        return decide(nowMs) { out -> refused?.let { out += it } }
+        return decide(nowMs) { out -> out += refused }
     }
 
     override fun progress(reports: List<GrantProgress>, nowMs: Long): List<SchedulerDecision> {
@@ -145,13 +145,13 @@
 
     /**
      * Queues [request], or puts it in place of its queued copy, which keeps its arrival. Returns
-     * the refusal if it cannot run.
+     * the refusals if it cannot run; they include lower tiers if it had waited or run before.
      */
     private fun enqueue(
         request: CapacityRequest,
         isCharged: Boolean,
         nowMs: Long
-    ): SchedulerDecision? {
+    ): List<SchedulerDecision> {
         val queued = state.queue.find(request.requestId)
         if (queued != null) state.queue.remove(queued)
         val work = queued ?: QueuedWork(
@@ -167,10 +167,13 @@
         val reason = refusals.findReason(work, nowMs)
         if (reason != null) {
             isolation.forget(work)
-            return refusals.decision(work, reason)
+            val out = ArrayList<SchedulerDecision>()
+            val hasWaited = queued != null || isCharged
+            if (hasWaited && reason == RefusalReason.DEADLINE) refusals.shedBelow(work, out)
+            return out + refusals.decision(work, reason)
         }
         state.queue.add(work)
-        return null
+        return emptyList()
     }
 
     private fun afterQueued(
--- a/core/src/main/kotlin/cowslipcart/core/capacity/RefusalRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/RefusalRule.kt
@@ -14,7 +14,7 @@
         else -> null
     }
 
-    /** Refusal of a request that cannot run; [ShedRule] refuses for lack of capacity. */
+    /** Refusal of a request that cannot run. */
     fun decision(work: QueuedWork, reason: RefusalReason): SchedulerDecision.Refuse {
         val retryAfterMs = when (reason) {
             RefusalReason.TIER_STOPPED -> RETRY_STOPPED_MS
@@ -28,6 +28,27 @@
         return SchedulerDecision.Refuse(work.request, reason, retryAfterMs)
     }
 
+    /** Refuses a queued request for lack of capacity. */
+    fun shed(victim: QueuedWork): SchedulerDecision.Refuse {
+        withdraw(victim)
+        val ahead = state.queue.countThrough(victim.request.tier) + 1
+        val waitMs = ahead / state.endpoints.slotsPerMs
+        val retryAfterMs = waitMs.coerceIn(LEAST_RETRY_MS, MOST_RETRY_MS).toLong()
+        return SchedulerDecision.Refuse(victim.request, RefusalReason.SHARD_FULL, retryAfterMs)
+    }
+
+    /**
+     * Sheds the queued work of lower tiers that competes with [work]; called before [work] is
+     * refused for its deadline after it has waited, which is a lack of capacity too.
+     */
+    fun shedBelow(work: QueuedWork, out: MutableList<SchedulerDecision>) {
+        if (state.queue.lowestBelow(work.request.tier) == null) return
+        val victims = state.queue.filter {
+            it.request.tier > work.request.tier && canCompete(it.request, work.request)
+        }
+        victims.forEach { out += shed(it) }
+    }
+
     /** Removes a queued request. */
     fun withdraw(work: QueuedWork) {
         state.queue.remove(work)
@@ -42,6 +63,7 @@
                 state.queue.scheduleCheck(work, work.nextCheckMs.coerceAtLeast(nowMs + 1))
             } else {
                 withdraw(work)
+                shedBelow(work, out)
                 out += decision(work, RefusalReason.DEADLINE)
             }
         }
@@ -59,6 +81,10 @@
         }
     }
 
+    // Streams that resume on different endpoints do not compete.
+    private fun canCompete(one: CapacityRequest, other: CapacityRequest): Boolean =
+        one.resumeOn == null || other.resumeOn == null || one.resumeOn == other.resumeOn
+
     // A stream that was interrupted may finish in a stopped tier, as its caller has a part of it.
     private fun isStopped(work: QueuedWork): Boolean =
         work.request.resumeOn == null && state.maxQueued(work.request.tier) <= 0
@@ -79,5 +105,7 @@
 
     private companion object {
         const val RETRY_STOPPED_MS = 10_000L
+        const val LEAST_RETRY_MS = 200.0
+        const val MOST_RETRY_MS = 10_000.0
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/ShedRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/ShedRule.kt
@@ -16,25 +16,12 @@
         if (queue.size <= state.maxQueued(tier)) return
         val lower = state.queue.lowestBelow(tier)
         if (lower != null && !state.grants.hasRunningBelow(lower.tier)) {
-            lower.findShedVictim()?.let { out += refuse(it) }
+            lower.findShedVictim()?.let { out += refusals.shed(it) }
         } else if (state.grants.hasRunningBelow(tier)) {
             // The request stays queued even if nothing that runs below it can be interrupted.
             if (state.grants.givingWayCount < queue.size) giveWay.makeRoom(work, nowMs, out)
         } else {
-            queue.findShedVictim()?.let { out += refuse(it) }
+            queue.findShedVictim()?.let { out += refusals.shed(it) }
         }
     }
-
-    private fun refuse(victim: QueuedWork): SchedulerDecision {
-        refusals.withdraw(victim)
-        val ahead = state.queue.countThrough(victim.request.tier) + 1
-        val waitMs = ahead / state.endpoints.slotsPerMs
-        val retryAfterMs = waitMs.coerceIn(LEAST_RETRY_MS, MOST_RETRY_MS).toLong()
-        return SchedulerDecision.Refuse(victim.request, RefusalReason.SHARD_FULL, retryAfterMs)
-    }
-
-    private companion object {
-        const val LEAST_RETRY_MS = 200.0
-        const val MOST_RETRY_MS = 10_000.0
-    }
 }
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -82,9 +82,10 @@
     fun dispatch(nowMs: Long): List<String> {
         val out = ArrayList<String>()
         for (work in waiting.filter { it.checkMs <= nowMs }.sortedBy { it.checkMs }) {
-            if (canFinish(work, nowMs)) continue
-            waiting -= work
-            out += "refuse ${work.request.requestId}"
+            if (work !in waiting || canFinish(work, nowMs)) continue
+            val lower = waiting.filter { it.request.tier > work.request.tier }
+            for (refused in lower + work) out += "refuse ${refused.request.requestId}"
+            waiting -= (lower + work).toSet()
         }
         val claimed = HashSet<EndpointId>()
         for (tier in waiting.map { it.request.tier }.distinct().sorted()) {
--- a/core/src/test/kotlin/cowslipcart/core/capacity/ShedRuleTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/ShedRuleTest.kt
@@ -62,6 +62,37 @@
         assertEquals(listOf("top-2"), scheduler.submit(request("top-2", tier = 0), 0).shed())
     }
 
+    @Nested
+    inner class Deadline {
+        private val scheduler = full(maxQueued = 9)
+
+        private fun fill() {
+            scheduler.submit(request("running", tier = 0, output = 9_000), 0)
+            scheduler.submit(request("high", tier = 1, timeLeftMs = 5_000), 0)
+            scheduler.submit(request("low", tier = 2), 0)
+        }
+
+        @Test
+        fun `a queued lower tier is shed before a request that waited too long`() {
+            fill()
+            assertEquals(listOf("low", "high"), scheduler.tick(3_000).refusals.ids)
+        }
+
+        @Test
+        fun `the same when the request is asked for again`() {
+            fill()
+            val again = request("high", tier = 1, timeLeftMs = 2_000)
+            assertEquals(listOf("low", "high"), scheduler.submit(again, 2_500).refusals.ids)
+        }
+
+        @Test
+        fun `a request that could not run on arrival sheds nothing`() {
+            fill()
+            val hopeless = request("hopeless", tier = 1, output = 500, timeLeftMs = 5_000)
+            assertEquals(listOf("hopeless"), scheduler.submit(hopeless, 10).refusals.ids)
+        }
+    }
+
     @Test
     fun `a stopped tier is refused`() {
         val refusal = full(maxQueued = 0).submit(request("r", tier = 1), 0).refusals.single()
