Learn no output length from grants of an earlier owner

Cause: a new owner adopts running grants whose request estimates only the rest of the answer, while the report at the end counts the whole answer. Change: the end of an adopted grant does not change the estimate. Conclusion: only an owner change leads to this path. The new test was red before.

--- a/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -200,7 +200,9 @@
                 LoadCorrection.applyEnd(work, report, nowMs)
                 val organisation = work.request.organisation
                 val estimatedTokens = work.request.outputTokens
-                state.outputs.observe(organisation, estimatedTokens, report.outputTokens)
+                if (!work.isAdopted) {
+                    state.outputs.observe(organisation, estimatedTokens, report.outputTokens)
+                }
             }
 
             GrantEnd.CANCELLED -> LoadCorrection.applyEnd(work, report, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/capacity/GrantIssuer.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/GrantIssuer.kt
@@ -32,6 +32,7 @@
             aheadTokens = waitMs * endpoint.prefillSpeed.perS / 1_000,
             outputTokens = work.outputTokens,
             expectedFirstTokenMs = waitMs + readMs,
+            isAdopted = false,
             isConfirmed = false
         )
         endpoint.prefillBusyUntilMs = nowMs + waitMs + readMs
@@ -57,6 +58,7 @@
             aheadTokens = 0.0,
             outputTokens = outputTokens,
             expectedFirstTokenMs = Double.POSITIVE_INFINITY,
+            isAdopted = true,
             isConfirmed = true
         )
         state.grants.add(running)
--- a/core/src/main/kotlin/cowslipcart/core/capacity/RunningWork.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/RunningWork.kt
@@ -12,6 +12,8 @@
  * @property aheadTokens prompt tokens of other grants that the endpoint reads before
  * @property outputTokens corrected estimate of the output
  * @property expectedFirstTokenMs time from the grant to the first token as estimated at the grant
+ * @property isAdopted whether an earlier owner issued the grant; its request then estimates the rest
+ *   of the answer only
  * @property isConfirmed whether the origin has reported the grant as running
  */
 internal class RunningWork(
@@ -25,6 +27,7 @@
     val aheadTokens: Double,
     val outputTokens: Int,
     val expectedFirstTokenMs: Double,
+    val isAdopted: Boolean,
     var isConfirmed: Boolean
 ) {
     /** Tokens counted against the endpoint's budget; constant while the grant runs. */
--- a/core/src/test/kotlin/cowslipcart/core/capacity/DeadlineTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/DeadlineTest.kt
@@ -1,5 +1,7 @@
 package cowslipcart.core.capacity
 
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.GrantId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import org.junit.jupiter.api.Nested
@@ -98,6 +100,18 @@
             assertEquals(listOf("next"), scheduler.submit(next, 0).deadlineRefusals())
         }
 
+        @Test
+        fun `is not changed by grants of an earlier owner, whose estimate is a remainder`() {
+            val running = List(5) {
+                val rest = request("r$it", output = 1)
+                RunningGrant(GrantId("old-$it"), EndpointId("a"), rest, sentTokens = 100)
+            }
+            scheduler.adopt(running, 0)
+            for (grant in running) scheduler.release(report(grant.grantId, output = 300), 0)
+            val next = request("next", output = 100, timeLeftMs = 5_000)
+            assertEquals(listOf("next"), scheduler.submit(next, 0).grants.ids)
+        }
+
         @Test
         fun `of one organisation leaves others alone`() {
             repeat(5) { round ->
