--- a/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/Placement.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.model.EndpointId
 import kotlin.math.max
+import kotlin.math.min
 
 /**
  * Choice of the endpoint for one request. The result is left in the properties until the next
@@ -11,6 +12,8 @@
     private val nearest = NearestCandidates()
     private var bestNow: EndpointState? = null
     private var bestNowMs = 0.0
+    private var bestNowFirstTokenMs = 0.0
+    private var bestNowFinishMs = 0.0
     private var bestLater: EndpointState? = null
     private var bestLaterMs = 0.0
     private var bestLaterWaitMs = 0.0
@@ -47,9 +50,16 @@
         if (resumeOn != null) {
             return table.find(resumeOn)?.admits(work.isTop, work.reservedTokens, nowMs) ?: false
         }
+        val awaited = findAwaited(work, nowMs)
+        if (awaited != null) return awaited.admits(work.isTop, work.reservedTokens, nowMs)
         return table.all.any { it.admits(work.isTop, work.reservedTokens, nowMs) }
     }
 
+    /** The endpoint that the request waits for by choice, while that is worth it. */
+    fun findAwaited(work: QueuedWork, nowMs: Long): EndpointState? = work.awaited?.takeIf {
+        it.isAvailable && nowMs <= it.slotDueMs && nowMs < work.awaitedUntilMs
+    }
+
     /** Time to finish the request on the best endpoint if that were empty; infinite without one. */
     fun bestCaseMs(work: QueuedWork): Double {
         val resumeOn = work.request.resumeOn
@@ -94,6 +104,8 @@
         if (canStartHere && (bestNow == null || costMs < bestNowMs)) {
             bestNow = state
             bestNowMs = costMs
+            bestNowFirstTokenMs = waitMs + readMs
+            bestNowFinishMs = finishMs
         }
         if (!canStartHere && (bestLater == null || costMs < bestLaterMs)) {
             bestLater = state
@@ -109,13 +121,34 @@
         endpoint = now ?: later
         canStart = now != null
         isByChoice = false
+        work.awaited = null
         if (now == null || later == null || bestLaterMs + PASS_OVER_MARGIN_MS >= bestNowMs) return
         val untilMs = work.passOverUntilMs ?: (nowMs + passOverMs(work, nowMs))
         work.passOverUntilMs = untilMs
-        if (nowMs >= untilMs) return
+        val longestMs = max(untilMs, longestWaitUntilMs(work, untilMs))
+        if (nowMs >= untilMs && !mayWaitLonger(work, later, nowMs, longestMs)) return
         endpoint = later
         canStart = false
         isByChoice = true
+        work.awaited = later
+        work.awaitedUntilMs = longestMs
+    }
+
+    // An immediate start that misses the time for the first token gains nothing and reads a cached
+    // prompt again. The wait still ends when the endpoint fails to turn a slot over as estimated,
+    // and after a fixed time when other requests take each slot that it frees.
+    private fun mayWaitLonger(
+        work: QueuedWork,
+        later: EndpointState,
+        nowMs: Long,
+        longestMs: Long
+    ): Boolean = nowMs + bestNowFirstTokenMs > work.firstTokenDueMs &&
+        nowMs <= later.slotDueMs && nowMs < longestMs
+
+    // Before the deadline gets out of reach elsewhere, the request starts there.
+    private fun longestWaitUntilMs(work: QueuedWork, untilMs: Long): Long {
+        val lastStartMs = work.deadlineMs - bestNowFinishMs.toLong() - LAST_START_SLACK_MS
+        return min(untilMs + MOST_EXTRA_PASS_OVER_MS, lastStartMs)
     }
 
     private fun passOverMs(work: QueuedWork, nowMs: Long): Long {
@@ -135,5 +168,11 @@
         const val SPREAD_MS = 100.0
         const val PASS_OVER_MARGIN_MS = 20.0
         const val PASS_OVER_FACTOR = 2.0
+
+        // At 10 s and 20 s most of the saved prefill of the burst workloads is lost again.
+        const val MOST_EXTRA_PASS_OVER_MS = 40_000L
+
+        // Time for errors of the estimate and for the wait until an endpoint is open.
+        const val LAST_START_SLACK_MS = 3_000L
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlainScheduler.kt
@@ -41,6 +41,7 @@
     private val times = HashMap<Tier, Double>()
     private val cached = config.endpoints.associate { it.id to ArrayList<PrefixBlock>() }
     private val busyUntilMs = config.endpoints.associate { it.id to 0.0 }.toMutableMap()
+    private val slotDueMs = config.endpoints.associate { it.id to 0.0 }.toMutableMap()
     private var number = 0
 
     fun submit(request: CapacityRequest, nowMs: Long): List<String> {
@@ -64,8 +65,9 @@
     fun release(id: RequestId, isUsed: Boolean, nowMs: Long): List<String> {
         val ended = running.single { it.request.requestId == id }
         running -= ended
+        val spec = config.endpoints.single { it.id == ended.endpoint }
+        slotDueMs[spec.id] = nowMs + slotWaitMs(spec) * 4
         if (!isUsed) {
-            val spec = config.endpoints.single { it.id == ended.endpoint }
             busyUntilMs.merge(
                 spec.id,
                 -(ended.uncached * 1_000.0 / spec.prefillTokensPerS),
@@ -80,9 +82,10 @@
     fun dispatch(nowMs: Long): List<String> {
         val out = ArrayList<String>()
         for (work in waiting.filter { it.checkMs <= nowMs }.sortedBy { it.checkMs }) {
-            if (canFinish(work, nowMs)) continue
-            waiting -= work
-            out += "refuse ${work.request.requestId}"
+            if (work !in waiting || canFinish(work, nowMs)) continue
+            val lower = waiting.filter { it.request.tier > work.request.tier }
+            for (refused in lower + work) out += "refuse ${refused.request.requestId}"
+            waiting -= (lower + work).toSet()
         }
         val claimed = HashSet<EndpointId>()
         for (tier in waiting.map { it.request.tier }.distinct().sorted()) {
@@ -114,7 +117,7 @@
         val chosen = heads.minWithOrNull(
             compareBy({ shareOf(it[0]).tag }, { it[0].deadlineMs }, { shareOf(it[0]).number })
         ) ?: return null
-        val soon = chosen.firstOrNull { it.isLate }?.takeIf { it.checkMs - nowMs < 8_000 }
+        val soon = chosen.firstOrNull { it.isLate }?.takeIf { it.checkMs - nowMs < 16_000 }
         if (hasLower && soon != null) return soon
         for (work in chosen) {
             if (work.isLate || work.dueMs > nowMs) break
@@ -133,6 +136,7 @@
         waiting -= work
         val uncached = uncached(work, spec)
         running += Runs(work.request, spec.id, uncached)
+        slotDueMs[spec.id] = nowMs + slotWaitMs(spec) * 4
         val waitMs = max(0.0, busyUntilMs.getValue(spec.id) - nowMs)
         busyUntilMs[spec.id] = nowMs + waitMs + uncached * (1_000.0 / spec.prefillTokensPerS)
         val blocks = cached.getValue(spec.id)
@@ -151,6 +155,7 @@
         nowMs: Long
     ): Pair<EndpointSpec, Boolean>? {
         val waitsMs = HashMap<EndpointId, Double>()
+        val finishesMs = HashMap<EndpointId, Double>()
         val costs = config.endpoints.filter { it.id !in config.unavailable }.mapNotNull { spec ->
             val own = running.filter { it.endpoint == spec.id }
             val hasRoom = isOpen(spec, work.request.tier, claimed) && hasBudget(spec, work)
@@ -164,6 +169,7 @@
             val finishMs =
                 waitMs + readMs + work.request.outputTokens * 1_000.0 / spec.decodeTokensPerS
             val costMs = waitMs + readMs * weight + own.size.toDouble() / spec.slotCount * 100
+            finishesMs[spec.id] = finishMs
             Triple(spec, isNow, costMs).takeIf { work.deadlineMs - nowMs >= finishMs }
         }
         val now = costs.filter { it.second }.minByOrNull { it.third }
@@ -174,9 +180,14 @@
         val slackMs = if (work.request.tier.rank == 0) 0 else ((work.dueMs - nowMs) * 0.25).toLong()
         val untilMs = nowMs + max(passOverMs, slackMs)
         if (work.passOverUntilMs == Long.MAX_VALUE) work.passOverUntilMs = untilMs
-        if (nowMs >= work.passOverUntilMs) return now.first to true
+        val firstTokenMs = waitsMs.getValue(now.first.id) +
+            uncached(work, now.first) * (1_000.0 / now.first.prefillTokensPerS)
+        val mayWait = nowMs + firstTokenMs > work.dueMs &&
+            nowMs <= slotDueMs.getValue(later.first.id) && nowMs < work.passOverUntilMs + 40_000 &&
+            nowMs < work.deadlineMs - finishesMs.getValue(now.first.id).toLong() - 3_000
+        if (nowMs >= work.passOverUntilMs && !mayWait) return now.first to true
         work.parkedOn = later.first
-        work.parkedUntilMs = minOf(nowMs + 100, work.passOverUntilMs)
+        work.parkedUntilMs = listOf(nowMs + 100, work.passOverUntilMs).filter { it > nowMs }.min()
         return later.first to false
     }
 
