--- a/core/src/test/kotlin/cowslipcart/core/capacity/OwnerChangeTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/OwnerChangeTest.kt
@@ -82,6 +82,12 @@
             assertEquals(listOf("other"), scheduler.dropOrigin(HostId("host-1"), 10).grants.ids)
         }
 
+        @Test
+        fun `grants of other origins stay when one is dead`() {
+            scheduler.submit(request("other", origin = "host-2"), 0)
+            assertEquals(emptyList(), scheduler.dropOrigin(HostId("host-3"), 10).grants)
+        }
+
         @Test
         fun `a repeated ask for a running request is ignored`() {
             scheduler.progress(listOf(GrantProgress(first.grantId, 1)), 1_000)
--- a/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/PlacementTest.kt
@@ -85,6 +85,16 @@
             assertEquals("a", scheduler.tick(1_000).grantedEndpoint)
         }
 
+        @Test
+        fun `stops waiting at once when the endpoint is gone`() {
+            warmUpB()
+            scheduler.submit(request("short", prefill = 0, output = 10, resumeOn = "b"), 0)
+            scheduler.submit(request("r", prefill = 2_560, prefix = prefix), 0)
+            val onlyA = arrayOf(endpoint("a", slots = 1), endpoint("b", slots = 1))
+            val decisions = scheduler.reconfigure(config(*onlyA, unavailable = setOf("b")), 10)
+            assertEquals("a", decisions.grantedEndpoint)
+        }
+
         /** Lets streams of the top tier take each slot of b; returns when r starts on a. */
         private fun startWhileBServesOthers(timeLeftMs: Long? = null): Long? {
             warmUpB()
@@ -192,6 +202,14 @@
         assertEquals(listOf("t0", "t1", "t2"), order)
     }
 
+    @Test
+    fun `the log gets the candidates best first`() {
+        val specs = Array(9) { endpoint("e$it", prefillPerS = 1_000.0 + 100 * (it * 5 % 9)) }
+        val scheduler = schedulerOf(config(*specs))
+        val grant = scheduler.submit(request("r", prefill = 9_000), 0).grants.single()
+        assertEquals(listOf("e7", "e5", "e3", "e1"), grant.candidates.map { it.value })
+    }
+
     @Test
     fun `the log gets the nearest candidates only`() {
         val many = Array(50) { endpoint("e$it") }
--- a/core/src/test/kotlin/cowslipcart/core/capacity/ShedRuleTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/capacity/ShedRuleTest.kt
@@ -85,6 +85,15 @@
             assertEquals(listOf("low", "high"), scheduler.submit(again, 2_500).refusals.ids)
         }
 
+        @Test
+        fun `streams that resume on another endpoint stay`() {
+            val two = schedulerOf(config(endpoint("a", slots = 1), endpoint("b", slots = 1)))
+            repeat(2) { two.submit(request("running-$it", tier = 0, output = 9_000), 0) }
+            two.submit(request("high", tier = 1, timeLeftMs = 5_000, resumeOn = "a"), 0)
+            two.submit(request("low", tier = 2, resumeOn = "b"), 0)
+            assertEquals(listOf("high"), two.tick(3_100).refusals.ids)
+        }
+
         @Test
         fun `a request that could not run on arrival sheds nothing`() {
             fill()
