--- a/core/src/main/kotlin/cowslipcart/core/node/CacheDesk.kt
+++ b/core/src/main/kotlin/cowslipcart/core/node/CacheDesk.kt
@@ -81,7 +81,7 @@
         const val INTERVAL_MS = 1_000L
         const val MAX_BACKOFF_MS = 60_000L
 
-        /** About 260 events of 62 bytes. */
+        /** About 270 events of 60 bytes. */
         const val MAX_PAGE_BYTES = 16_384
 
         /** Request line and headers of both directions. */
