Bound the ends of key epochs by the append time of their records

Cause: a writer with a fast clock moved the end of an epoch as far ahead as its clock was. If an owner died, its keys were answered outcome-unknown and no epoch without it could start until that time; older epochs were dropped too early; a fast writer of the first epoch left the keys of the last hour without owner. Change: the end counts at most up to the append time + 5 min, the limit for keys, and the first epoch starts at the latest 1 h before its append time. To a fast writer the end always looks due for renewal, so from 64 records on a checkpoint comes before a renewal. Test changed: "key times before the first epoch have no owner" gives the record an append time 1 h after the epoch's start, as an earlier start would now be in force; its assertion is the same. Conclusion: all readers share the append time, so each key still has one owner. Ruled out: to void such records, as normally one host writes and the present would not be covered. Tried and dropped: checkpoint and renewal in turns by the count of records; no test told it from the plain rule, and a racing writer makes progress in either. Open: a writer whose clock is more than 60 s slow may leave key times uncovered.

--- a/core/src/main/kotlin/cowslipcart/core/claims/ReplayedKeyEpochs.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/ReplayedKeyEpochs.kt
@@ -21,8 +21,8 @@
         nextOffset = offset.next()
         recordsSinceCheckpoint++
         when (val entry = record.entry) {
-            is EpochEntry.Epoch -> if (isComplete && isNext(entry)) epochs.addLast(entry)
-            is EpochEntry.ExtendEpoch -> if (isComplete) extend(entry)
+            is EpochEntry.Epoch -> if (isComplete) add(entry, record.appendedAtMs)
+            is EpochEntry.ExtendEpoch -> if (isComplete) extend(entry, record.appendedAtMs)
             is EpochEntry.Checkpoint -> if (entry.throughOffset.next() == offset) restore(entry)
             null -> Unit
         }
@@ -45,13 +45,14 @@
         val untilMs = wallNowMs + HORIZON_MS
         return when {
             last == null -> EpochEntry.Epoch(1, hosts, wallNowMs - MAX_KEY_AGE_MS, untilMs)
+            isCheckpointOverdue() -> proposeCheckpoint()
             last.untilKeyTimeMs - wallNowMs >= RENEWAL_MS -> proposeCheckpoint()
             last.hosts == hosts -> EpochEntry.ExtendEpoch(last.number, untilMs)
             else -> EpochEntry.Epoch(last.number + 1, hosts, last.untilKeyTimeMs, untilMs)
         }
     }
 
-    private fun isNext(entry: EpochEntry.Epoch): Boolean {
+    private fun add(entry: EpochEntry.Epoch, appendedAtMs: Long) {
         val last = epochs.lastOrNull()
         val follows = when (last) {
             null -> entry.number == 1L
@@ -59,15 +60,29 @@
             else ->
                 entry.number == last.number + 1 && entry.fromKeyTimeMs == last.untilKeyTimeMs
         }
-        return follows && entry.hosts.isNotEmpty() && entry.untilKeyTimeMs > entry.fromKeyTimeMs
+        val fromMs = when (last) {
+            null -> minOf(entry.fromKeyTimeMs, appendedAtMs - MAX_KEY_AGE_MS)
+            else -> entry.fromKeyTimeMs
+        }
+        val untilMs = boundEnd(entry.untilKeyTimeMs, appendedAtMs)
+        if (!follows || entry.hosts.isEmpty() || untilMs <= fromMs) return
+        epochs += entry.copy(fromKeyTimeMs = fromMs, untilKeyTimeMs = untilMs)
     }
 
-    private fun extend(entry: EpochEntry.ExtendEpoch) {
+    private fun extend(entry: EpochEntry.ExtendEpoch, appendedAtMs: Long) {
         val last = epochs.lastOrNull() ?: return
-        if (entry.number != last.number || entry.untilKeyTimeMs <= last.untilKeyTimeMs) return
-        epochs[epochs.lastIndex] = last.copy(untilKeyTimeMs = entry.untilKeyTimeMs)
+        val untilMs = boundEnd(entry.untilKeyTimeMs, appendedAtMs)
+        if (entry.number != last.number || untilMs <= last.untilKeyTimeMs) return
+        epochs[epochs.lastIndex] = last.copy(untilKeyTimeMs = untilMs)
     }
 
+    /**
+     * Bounds the end that a writer whose clock is fast has set, by the clock of the log, which all
+     * readers share. Keys further ahead are refused in any case.
+     */
+    private fun boundEnd(untilKeyTimeMs: Long, appendedAtMs: Long): Long =
+        minOf(untilKeyTimeMs, appendedAtMs + MAX_KEY_AHEAD_MS)
+
     private fun restore(checkpoint: EpochEntry.Checkpoint) {
         recordsSinceCheckpoint = 0
         if (isComplete) return
@@ -76,6 +91,10 @@
         epochs.addAll(checkpoint.epochs)
     }
 
+    /** A writer whose clock is fast always finds the end due for renewal. */
+    private fun isCheckpointOverdue(): Boolean =
+        recordsSinceCheckpoint >= 2 * RECORDS_PER_CHECKPOINT
+
     private fun proposeCheckpoint(): EpochEntry? = when {
         recordsSinceCheckpoint < RECORDS_PER_CHECKPOINT -> null
         else -> EpochEntry.Checkpoint(LogOffset(nextOffset.value - 1), epochs.toList())
--- a/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/KeyEpochsTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
 
 class KeyEpochsTest {
@@ -73,7 +74,7 @@
 
         @Test
         fun `key times before the first epoch have no owner`() {
-            epochs.applyAll(firstEpoch)
+            epochs.apply(LogOffset(0), firstEpoch, atMs = NOW_MS + 60 * MINUTE_MS)
             assertEquals(KeyOwner.BeforeHistory, epochs.ownerAt(-1))
         }
     }
@@ -120,6 +121,62 @@
         assertEquals(KeyOwner.Known(b), epochs.ownerAt(MINUTE_MS))
     }
 
+    /** Guards against an owner that, once dead, blocks keys until a clock far ahead is reached. */
+    @Nested
+    inner class FastClock {
+        private val farMs = NOW_MS + 120 * MINUTE_MS
+
+        @Test
+        fun `an epoch ends at most 5 min after its record`() {
+            epochs.applyAll(firstEpoch.copy(untilKeyTimeMs = farMs))
+            assertEquals(KeyOwner.Known(a), epochs.ownerAt(5 * MINUTE_MS - 1))
+            assertEquals(KeyOwner.NotYetCovered, epochs.ownerAt(5 * MINUTE_MS))
+        }
+
+        @Test
+        fun `an extension ends at most 5 min after its record`() {
+            epochs.applyAll(firstEpoch)
+            epochs.apply(LogOffset(1), EpochEntry.ExtendEpoch(1, farMs), NOW_MS + MINUTE_MS)
+            assertEquals(KeyOwner.Known(a), epochs.ownerAt(6 * MINUTE_MS - 1))
+            assertEquals(KeyOwner.NotYetCovered, epochs.ownerAt(6 * MINUTE_MS))
+        }
+
+        @Test
+        fun `the next epoch starts at the end that is in force`() {
+            epochs.applyAll(firstEpoch.copy(untilKeyTimeMs = farMs))
+            val entry = epochs.proposeEntry(listOf(b), NOW_MS + 5 * MINUTE_MS)
+            assertEquals(
+                EpochEntry.Epoch(
+                    2,
+                    listOf(b),
+                    NOW_MS + 5 * MINUTE_MS,
+                    NOW_MS + 7 * MINUTE_MS
+                ),
+                entry
+            )
+        }
+
+        @Test
+        fun `the first epoch covers the last hour of log time`() {
+            epochs.applyAll(firstEpoch.copy(fromKeyTimeMs = farMs, untilKeyTimeMs = 2 * farMs))
+            assertEquals(KeyOwner.Known(a), epochs.ownerAt(-60 * MINUTE_MS))
+            assertEquals(KeyOwner.BeforeHistory, epochs.ownerAt(-60 * MINUTE_MS - 1))
+        }
+
+        @Test
+        fun `a checkpoint comes though the end is always due for renewal`() {
+            val fastMs = NOW_MS + 60 * MINUTE_MS
+            epochs.applyAll(firstEpoch)
+            val entries = List(100) { count ->
+                val entry = epochs.proposeEntry(listOf(a), fastMs + count)
+                epochs.apply(epochs.nextOffset, entry, NOW_MS + count)
+                entry
+            }
+            assertTrue(entries.any { it is EpochEntry.Checkpoint }, "expected a checkpoint")
+            assertTrue(entries.last() is EpochEntry.ExtendEpoch, "expected an extension")
+        }
+    }
+
     /** Guards against key times that nobody covers and against needless records. */
     @Nested
     inner class ProposeEntry {
