Measure the stages of the time to the first byte

Cause: cowslipcart_first_token_seconds shows the sum only, so the cost of the hop could not be attributed. Change: RequestTimeline notes the end of five stages of a request; the histogram cowslipcart_first_token_stage_seconds shows them.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Metrics.kt
@@ -72,6 +72,15 @@
         .labelNames("tier")
         .register(registry)
 
+    /** Stages of the time to the first byte, by [cowslipcart.daemon.session.RequestStage]. */
+    val stages: Histogram = Histogram.builder()
+        .name("cowslipcart_first_token_stage_seconds")
+        .help("Parts of the time from arrival to the first byte of a streamed answer")
+        .labelNames("stage")
+        .classicOnly()
+        .classicUpperBounds(0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0)
+        .register(registry)
+
     /** Counts the prompt of an answer by what the endpoint read and what it had cached. */
     fun countPrompt(promptTokens: Int, cachedTokens: Int) {
         promptTokensBySource.labelValues("read").inc((promptTokens - cachedTokens).toDouble())
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/RuntimeClock.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/RuntimeClock.kt
@@ -15,6 +15,9 @@
     /** Monotonic time since the process started. */
     fun nowMs(): Long = start.elapsedNow().inWholeMilliseconds
 
+    /** As [nowMs], in nanoseconds. */
+    fun nowNs(): Long = start.elapsedNow().inWholeNanoseconds
+
     /** Wall clock, milliseconds since 1970. */
     fun wallNowMs(): Long = wallClock.now().toEpochMilliseconds()
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/CallerApi.kt
@@ -15,6 +15,7 @@
 import cowslipcart.daemon.endpoint.ServiceExchange
 import cowslipcart.daemon.session.AnswerRecorder
 import cowslipcart.daemon.session.RequestSession
+import cowslipcart.daemon.session.RequestTimeline
 import cowslipcart.daemon.session.SessionRegistry
 import io.ktor.http.ContentType
 import io.ktor.server.application.ApplicationCall
@@ -35,6 +36,7 @@
 ) {
     /** Handles `POST /v1/chat/completions`. */
     suspend fun chat(call: ApplicationCall) {
+        val timeline = RequestTimeline(context.clock)
         val startMs = context.clock.nowMs()
         val prepared = either {
             val organisation = admission.admit(call.request.headers).bind()
@@ -43,13 +45,14 @@
             val configuration = published.configuration.value.configuration
             val request =
                 factory.chat(chat, call.request.headers, organisation, configuration).bind()
-            newSession(request, modelExchange(request, chat))
+            newSession(request, modelExchange(request, chat), timeline)
         }
         serve(call, prepared, startMs)
     }
 
     /** Handles a call under `/services/{pool}`. */
     suspend fun service(call: ApplicationCall, pool: String, path: String) {
+        val timeline = RequestTimeline(context.clock)
         val startMs = context.clock.nowMs()
         val prepared = either {
             val organisation = admission.admit(call.request.headers).bind()
@@ -61,7 +64,7 @@
             val request = factory
                 .service(incoming, call.request.headers, organisation, configuration).bind()
             val contentType = readContentType(call.request.headers).bind()
-            newSession(request, serviceExchange(request, incoming, contentType))
+            newSession(request, serviceExchange(request, incoming, contentType), timeline)
         }
         serve(call, prepared, startMs)
     }
@@ -101,8 +104,8 @@
     private fun recorderFor(key: RequestKey?) =
         key?.let { AnswerRecorder(AnswerRecorder.MAX_BYTES) }
 
-    private fun newSession(request: CallerRequest, exchange: Exchange) =
-        RequestSession(request, exchange, context.clock, control, registry::remove)
+    private fun newSession(request: CallerRequest, exchange: Exchange, timeline: RequestTimeline) =
+        RequestSession(request, exchange, context.clock, control, timeline, registry::remove)
 
     private suspend fun serve(
         call: ApplicationCall,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http/SessionResponse.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http/SessionResponse.kt
@@ -3,6 +3,7 @@
 import cowslipcart.daemon.endpoint.EndpointContext
 import cowslipcart.daemon.session.CallerOutput
 import cowslipcart.daemon.session.RequestSession
+import cowslipcart.daemon.session.RequestStage
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -65,11 +66,14 @@
         val type = ContentType.parse(head.contentType)
         call.respondBytesWriter(type, HttpStatusCode.fromValue(head.status)) {
             var result = "answered"
+            var isFirst = true
             for (part in output) {
                 when (part) {
                     is CallerOutput.Body -> {
                         writeFully(part.bytes)
                         flush()
+                        if (isFirst) observeStages()
+                        isFirst = false
                     }
 
                     is CallerOutput.Problem -> result = writeLateProblem(part)
@@ -81,6 +85,13 @@
         }
     }
 
+    private fun observeStages() {
+        session.timeline.end(RequestStage.WRITE)
+        session.timeline.observeStages { stage, seconds ->
+            context.metrics.stages.labelValues(stage.label).observe(seconds)
+        }
+    }
+
     /** The status is already sent, so the problem goes into the stream as an event. */
     private suspend fun ByteWriteChannel.writeLateProblem(part: CallerOutput.Problem): String {
         val problem = HttpError.Rejected(part.rejection).toProblem()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/session/RequestSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/session/RequestSession.kt
@@ -27,6 +27,7 @@
     private val exchange: Exchange,
     private val clock: RuntimeClock,
     private val control: (NodeInput) -> Unit,
+    val timeline: RequestTimeline = RequestTimeline(clock),
     private val onEnd: (RequestId) -> Unit
 ) {
     private val commands = Channel<SessionCommand>(Channel.UNLIMITED)
@@ -40,6 +41,7 @@
         private set
 
     fun command(command: SessionCommand) {
+        if (command is SessionCommand.Dispatch) timeline.end(RequestStage.DECIDE)
         commands.trySend(command)
     }
 
@@ -53,6 +55,7 @@
     fun start(scope: CoroutineScope) {
         scope.launch {
             try {
+                timeline.end(RequestStage.PREPARE)
                 control(NodeInput.Start(request))
                 runCommands(this)
             } finally {
@@ -98,6 +101,7 @@
 
     private suspend fun exchange(command: SessionCommand.Dispatch): StreamEnd {
         val start = ExchangeStart(command.endpoint, command.grantId, command.isResume)
+        timeline.end(RequestStage.HAND_OVER)
         running = RunningExchange(command.shard, command.grantId)
         return try {
             exchange.run(start, ::write)
@@ -117,6 +121,7 @@
 
     /** Output to a caller that left is dropped. */
     private suspend fun write(part: CallerOutput) {
+        timeline.end(RequestStage.ENDPOINT)
         try {
             output.send(part)
         } catch (_: CancellationException) {
