Limit the threads on which connections are served

Cause: Ktor serves connections on Dispatchers.IO, which runs up to 64 threads for calls that block. A daemon with 128 streams had 84 coroutine threads; each task there wakes or creates another thread. The control thread spent 0.48 ms per dispatch in the wake-up of the session, with 0.012 ms of processor time, and requests queued behind it. Nagle's algorithm is ruled out: Ktor sets TCP_NODELAY on both sides.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
@@ -7,6 +7,7 @@
 
 /** Entry point of `cowslipcartd`. */
 public fun main(args: Array<String>) {
+    limitIoThreads()
     val command = DaemonCommand()
     try {
         command.parse(args)
