Watch the silence of an endpoint with one timer per stream

Cause: reading each line of a stream set and removed a timer in the timer queue of the process. Change: IdleWatch notes since when the endpoint is awaited; one coroutine per stream sleeps until the timeout could be reached. As before, the time that the caller takes does not count.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
@@ -23,6 +23,8 @@
 import io.ktor.utils.io.readLine
 import java.io.IOException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 
@@ -130,11 +132,30 @@
         channel: ByteReadChannel,
         timer: ExchangeTimer,
         write: suspend (CallerOutput) -> Unit
+    ): String? = coroutineScope {
+        val watch = IdleWatch(context.clock, context.idleTimeoutMs)
+        val watching = launch {
+            watch.awaitSilence()
+            channel.cancel(IOException("the endpoint is silent"))
+        }
+        try {
+            readEvents(channel, watch, timer, write)
+        } catch (e: IOException) {
+            if (!watch.isSilent) throw e
+            "the endpoint was silent for ${context.idleTimeoutMs} ms"
+        } finally {
+            watching.cancel()
+        }
+    }
+
+    private suspend fun readEvents(
+        channel: ByteReadChannel,
+        watch: IdleWatch,
+        timer: ExchangeTimer,
+        write: suspend (CallerOutput) -> Unit
     ): String? {
         while (true) {
-            val line = withTimeoutOrNull(context.idleTimeoutMs) { Line(channel.readLine()) }
-                ?: return "the endpoint was silent for ${context.idleTimeoutMs} ms"
-            val text = line.text ?: return END_OF_STREAM
+            val text = watch.await { channel.readLine() } ?: return END_OF_STREAM
             if (!text.startsWith(DATA_PREFIX)) continue
             val data = text.removePrefix(DATA_PREFIX)
             if (data == DONE) return null
@@ -235,9 +256,6 @@
     private fun report(timer: ExchangeTimer, end: GrantEnd) =
         timer.report(end, usage?.promptTokens ?: promptTokens, usage?.cachedTokens ?: 0)
 
-    /** Tells the end of the stream from a timeout. */
-    private class Line(val text: String?)
-
     private companion object {
         const val REQUEST_ID_HEADER = "X-Request-Id"
         const val NOT_RUN_HEADER = "X-Not-Run"
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ModelExchangeTest.kt
@@ -0,0 +1,73 @@
+package cowslipcart.daemon.endpoint
+
+import cowslipcart.core.model.DomainId
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.EndpointSpec
+import cowslipcart.core.model.GrantId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.origin.StreamEnd
+import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.control.RuntimeClock
+import io.ktor.client.HttpClient
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.writeStringUtf8
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+
+/** Guards against a silent endpoint that keeps a request open for ever. */
+class ModelExchangeTest {
+    @Nested
+    inner class Silence {
+        @Test
+        fun `a stream that falls silent ends as broken`() = runBlocking {
+            val engine = embeddedServer(CIO, port = 0, host = "127.0.0.1") {
+                routing {
+                    post("/v1/chat/completions") {
+                        call.respondBytesWriter {
+                            writeStringUtf8("data: {\"sequence\":0}\n\n")
+                            flush()
+                            awaitCancellation()
+                        }
+                    }
+                }
+            }.start()
+            val port = engine.engine.resolvedConnectors().first().port
+
+            val end = createHttpClient().use { run(it, port) }
+            engine.stop(0, 100)
+
+            assertIs<StreamEnd.Broken>(end)
+            assertEquals("the endpoint was silent for 200 ms", end.detail)
+        }
+    }
+
+    private suspend fun run(client: HttpClient, port: Int): StreamEnd {
+        val context = EndpointContext(client, RuntimeClock(), Metrics(), idleTimeoutMs = 200)
+        val exchange =
+            ModelExchange(context, RequestId("r"), "{}", ModelAnswer.Events(null), null, 1)
+        return exchange.run(ExchangeStart(endpoint(port), GrantId("g"), isResume = false)) {}
+    }
+
+    private fun endpoint(port: Int) = EndpointSpec(
+        id = EndpointId("e"),
+        pool = PoolId("p"),
+        address = "127.0.0.1:$port",
+        domain = DomainId("d"),
+        slotCount = 1,
+        budgetTokens = 1,
+        prefillTokensPerS = 1.0,
+        decodeTokensPerS = 1.0,
+        cacheTokens = 0,
+        canResume = false,
+        checksFencing = false
+    )
+}
