Probe a log that counts as down without waiting for a claim

Cause: a batcher took the log for down after three refusals and looked again only when a claim came, which it refused. After an outage the first sign-off of each of the 8 partitions was refused as not-run although the log was back. LogOutageTest.Outage was red for it in 1 of 3 runs on a busy machine: its set-up waited for one sign-off at each host, and the next one met another partition. Change: the refusal that makes the log count as down asks for a read, which is repeated at most once a second until one succeeds. The set-up of LogOutageTest waits until 16 keys in a row are taken at each host. ClaimBatcherTest now expects the probe with the refusal instead of with the next claim. A claim in the second after the log's return can still be refused.

--- a/core/src/main/kotlin/cowslipcart/core/claims/LogClaimBatcher.kt
+++ b/core/src/main/kotlin/cowslipcart/core/claims/LogClaimBatcher.kt
@@ -38,11 +38,7 @@
                 listOf(reply(replyTo, claim.attempt, ClaimVerdict.Undecided(detail)))
             }
 
-            isLogDown -> {
-                // Probes the log, so that claims are taken again when it is back.
-                reader.requestCatchUp()
-                listOf(reply(replyTo, claim.attempt, logDown())) + advance(nowMs)
-            }
+            isLogDown -> listOf(reply(replyTo, claim.attempt, logDown()))
 
             else -> {
                 pending[claim.attempt] = PendingClaim(claim, mutableSetOf(replyTo), nowMs)
@@ -72,7 +68,7 @@
     override fun onAppendFailed(batch: Long, error: LogError, nowMs: Long): List<BatcherEffect> {
         queue.onFailed(batch, nowMs)
         when (error) {
-            is LogError.Unavailable -> refusalsInRow++
+            is LogError.Unavailable -> onRefused()
 
             // The append may have taken effect; what is found in the log is not appended again.
             is LogError.Unknown -> reader.requestCatchUp()
@@ -97,7 +93,7 @@
     override fun onReadFailed(error: LogError, nowMs: Long): List<BatcherEffect> {
         reader.onFailed(nowMs)
         when (error) {
-            is LogError.Unavailable -> refusalsInRow++
+            is LogError.Unavailable -> onRefused()
             is LogError.Unknown -> Unit
         }
         return advance(nowMs)
@@ -105,6 +101,12 @@
 
     override fun tick(nowMs: Long): List<BatcherEffect> = advance(nowMs)
 
+    /** While the log counts as down, reads probe it, so that the first claim after it is taken. */
+    private fun onRefused() {
+        refusalsInRow++
+        if (isLogDown) reader.requestCatchUp()
+    }
+
     private fun applyRecord(record: ClaimRecord): List<BatcherEffect> {
         // A page that does not continue the stream is ignored and read again.
         if (record.offset != stream.nextOffset) return emptyList()
--- a/core/src/test/kotlin/cowslipcart/core/claims/ClaimBatcherTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/claims/ClaimBatcherTest.kt
@@ -191,13 +191,13 @@
             batcher.onAppendFailed(sent.batch, down, 30)
             batcher.onAppendFailed(appends(batcher.tick(130)).single().batch, down, 140)
             val third = appends(batcher.tick(400)).single()
-            val refused = verdicts(batcher.onAppendFailed(third.batch, down, 410))
+            val refused = batcher.onAppendFailed(third.batch, down, 410)
             val next = claim(claimOf("b"), 420)
             read(nowMs = 430)
 
-            assertIs<ClaimVerdict.Undecided>(refused.single())
+            assertIs<ClaimVerdict.Undecided>(verdicts(refused).single())
+            assertEquals(1, reads(refused).size, "expected a read as a probe without a claim")
             assertIs<ClaimVerdict.Undecided>(verdicts(next).single())
-            assertEquals(1, reads(next).size, "expected a read as a probe")
             assertEquals(emptyList(), verdicts(claim(claimOf("c"), 440)))
         }
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/LogOutageTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/LogOutageTest.kt
@@ -27,11 +27,12 @@
     @AfterAll
     fun stopCluster() = cluster.close()
 
+    /** The batchers of the key partitions notice the end of an outage one after the other. */
     private suspend fun endOutage() {
         cluster.setLogFaults("""{"outage":false,"lose_ack_rate":0.0}""")
         cluster.daemons.forEach { daemon ->
             awaitTrue("${daemon.hostId} to take sign-offs after the outage") {
-                daemon.signOff(newKey(), BODY).status == 201
+                List(KEY_COUNT) { daemon.signOff(newKey(), BODY).status }.all { it == 201 }
             }
         }
     }
@@ -150,6 +151,8 @@
     }
 
     private companion object {
+        /** Enough for each of the 8 key partitions. */
+        const val KEY_COUNT = 16
         const val BODY = """{"frame":"F-18"}"""
     }
 }
