--- a/experiment/src/main/kotlin/cowslipcart/experiment/Main.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Main.kt
@@ -3,10 +3,12 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import cowslipcart.experiment.scenario.HistoryCommand
 
-/** Entry point of `bin/experiment`, `bin/compare` and `bin/report`. */
-public fun main(args: Array<String>): Unit =
-    ExperimentTool().subcommands(RunCommand(), CompareCommand(), ReportCommand()).main(args)
+/** Entry point of `bin/experiment`, `bin/compare`, `bin/report` and `bin/history`. */
+public fun main(args: Array<String>): Unit = ExperimentTool()
+    .subcommands(RunCommand(), CompareCommand(), ReportCommand(), HistoryCommand())
+    .main(args)
 
 private class ExperimentTool : CliktCommand(name = "cowslipcart-experiment") {
     override fun run() = Unit
