Type the wire forms of messages about capacity

Cause: encoding and decoding of messages about capacity ended in an else branch that failed at run time. Change: the encoder follows PeerMessage.ToShardOwner and ToOrigin, the decoder a sealed CapacityMessageDocument. No serial name changed. Conclusion: no when over a sealed type ends in an else branch that fails any more.

--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDecoding.kt
@@ -20,15 +20,7 @@
 
     is PingRequestMessage -> PeerMessage.PingRequest(HostId(target))
 
-    is AskMessage,
-    is GrantedMessage,
-    is RefusedMessage,
-    is ReleasedMessage,
-    is ProgressMessage,
-    is CancelMessage,
-    is GiveWayMessage,
-    is GaveWayMessage,
-    is RunningMessage -> toCapacityMessage()
+    is CapacityMessageDocument -> toCapacityMessage()
 
     is ClaimMessage -> PeerMessage.ClaimRequest(partition, claim.toItem())
 
@@ -96,7 +88,7 @@
     )
 }
 
-private fun PeerMessageDocument.toCapacityMessage(): PeerMessage = when (this) {
+private fun CapacityMessageDocument.toCapacityMessage(): PeerMessage = when (this) {
     is AskMessage -> PeerMessage.AskCapacity(shard.toShard(), request.toRequest(), askCount)
 
     is GrantedMessage -> PeerMessage.CapacityGranted(
@@ -125,6 +117,4 @@
 
     is RunningMessage ->
         PeerMessage.RunningReport(shard.toShard(), running.map { it.toRunning() })
-
-    else -> error("expected a message about capacity, found $this")
 }
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageDocument.kt
@@ -15,6 +15,10 @@
 @Serializable
 internal sealed interface PeerMessageDocument
 
+/** Wire form of a message between the origin of a request and the owner of a shard. */
+@Serializable
+internal sealed interface CapacityMessageDocument : PeerMessageDocument
+
 @Serializable
 @SerialName("ping")
 internal class PingMessage(
@@ -41,7 +45,7 @@
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val request: CapacityRequestDocument,
     @SerialName("n") val askCount: Long
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("granted")
@@ -51,7 +55,7 @@
     @SerialName("g") val grantId: String,
     @SerialName("e") val endpoint: String,
     @SerialName("n") val askCount: Long
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("refused")
@@ -60,28 +64,28 @@
     @SerialName("r") val requestId: String,
     @SerialName("w") val reason: RefusalReason,
     @SerialName("t") val retryAfterMs: Long? = null
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("released")
 internal class ReleasedMessage(
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val report: GrantReportDocument
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("progress")
 internal class ProgressMessage(
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val reports: List<GrantProgressDocument>
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("cancel")
 internal class CancelMessage(
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val requestId: String
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("give-way")
@@ -89,7 +93,7 @@
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val requestId: String,
     @SerialName("g") val grantId: String
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("gave-way")
@@ -97,14 +101,14 @@
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val report: GrantReportDocument,
     @SerialName("c") val resume: CapacityRequestDocument? = null
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("running")
 internal class RunningMessage(
     @SerialName("s") val shard: ShardDocument,
     @SerialName("r") val running: List<RunningGrantDocument>
-) : PeerMessageDocument
+) : CapacityMessageDocument
 
 @Serializable
 @SerialName("claim")
--- a/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/peer/PeerMessageEncoding.kt
@@ -13,28 +13,17 @@
 
     is PeerMessage.PingRequest -> PingRequestMessage(target.value)
 
-    is PeerMessage.AskCapacity,
-    is PeerMessage.CapacityGranted,
-    is PeerMessage.CapacityRefused,
-    is PeerMessage.CapacityReleased,
-    is PeerMessage.CapacityProgress,
-    is PeerMessage.CancelAsk,
-    is PeerMessage.GiveWay,
-    is PeerMessage.GaveWay,
-    is PeerMessage.RunningReport -> capacityDocument()
+    is PeerMessage.ToShardOwner -> toOwnerDocument()
 
-    is PeerMessage.ClaimRequest -> ClaimMessage(partition, claim.toClaimDocument())
+    is PeerMessage.ToOrigin -> toOriginDocument()
 
-    is PeerMessage.ClaimReply -> ClaimReplyMessage(attempt.value, verdict.toDocument())
+    is PeerMessage.ClaimRequest -> ClaimMessage(partition, claim.toClaimDocument())
 
     is PeerMessage.ClaimNotice -> ClaimNoticeMessage(partition, item.toDocument())
 
     is PeerMessage.OutcomeQuery ->
         OutcomeQueryMessage(organisation?.value, requestId.value, incarnation.value)
 
-    is PeerMessage.OutcomeReply ->
-        OutcomeReplyMessage(organisation?.value, requestId.value, outcome.toDocument())
-
     is PeerMessage.KeyQuery -> KeyQueryMessage(requestId.value, key.toDocument())
 
     is PeerMessage.KeyReply -> KeyReplyMessage(requestId.value, standing)
@@ -81,9 +70,24 @@
     )
 }
 
-private fun PeerMessage.capacityDocument(): PeerMessageDocument = when (this) {
+private fun PeerMessage.ToShardOwner.toOwnerDocument(): PeerMessageDocument = when (this) {
     is PeerMessage.AskCapacity -> AskMessage(shard.toDocument(), request.toDocument(), askCount)
 
+    is PeerMessage.CapacityReleased -> ReleasedMessage(shard.toDocument(), report.toDocument())
+
+    is PeerMessage.CapacityProgress ->
+        ProgressMessage(shard.toDocument(), reports.map { it.toDocument() })
+
+    is PeerMessage.CancelAsk -> CancelMessage(shard.toDocument(), requestId.value)
+
+    is PeerMessage.GaveWay ->
+        GaveWayMessage(shard.toDocument(), report.toDocument(), resume?.toDocument())
+
+    is PeerMessage.RunningReport ->
+        RunningMessage(shard.toDocument(), running.map { it.toDocument() })
+}
+
+private fun PeerMessage.ToOrigin.toOriginDocument(): PeerMessageDocument = when (this) {
     is PeerMessage.CapacityGranted -> GrantedMessage(
         shard.toDocument(),
         requestId.value,
@@ -95,21 +99,11 @@
     is PeerMessage.CapacityRefused ->
         RefusedMessage(shard.toDocument(), requestId.value, reason, retryAfterMs)
 
-    is PeerMessage.CapacityReleased -> ReleasedMessage(shard.toDocument(), report.toDocument())
-
-    is PeerMessage.CapacityProgress ->
-        ProgressMessage(shard.toDocument(), reports.map { it.toDocument() })
-
-    is PeerMessage.CancelAsk -> CancelMessage(shard.toDocument(), requestId.value)
-
     is PeerMessage.GiveWay ->
         GiveWayMessage(shard.toDocument(), requestId.value, grantId.value)
 
-    is PeerMessage.GaveWay ->
-        GaveWayMessage(shard.toDocument(), report.toDocument(), resume?.toDocument())
-
-    is PeerMessage.RunningReport ->
-        RunningMessage(shard.toDocument(), running.map { it.toDocument() })
+    is PeerMessage.ClaimReply -> ClaimReplyMessage(attempt.value, verdict.toDocument())
 
-    else -> error("expected a message about capacity, found $this")
+    is PeerMessage.OutcomeReply ->
+        OutcomeReplyMessage(organisation?.value, requestId.value, outcome.toDocument())
 }
