--- a/core/src/main/kotlin/cowslipcart/core/capacity/CacheCorrection.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CacheCorrection.kt
@@ -5,14 +5,14 @@
 
 /** Corrects the prefix index by what endpoints report of their caches. */
 internal class CacheCorrection(private val endpoints: EndpointTable) {
-    private class Doubt(
+    private class DeferredEviction(
         val endpoint: EndpointId,
         val block: PrefixBlock,
         val evidence: PrefixIndex.Evidence
     )
 
     private val prefixes = endpoints.prefixes
-    private val doubts = ArrayDeque<Doubt>()
+    private val deferred = ArrayDeque<DeferredEviction>()
 
     fun apply(events: List<CacheEvent>, nowMs: Long) {
         for (event in events) {
@@ -26,14 +26,14 @@
     }
 
     /** Acts on evictions that were put off. */
-    fun settle(nowMs: Long) {
+    fun applyDeferred(nowMs: Long) {
         while (true) {
-            val doubt = doubts.firstOrNull() ?: return
-            if (nowMs - doubt.evidence.grantedAtMs < SETTLED_MS) return
-            doubts.removeFirst()
-            val index = endpoints.find(doubt.endpoint)?.index ?: continue
-            val evidence = prefixes.evidence(index, doubt.block)
-            if (evidence === doubt.evidence) prefixes.evict(index, doubt.block)
+            val eviction = deferred.firstOrNull() ?: return
+            if (nowMs - eviction.evidence.grantedAtMs < STORE_EVENT_DELAY_MS) return
+            deferred.removeFirst()
+            val index = endpoints.find(eviction.endpoint)?.index ?: continue
+            val evidence = prefixes.evidence(index, eviction.block)
+            if (evidence === eviction.evidence) prefixes.evict(index, eviction.block)
         }
     }
 
@@ -44,17 +44,17 @@
      */
     private fun evict(event: CacheEvent, index: Int, nowMs: Long) {
         val evidence = prefixes.evidence(index, event.block) ?: return
-        if (nowMs - evidence.grantedAtMs >= SETTLED_MS) {
+        if (nowMs - evidence.grantedAtMs >= STORE_EVENT_DELAY_MS) {
             prefixes.evict(index, event.block)
         } else {
-            doubts.addLast(Doubt(event.endpoint, event.block, evidence))
+            deferred.addLast(DeferredEviction(event.endpoint, event.block, evidence))
         }
     }
 
     /**
      * Each missing event makes at most one claim of the index wrong. When they could be more than
      * 1 / [CLAIMS_PER_MISSING_EVENT] of the claims, all are forgotten that no grant and no event
-     * of the last [TRUSTED_MS] shows. Single losses, which are usual, thus do not empty the index.
+     * of the last [RECENT_MS] shows. Single losses, which are usual, thus do not empty the index.
      */
     fun apply(endpointId: EndpointId, gap: CacheGap, nowMs: Long) {
         val endpoint = endpoints.find(endpointId) ?: return
@@ -63,7 +63,7 @@
                 endpoint.missingCacheEvents += gap.count
                 val wrongLimit = prefixes.count(endpoint.index) / CLAIMS_PER_MISSING_EVENT
                 if (endpoint.missingCacheEvents <= wrongLimit) return
-                prefixes.forgetBefore(endpoint.index, nowMs - TRUSTED_MS)
+                prefixes.forgetBefore(endpoint.index, nowMs - RECENT_MS)
             }
 
             CacheGap.Restarted -> prefixes.clear(endpoint.index)
@@ -75,9 +75,9 @@
         const val CLAIMS_PER_MISSING_EVENT = 4
 
         /** Longest time from a grant to the event of its stored prompt at usual lag and load. */
-        const val SETTLED_MS = 5_000L
+        const val STORE_EVENT_DELAY_MS = 5_000L
 
         /** Several times the lag of events and of the load reports. */
-        const val TRUSTED_MS = 30_000L
+        const val RECENT_MS = 30_000L
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/CowslipCartScheduler.kt
@@ -233,7 +233,7 @@
             endpoint.decodeSpeed.relax(nowMs)
             endpoint.expireForeign(nowMs)
         }
-        cache.settle(nowMs)
+        cache.applyDeferred(nowMs)
         voiding.findUnconfirmed().forEach { end(it, nowMs) }
         state.endpoints.refreshAll()
     }
--- a/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/capacity/EndpointState.kt
@@ -33,7 +33,7 @@
     /** Whether a queued request of higher priority waits for this endpoint in the current pass. */
     var isClaimed: Boolean = false
 
-    /** Cache events that were missing since the prefix index was last cleared of doubtful claims. */
+    /** Cache events that were missing since the prefix index was last cleared of unconfirmed claims. */
     var missingCacheEvents: Long = 0L
 
     /** Requests that run at the endpoint without a grant of this owner, from its load reports. */
@@ -167,7 +167,7 @@
 
     /** Records that a slot was taken or freed, from which the next change is estimated. */
     fun recordTurnover(nowMs: Long) {
-        slotDueMs = nowMs + slotWaitMs * SLOT_PATIENCE
+        slotDueMs = nowMs + slotWaitMs * SLOT_WAIT_TOLERANCE
     }
 
     /** Takes a foreign count; the less of two reports counts, as one may be off by a delay. */
@@ -224,7 +224,7 @@
         const val LEAST_SLOT_WAIT_MS = 20.0
 
         // Ends come irregularly; a gap of four times the mean is rare for independent streams.
-        const val SLOT_PATIENCE = 4.0
+        const val SLOT_WAIT_TOLERANCE = 4.0
 
         const val MOST_TOP_BACKLOG_MS = 500.0
         const val MOST_LOWER_BACKLOG_MS = 50.0
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
@@ -75,18 +75,19 @@
     return listOf(
         Slope("idle control time of a host and second", "hosts", "us", cpu),
         Slope("idle peer bytes of a host and second", "hosts", "bytes", bytes),
-        measureSettled()
+        measureIdleAfterJoin()
     )
 }
 
 /** Idle bytes when the news of the start has reached all hosts and is no longer repeated. */
-private fun measureSettled(): Slope {
-    val points = SETTLED_HOST_COUNTS.map { count ->
-        val network = runIdle(count, SETTLED_AFTER_MS)
+private fun measureIdleAfterJoin(): Slope {
+    val points = JOINED_HOST_COUNTS.map { count ->
+        val network = runIdle(count, JOINED_AFTER_MS)
         val hostSeconds = count * IDLE_MS / 1_000.0
         Slope.Point(count.toDouble(), network.sentBytes.values.sum() / hostSeconds)
     }
-    return Slope("settled idle peer bytes of a host and second", "hosts", "bytes", points)
+    val name = "idle peer bytes of a host and second, 90 s after the start"
+    return Slope(name, "hosts", "bytes", points)
 }
 
 private fun runIdle(hostCount: Int, warmUpMs: Long): DirectNetwork {
@@ -213,10 +214,10 @@
 private val REQUEST_COUNTS = listOf(5_000, 10_000, 20_000)
 private val HOST_COUNTS = listOf(10, 25, 50, 100)
 private const val IDLE_WARM_UP_MS = 8_000L
-private val SETTLED_HOST_COUNTS = listOf(10, 25, 50)
+private val JOINED_HOST_COUNTS = listOf(10, 25, 50)
 
 /** 50 rumors are sent 18 times each at 16 a second. */
-private const val SETTLED_AFTER_MS = 90_000L
+private const val JOINED_AFTER_MS = 90_000L
 private const val IDLE_MS = 4_000L
 private val ORGANISATION_COUNTS = listOf(1_000, 5_000, 23_000)
 private val CLAIM_COUNTS = listOf(10_000, 40_000, 160_000)
