Take clocks and measurement samples from one place

Cause: ControlLoop read System.nanoTime beside the clock that it is given, the stand-ins and two tests each built the same clock, and bin/slopes had the same request twice and the same report three times. Change: RuntimeClock.nowNs, StandinClock.start, Samples.capacityRequest and Samples.completed. Conclusion: no behaviour, assertion or bound changed. Left: shape-only pairs of wire documents.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/ControlLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/ControlLoop.kt
@@ -73,7 +73,7 @@
     /** A fault in one input must not end the process: it is logged, and the next one is handled. */
     @Suppress("TooGenericExceptionCaught")
     private fun handle(input: NodeInput) {
-        val startNs = System.nanoTime()
+        val startNs = clock.nowNs()
         try {
             val nowMs = clock.nowMs()
             val effects = controller.handle(input, nowMs)
@@ -81,13 +81,13 @@
         } catch (e: RuntimeException) {
             log.error("control input failed: {}", input.javaClass.simpleName, e)
         }
-        decidingNs += System.nanoTime() - startNs
+        decidingNs += clock.nowNs() - startNs
     }
 
     /** A fault in one effect must not hold back the others. */
     @Suppress("TooGenericExceptionCaught")
     private fun perform(decision: Decision, handler: EffectHandler) {
-        val startNs = System.nanoTime()
+        val startNs = clock.nowNs()
         for (effect in decision.effects) {
             try {
                 handler.perform(effect, decision.decidedAtMs)
@@ -95,7 +95,7 @@
                 log.error("effect failed: {}", effect.javaClass.simpleName, e)
             }
         }
-        performingNs += System.nanoTime() - startNs
+        performingNs += clock.nowNs() - startNs
     }
 
     private companion object {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/DirectNetwork.kt
@@ -1,7 +1,5 @@
 package cowslipcart.experiment.slopes
 
-import cowslipcart.core.capacity.GrantEnd
-import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.capacity.LoadReport
 import cowslipcart.core.config.ConfigEntry
 import cowslipcart.core.config.ConfigRecord
@@ -105,16 +103,7 @@
 
             is NodeEffect.Dispatch -> {
                 answeredCount++
-                val report = GrantReport(
-                    effect.grantId,
-                    GrantEnd.COMPLETED,
-                    prefillTokens = 640,
-                    cachedTokens = 0,
-                    outputTokens = 200,
-                    firstTokenMs = 80,
-                    durationMs = 5_000
-                )
-                val end = StreamEnd.Completed(report, null)
+                val end = StreamEnd.Completed(Samples.completed(effect.grantId), null)
                 handle(host, NodeInput.StreamEnded(effect.requestId, end))
             }
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/FrameSizes.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/FrameSizes.kt
@@ -1,9 +1,6 @@
 package cowslipcart.experiment.slopes
 
-import cowslipcart.core.capacity.CapacityRequest
-import cowslipcart.core.capacity.GrantEnd
 import cowslipcart.core.capacity.GrantProgress
-import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.claims.ClaimVerdict
 import cowslipcart.core.membership.HostState
 import cowslipcart.core.membership.PingContent
@@ -33,7 +30,12 @@
 }
 
 private fun frequentMessages(): List<Pair<String, PeerMessage>> = listOf(
-    "an ask with 10 prefix hashes" to PeerMessage.AskCapacity(shard, capacityRequest(), 1),
+    "an ask with 10 prefix hashes" to
+        PeerMessage.AskCapacity(
+            shard,
+            Samples.capacityRequest(requestIdOf(Samples.origin(0), REQUEST_NUMBER), 7),
+            1
+        ),
     "a grant" to PeerMessage.CapacityGranted(
         shard,
         requestIdOf(Samples.origin(1), REQUEST_NUMBER),
@@ -43,7 +45,7 @@
     ),
     "a release" to PeerMessage.CapacityReleased(
         shard,
-        GrantReport(grantId(0), GrantEnd.COMPLETED, 640, 0, 200, 80, 5_000)
+        Samples.completed(grantId(0))
     ),
     "progress of 1 stream" to progress(1),
     "progress of 2 streams" to progress(2),
@@ -79,24 +81,6 @@
     return PeerMessage.Ping(content, isReady = true, isLogReadable = true)
 }
 
-private fun capacityRequest(): CapacityRequest {
-    val request = Samples.request(requestIdOf(Samples.origin(0), REQUEST_NUMBER), 7)
-    return CapacityRequest(
-        requestId = request.requestId,
-        origin = Samples.identity(0).host,
-        organisation = request.organisation,
-        tier = request.tier,
-        pool = request.pool,
-        timeLeftMs = request.timeLeftMs,
-        prefillTokens = request.prefillTokens,
-        outputTokens = request.outputTokens,
-        prefixBlocks = request.prefixBlocks,
-        isSuspect = false,
-        isInterruptible = true,
-        resumeOn = null
-    )
-}
-
 private const val REQUEST_NUMBER = 100_000L
 private const val GRANT_NUMBER = 100_000
 private const val CONFIG_OFFSET = 100_000L
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Measurements.kt
@@ -1,8 +1,5 @@
 package cowslipcart.experiment.slopes
 
-import cowslipcart.core.capacity.CapacityRequest
-import cowslipcart.core.capacity.GrantEnd
-import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.capacity.SchedulerDecision
 import cowslipcart.core.capacity.SchedulerPolicy
 import cowslipcart.core.capacity.ShardConfig
@@ -173,43 +170,15 @@
         createShardScheduler(SchedulerPolicy.CowslipCart, config, Random(1), rebuild = false)
     val spentUs = Meter.cpuUs {
         repeat(DECISIONS) { number ->
-            val request = capacityRequest(number)
+            val request = Samples.capacityRequest(RequestId("r$number"), number % 500)
             scheduler.submit(request, number.toLong())
                 .filterIsInstance<SchedulerDecision.Grant>()
-                .forEach { scheduler.release(completed(it), number + 1L) }
+                .forEach { scheduler.release(Samples.completed(it.grantId), number + 1L) }
         }
     }
     return spentUs / DECISIONS
 }
 
-private fun capacityRequest(number: Int): CapacityRequest {
-    val request = Samples.request(RequestId("r$number"), number % 500)
-    return CapacityRequest(
-        requestId = request.requestId,
-        origin = Samples.identity(0).host,
-        organisation = request.organisation,
-        tier = request.tier,
-        pool = request.pool,
-        timeLeftMs = request.timeLeftMs,
-        prefillTokens = request.prefillTokens,
-        outputTokens = request.outputTokens,
-        prefixBlocks = request.prefixBlocks,
-        isSuspect = false,
-        isInterruptible = true,
-        resumeOn = null
-    )
-}
-
-private fun completed(grant: SchedulerDecision.Grant) = GrantReport(
-    grant.grantId,
-    GrantEnd.COMPLETED,
-    prefillTokens = 640,
-    cachedTokens = 0,
-    outputTokens = 200,
-    firstTokenMs = 80,
-    durationMs = 5_000
-)
-
 private const val REQUEST_HOSTS = 4
 private val REQUEST_COUNTS = listOf(5_000, 10_000, 20_000)
 private val HOST_COUNTS = listOf(10, 25, 50, 100)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/slopes/Samples.kt
@@ -1,5 +1,8 @@
 package cowslipcart.experiment.slopes
 
+import cowslipcart.core.capacity.CapacityRequest
+import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.claims.AttemptOrigin
 import cowslipcart.core.claims.ClaimItem
 import cowslipcart.core.claims.RequestKey
@@ -12,6 +15,7 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.OrganisationId
@@ -92,6 +96,34 @@
         prefixBlocks = List(10) { PrefixBlock(stableHash("$organisation/$it")) }
     )
 
+    fun capacityRequest(id: RequestId, organisation: Int): CapacityRequest {
+        val request = request(id, organisation)
+        return CapacityRequest(
+            requestId = request.requestId,
+            origin = identity(0).host,
+            organisation = request.organisation,
+            tier = request.tier,
+            pool = request.pool,
+            timeLeftMs = request.timeLeftMs,
+            prefillTokens = request.prefillTokens,
+            outputTokens = request.outputTokens,
+            prefixBlocks = request.prefixBlocks,
+            isSuspect = false,
+            isInterruptible = true,
+            resumeOn = null
+        )
+    }
+
+    fun completed(grantId: GrantId) = GrantReport(
+        grantId,
+        GrantEnd.COMPLETED,
+        prefillTokens = 640,
+        cachedTokens = 0,
+        outputTokens = 200,
+        firstTokenMs = 80,
+        durationMs = 5_000
+    )
+
     fun claim(number: Int, keyTimeMs: Long): ClaimItem.Claim {
         val uuid = "01a2400c-%04x-7962-8632-%012x".format(number and 0xFFFF, number)
         return ClaimItem.Claim(
--- a/standins/src/main/kotlin/cowslipcart/standins/command/ServerCommand.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/command/ServerCommand.kt
@@ -19,17 +19,9 @@
     protected abstract fun addRoutes(route: Route, clock: StandinClock)
 
     override fun run() {
-        val startNs = System.nanoTime()
-        val clock = StandinClock(
-            monotonicMs = { (System.nanoTime() - startNs) / NS_PER_MS },
-            wallMs = System::currentTimeMillis
-        )
+        val clock = StandinClock.start(wallMs = System::currentTimeMillis)
         val server = StandinServer(port) { routing { addRoutes(this, clock) } }
         println("listening ${StandinServer.HOST}:${server.start()}")
         runBlocking { awaitCancellation() }
     }
-
-    private companion object {
-        const val NS_PER_MS = 1_000_000
-    }
 }
--- a/standins/src/main/kotlin/cowslipcart/standins/http/EngineRuntime.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineRuntime.kt
@@ -12,6 +12,7 @@
 import cowslipcart.standins.engine.EngineRequest
 import cowslipcart.standins.engine.JournalOutcome
 import java.io.IOException
+import kotlin.time.TimeSource
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -45,7 +46,15 @@
 }
 
 /** Times of a stand-in. */
-internal class StandinClock(val monotonicMs: () -> Long, val wallMs: () -> Long)
+internal class StandinClock(val monotonicMs: () -> Long, val wallMs: () -> Long) {
+    companion object {
+        /** Returns a clock whose monotonic time starts at 0 now. */
+        fun start(wallMs: () -> Long): StandinClock {
+            val start = TimeSource.Monotonic.markNow()
+            return StandinClock({ start.elapsedNow().inWholeMilliseconds }, wallMs)
+        }
+    }
+}
 
 /**
  * Runs an [EngineModel] in real time and passes its events to the streams' connections.
--- a/standins/src/test/kotlin/cowslipcart/standins/http/EngineRoutesTest.kt
+++ b/standins/src/test/kotlin/cowslipcart/standins/http/EngineRoutesTest.kt
@@ -25,8 +25,7 @@
 
 /** Guards against an engine whose streams have gaps or answer another request. */
 class EngineRoutesTest {
-    private val startNs = System.nanoTime()
-    private val clock = StandinClock({ (System.nanoTime() - startNs) / 1_000_000 }, { 7_000 })
+    private val clock = StandinClock.start(wallMs = { 7_000 })
     private val crashed = CompletableDeferred<Unit>()
     private val settings = EngineSettings(baseStepUs = 1_000)
     private val runtime = EngineRuntime(createEngineModel(settings), "CRASH", clock) {
--- a/standins/src/test/kotlin/cowslipcart/standins/load/LoadRunnerTest.kt
+++ b/standins/src/test/kotlin/cowslipcart/standins/load/LoadRunnerTest.kt
@@ -44,8 +44,7 @@
     inner class Run {
         @Test
         fun `whole answers of an engine pass the check`() {
-            val startNs = System.nanoTime()
-            val clock = StandinClock({ (System.nanoTime() - startNs) / 1_000_000 }, { 0 })
+            val clock = StandinClock.start(wallMs = { 0 })
             val model = createEngineModel(EngineSettings(baseStepUs = 1_000))
             EngineRuntime(model, "CRASH", clock) {}.use { runtime ->
                 val report = runAgainst { engineRoutes(runtime, clock, journalFile = null) }
