Forward requests on the platform through a gateway and its adapter

Cause: the daemon speaks only its own interface, so nothing of the product ran on the users' platform. The retry budget moves to core.limits and takes its bounds as parameters.

--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -0,0 +1,43 @@
+package cowslipcart.core.forwarding
+
+/**
+ * Keeps places free for urgent work: a lower tier is admitted only while more places than its
+ * reserve are free. Engines know no priorities, so what is admitted cannot be overtaken.
+ *
+ * Load pattern: a burst of all tiers that exceeds the pool for seconds.
+ */
+internal object AdmissionRule {
+    /** Share of all places that has to be free before a request of [rank] is admitted. */
+    fun reservedShare(rank: Int): Double =
+        RESERVED_SHARE_PER_RANK * rank.coerceIn(0, MAX_RESERVING_RANK)
+
+    /** Requests of [rank] that may wait at an endpoint whose places are all taken. */
+    fun extraSlots(rank: Int): Int = if (rank == 0) TOP_RANK_EXTRA_SLOTS else 0
+
+    /** How long a request may wait here before it is refused, in ms. */
+    fun maxWaitMs(call: ForwardedCall): Long {
+        val leftMs = call.givenUpAtMs - call.arrivedAtMs
+        return minOf(call.route.objectiveMs / WAIT_DIVISOR, leftMs / WAIT_DIVISOR)
+    }
+
+    /** Returns after how long the caller of a refused request may come back. */
+    fun retryAfterMs(call: ForwardedCall, position: Double, nowMs: Long): Long? {
+        val leftMs = call.givenUpAtMs - nowMs
+        val longestMs = minOf(MAX_RETRY_AFTER_MS, leftMs / WAIT_DIVISOR)
+        if (longestMs < MIN_RETRY_AFTER_MS) return null
+        return MIN_RETRY_AFTER_MS + ((longestMs - MIN_RETRY_AFTER_MS) * position).toLong()
+    }
+
+    private const val RESERVED_SHARE_PER_RANK = 0.06
+    private const val MAX_RESERVING_RANK = 3
+    private const val TOP_RANK_EXTRA_SLOTS = 2
+
+    /** A request waits at most a third of its objective, and returns within a third of its time. */
+    private const val WAIT_DIVISOR = 3
+
+    /** Shorter returns meet the same burst, in ms. */
+    private const val MIN_RETRY_AFTER_MS = 100L
+
+    /** Longer than most bursts take to drain, in ms. */
+    private const val MAX_RETRY_AFTER_MS = 1_500L
+}
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -0,0 +1,89 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.model.EndpointId
+
+/** Result of looking for an endpoint for one request. */
+internal sealed interface PlacementResult {
+    data class Found(val endpoint: EndpointLoad, val unreadTokens: Int) : PlacementResult
+
+    /** All endpoints are at the limit for the tier of the request. */
+    data object Full : PlacementResult
+
+    /** No endpoint takes work of this pool. */
+    data object None : PlacementResult
+}
+
+/**
+ * Chooses the endpoint at which a request is answered first: the time until the prompts before it
+ * are read, its own prompt less what the engine keeps, and a share for the requests beside it.
+ * Endpoints that fail or cannot be reached come last.
+ *
+ * Load pattern: a burst of long prompts on engines that differ several times in speed.
+ */
+internal class Placement(private val homes: PromptHomes) {
+    /** Returns the best of [endpoints] for [call], leaving out those in [tried]. */
+    fun choose(
+        call: ForwardedCall,
+        endpoints: Collection<EndpointLoad>,
+        tried: Set<EndpointId>,
+        ownDomain: String,
+        nowMs: Long
+    ): PlacementResult {
+        val usable = endpoints.filter { !it.entry.isDraining && it.entry.id !in tried }
+        if (usable.isEmpty()) return PlacementResult.None
+        if (freeShare(endpoints) < AdmissionRule.reservedShare(call.rankInPool)) {
+            return PlacementResult.Full
+        }
+        val calm = usable.filter { !it.health.isAvoided(nowMs) }.ifEmpty { usable }
+        val open = calm.filter { it.freeSlots > -AdmissionRule.extraSlots(call.rankInPool) }
+        val best = open.minByOrNull { costMs(call, it, ownDomain, nowMs) }
+            ?: return PlacementResult.Full
+        return PlacementResult.Found(best, unreadTokens(call, best, nowMs))
+    }
+
+    private fun unreadTokens(call: ForwardedCall, endpoint: EndpointLoad, nowMs: Long): Int =
+        if (call.prompt.isEmpty()) {
+            call.inputTokens
+        } else {
+            homes.unreadTokens(call.prompt, endpoint.entry.id, nowMs)
+        }
+
+    private fun costMs(
+        call: ForwardedCall,
+        endpoint: EndpointLoad,
+        ownDomain: String,
+        nowMs: Long
+    ): Double {
+        val load = endpoint.total
+        val unread = load.unreadTokens + unreadTokens(call, endpoint, nowMs)
+        val prefillMs = unread / endpoint.speed.prefillTokensPerMs
+        val occupancy = load.running.toDouble() / endpoint.entry.slotCount
+        val crowdingMs = CROWDING_MS * occupancy * occupancy / endpoint.speed.relative
+        val distanceMs = if (endpoint.entry.domain == ownDomain) 0.0 else OTHER_DOMAIN_MS
+        return prefillMs + crowdingMs + distanceMs +
+            FAILURE_COST_MS * endpoint.health.expectedFailureRate
+    }
+
+    private companion object {
+        /** Cost of a full endpoint against an empty one, in ms; a request there runs longer. */
+        const val CROWDING_MS = 120.0
+
+        /** A request and its answer cross twice, about a ms each; bytes across are priced. */
+        const val OTHER_DOMAIN_MS = 4.0
+
+        /** Cost of a request that fails for certain, in ms. */
+        const val FAILURE_COST_MS = 2_000.0
+    }
+}
+
+/** Share of the slots of [endpoints] that no request takes. */
+internal fun freeShare(endpoints: Collection<EndpointLoad>): Double {
+    var slots = 0
+    var free = 0
+    for (endpoint in endpoints) {
+        if (endpoint.entry.isDraining) continue
+        slots += endpoint.entry.slotCount
+        free += endpoint.freeSlots.coerceAtLeast(0)
+    }
+    return if (slots == 0) 0.0 else free.toDouble() / slots
+}
--- a/core/src/main/kotlin/cowslipcart/core/origin/RetryBudget.kt
+++ b/core/src/main/kotlin/cowslipcart/core/limits/RetryBudget.kt
@@ -1,11 +1,14 @@
-package cowslipcart.core.origin
+package cowslipcart.core.limits
 
 /**
- * Bounds repeated work: retries are at most [MAX_SHARE] of the requests of the last [WINDOW_MS], or
- * [MIN_RETRIES] if that is more. Without a bound, a fault that makes every request repeat itself
+ * Bounds repeated work: retries are at most [maxShare] of the requests of the last [WINDOW_MS], or
+ * [minRetries] if that is more. Without a bound, a fault that makes every request repeat itself
  * doubles the load at the moment when capacity is lowest.
  */
-internal class RetryBudget {
+internal class RetryBudget(
+    private val maxShare: Double = MAX_SHARE,
+    private val minRetries: () -> Int = { MIN_RETRIES }
+) {
     private val requests = WindowCount()
     private val retries = WindowCount()
 
@@ -14,7 +17,7 @@
 
     /** Counts a retry and returns true, or returns false if the budget is used up. */
     fun trySpend(nowMs: Long): Boolean {
-        val allowed = maxOf(MIN_RETRIES, (requests.total(nowMs) * MAX_SHARE).toInt())
+        val allowed = maxOf(minRetries(), (requests.total(nowMs) * maxShare).toInt())
         if (retries.total(nowMs) >= allowed) return false
         retries.add(nowMs)
         return true
--- a/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/CapacityPhase.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.capacity.RefusalReason
 import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.limits.RetryBudget
 import cowslipcart.core.membership.rendezvousIndex
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.ShardId
--- a/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/DefaultOriginController.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.claims.AttemptOrigin
 import cowslipcart.core.claims.ClaimVerdict
 import cowslipcart.core.claims.RequestKey
+import cowslipcart.core.limits.RetryBudget
 import cowslipcart.core.model.AttemptId
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.OrganisationId
--- a/core/src/main/kotlin/cowslipcart/core/origin/StreamPhase.kt
+++ b/core/src/main/kotlin/cowslipcart/core/origin/StreamPhase.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.origin
 
 import cowslipcart.core.claims.AttemptOrigin
+import cowslipcart.core.limits.RetryBudget
 import cowslipcart.core.model.GrantId
 
 /** The part of a request's life after its dispatch. */
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -0,0 +1,102 @@
+package cowslipcart.core.store
+
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.LogOffset
+
+/**
+ * What an endpoint wrote about itself.
+ *
+ * @property startedAtMs wall-clock time of its start, which tells a restart under the same id
+ * @property beatNumber counts its records since its start
+ */
+public data class EndpointRecord(
+    public val entry: EndpointEntry,
+    public val startedAtMs: Long,
+    public val beatNumber: Long
+)
+
+/** One change of the table of endpoints; [record] is null if it was dropped or is unreadable. */
+public data class EndpointChange(
+    public val id: EndpointId,
+    public val record: EndpointRecord?,
+    public val offset: LogOffset
+)
+
+/**
+ * The endpoints that may take work, from the records in the store. A record that an endpoint wrote
+ * earlier than the known one changes nothing, whatever its place in the log. Entries that lapse
+ * around an outage of the store stay for [LAPSE_GRACE_MS] after its end.
+ */
+public class EndpointListing {
+    private class Listed(val record: EndpointRecord, val offset: LogOffset) {
+        var droppedAt: LogOffset? = null
+    }
+
+    private val listed = mutableMapOf<EndpointId, Listed>()
+    private var isStoreLost = false
+    private var storeBackAtMs = Long.MIN_VALUE / 2
+
+    /** A call to the store failed. */
+    public fun onStoreLost() {
+        isStoreLost = true
+    }
+
+    /** A call to the store succeeded at [nowMs]. */
+    public fun onStoreAnswered(nowMs: Long) {
+        if (isStoreLost) storeBackAtMs = nowMs
+        isStoreLost = false
+    }
+
+    /** Takes changes in the order of the log. */
+    public fun onChanges(changes: List<EndpointChange>) {
+        for (change in changes) {
+            val known = listed[change.id]
+            if (known != null && change.offset <= known.offset) continue
+            val record = change.record
+            if (record == null) {
+                known?.droppedAt = known.droppedAt ?: change.offset
+            } else if (known == null || isNewer(record, known.record)) {
+                listed[change.id] = Listed(record, change.offset)
+            }
+        }
+    }
+
+    /** Takes the newest records of all endpoints; [end] is the end of the log at the read. */
+    public fun onSnapshot(changes: List<EndpointChange>, end: LogOffset) {
+        onChanges(changes.sortedBy { it.offset })
+        val present = changes.filter { it.record != null }.map { it.id }.toSet()
+        for ((id, known) in listed) {
+            val isMissing = id !in present && known.offset < end
+            if (isMissing && known.droppedAt == null) known.droppedAt = end
+        }
+    }
+
+    /** Endpoints that may take work, or are draining, at [nowMs]. */
+    public fun entries(nowMs: Long): List<EndpointEntry> {
+        val mayHaveLapsed = isStoreLost || nowMs - storeBackAtMs < LAPSE_GRACE_MS
+        return listed.values
+            .filter { it.droppedAt == null || (mayHaveLapsed && !it.record.entry.isDraining) }
+            .map { it.record.entry }
+    }
+
+    /** Forgets endpoints that were dropped; called when none can come back any more. */
+    public fun compact(nowMs: Long) {
+        if (isStoreLost || nowMs - storeBackAtMs < LAPSE_GRACE_MS) return
+        if (listed.size > MAX_LISTED) listed.values.removeIf { it.droppedAt != null }
+    }
+
+    private fun isNewer(next: EndpointRecord, known: EndpointRecord): Boolean =
+        if (next.startedAtMs == known.startedAtMs) {
+            next.beatNumber >= known.beatNumber
+        } else {
+            next.startedAtMs > known.startedAtMs
+        }
+
+    public companion object {
+        /** Endpoints that live write their entry again within about this time, in ms. */
+        public const val LAPSE_GRACE_MS: Long = 2_000
+
+        private const val MAX_LISTED = 4_096
+    }
+}
--- a/core/src/test/kotlin/cowslipcart/core/origin/RetryBudgetTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/limits/RetryBudgetTest.kt
@@ -1,4 +1,4 @@
-package cowslipcart.core.origin
+package cowslipcart.core.limits
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/core/src/test/kotlin/cowslipcart/core/origin/OwnerChangeRetryTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/origin/OwnerChangeRetryTest.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.origin
 
 import cowslipcart.core.capacity.GrantEnd
+import cowslipcart.core.limits.RetryBudget
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.Tier
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayLog.kt
@@ -0,0 +1,47 @@
+package cowslipcart.daemon.gateway
+
+import ch.qos.logback.classic.AsyncAppender
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.LoggerContext
+import ch.qos.logback.classic.encoder.JsonEncoder
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.ConsoleAppender
+import org.slf4j.LoggerFactory
+
+/**
+ * Sends structured log lines to standard output, on a thread of their own. Lines are dropped when
+ * the output does not keep up, so that logging never blocks a request. Set up in code, since
+ * loading the XML parser takes a tenth of the start.
+ */
+public fun configureGatewayLog() {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    context.reset()
+    val encoder = JsonEncoder().apply {
+        setContext(context)
+        setWithSequenceNumber(false)
+        setWithNanoseconds(false)
+        setWithContext(false)
+        setWithMDC(false)
+        setWithThreadName(false)
+        start()
+    }
+    val console = ConsoleAppender<ILoggingEvent>().apply {
+        setContext(context)
+        setEncoder(encoder)
+        start()
+    }
+    val async = AsyncAppender().apply {
+        setContext(context)
+        isNeverBlock = true
+        queueSize = QUEUE_LINES
+        addAppender(console)
+        start()
+    }
+    context.getLogger(Logger.ROOT_LOGGER_NAME).apply {
+        level = Level.INFO
+        addAppender(async)
+    }
+}
+
+private const val QUEUE_LINES = 1_024
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -0,0 +1,59 @@
+package cowslipcart.daemon.gateway
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Metrics of a gateway. */
+internal class GatewayMetrics {
+    private val registry = PrometheusRegistry()
+
+    private val answers = counter("answers", "Ended requests", "route", "status", "end")
+    private val rejections = counter("rejections", "Requests without a call", "status", "reason")
+
+    /** Attempts at endpoints by how they ended. */
+    val attempts: Counter = counter("attempts", "Ended attempts at endpoints", "outcome")
+
+    /** Log lines over the budget. */
+    val droppedLines: Counter = counter("log_lines_dropped", "Log lines over the budget")
+
+    /** Calls to the platform's store. */
+    val storeCalls: Counter = counter("store_calls", "Calls to the store", "call", "result")
+
+    /** Reports between hosts. */
+    val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
+
+    private val durations = Histogram.builder()
+        .name("cowslipcart_gateway_answer_seconds")
+        .help("Time from the arrival of a request to the end of its answer")
+        .labelNames("route")
+        .classicOnly()
+        .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+        .register(registry)
+
+    fun countAnswer(route: String, status: Int, end: String, tookMs: Long) {
+        answers.labelValues(route, "$status", end).inc()
+        durations.labelValues(route).observe(tookMs / MS_PER_S)
+    }
+
+    fun countRejection(status: Int, reason: String) {
+        rejections.labelValues("$status", reason).inc()
+    }
+
+    /** All metrics in the Prometheus text format. */
+    fun render(): ByteArray {
+        val buffer = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(buffer, registry.scrape())
+        return buffer.toByteArray()
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name("cowslipcart_gateway_$name").help(help).labelNames(*labels)
+            .register(registry)
+
+    private companion object {
+        const val MS_PER_S = 1_000.0
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StatusConnection.kt
@@ -0,0 +1,55 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.daemon.http1.ByteSource
+import cowslipcart.daemon.http1.HeadParser
+import cowslipcart.daemon.http1.Header
+import cowslipcart.daemon.http1.MessageWriter
+import cowslipcart.daemon.http1.send
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import java.io.IOException
+
+/** Answers the balancer and the collector of metrics. */
+internal class StatusConnection(
+    private val state: GatewayState,
+    private val metrics: GatewayMetrics,
+    private val journal: DecisionJournal
+) {
+    suspend fun serve(socket: Socket) {
+        try {
+            socket.use { open ->
+                val source = ByteSource(open.openReadChannel())
+                val writer = open.openWriteChannel(autoFlush = false)
+                while (true) {
+                    val bytes = source.readHead(MAX_HEAD_BYTES) ?: break
+                    writer.send(answerTo(HeadParser.parseRequest(bytes).path))
+                }
+                writer.flushAndClose()
+            }
+        } catch (e: IOException) {
+            journal.event("status-connection-lost", "reason" to e.message)
+        }
+    }
+
+    private fun answerTo(path: String): ByteArray {
+        if (path == METRICS_PATH) return answer(OK, metrics.render())
+        val isReady = state.routing != null && state.areEndpointsKnown && !state.isStopping
+        return answer(if (isReady) OK else UNAVAILABLE, ByteArray(0))
+    }
+
+    private fun answer(status: Int, body: ByteArray): ByteArray {
+        val headers = listOf(
+            Header("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            Header("Content-Length", "${body.size}")
+        )
+        return MessageWriter.responseHead(status, "", headers) + body
+    }
+
+    private companion object {
+        const val MAX_HEAD_BYTES = 8_192
+        const val METRICS_PATH = "/metrics"
+        const val OK = 200
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -0,0 +1,89 @@
+package cowslipcart.daemon.http1
+
+import java.io.ByteArrayOutputStream
+import java.io.EOFException
+
+/** Reads one body from [source], piece by piece, without its framing. */
+internal class BodyReader(private val source: ByteSource, private val framing: BodyFraming) {
+    private var leftInPiece = (framing as? BodyFraming.Length)?.bytes ?: 0
+
+    /** Whether the body was read to its end. */
+    var isComplete: Boolean = framing == BodyFraming.Length(0)
+        private set
+
+    /** Returns the next bytes, or null at the proper end; fails if the body breaks off. */
+    suspend fun next(): ByteArray? {
+        if (isComplete) return null
+        return when (framing) {
+            is BodyFraming.Length -> nextOfLength()
+
+            BodyFraming.Chunked -> nextOfChunk()
+
+            BodyFraming.UntilClose ->
+                source.readSome(MAX_PIECE_BYTES).also { isComplete = it == null }
+        }
+    }
+
+    /** Reads the rest; fails if it has more than [maxBytes]. */
+    suspend fun readAll(maxBytes: Int): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        while (true) {
+            val piece = next() ?: return bytes.toByteArray()
+            if (bytes.size() + piece.size > maxBytes) {
+                throw TooLongException("body over $maxBytes bytes")
+            }
+            bytes.write(piece)
+        }
+    }
+
+    private suspend fun nextOfLength(): ByteArray {
+        val piece = source.readSome(minOf(leftInPiece, MAX_PIECE_BYTES)) ?: endOfConnection()
+        leftInPiece -= piece.size
+        isComplete = leftInPiece == 0L
+        return piece
+    }
+
+    private suspend fun nextOfChunk(): ByteArray? {
+        if (leftInPiece == 0L) {
+            leftInPiece = parseChunkSize(source.readLine())
+            if (leftInPiece == 0L) {
+                skipTrailers()
+                isComplete = true
+                return null
+            }
+        }
+        val piece = source.readSome(minOf(leftInPiece, MAX_PIECE_BYTES)) ?: endOfConnection()
+        leftInPiece -= piece.size
+        if (leftInPiece == 0L && source.readLine().isNotEmpty()) {
+            throw MalformedMessageException("bytes after a chunk")
+        }
+        return piece
+    }
+
+    private fun parseChunkSize(line: String): Long {
+        val digits = line.substringBefore(';').trim(' ', '\t')
+        if (digits.length !in 1..MAX_SIZE_DIGITS || digits.any { it !in HEX_DIGITS }) {
+            throw MalformedMessageException("chunk size")
+        }
+        return digits.toLong(HEX_RADIX)
+    }
+
+    private suspend fun skipTrailers() {
+        repeat(MAX_TRAILERS) {
+            if (source.readLine().isEmpty()) return
+        }
+        throw TooLongException("more than $MAX_TRAILERS trailers")
+    }
+
+    private fun endOfConnection(): Nothing = throw EOFException("connection ended within a body")
+
+    private companion object {
+        const val MAX_PIECE_BYTES = 65_536L
+        const val MAX_TRAILERS = 32
+
+        /** Larger chunks are above any limit on bodies. */
+        const val MAX_SIZE_DIGITS = 8
+        const val HEX_RADIX = 16
+        const val HEX_DIGITS = "0123456789abcdefABCDEF"
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/Headers.kt
@@ -0,0 +1,43 @@
+package cowslipcart.daemon.http1
+
+/** One header line. */
+public data class Header(public val name: String, public val value: String)
+
+/** Header lines in order; names are compared without regard to case. */
+public class Headers(public val lines: List<Header>) {
+    /** Returns the value of the first line named [name]. */
+    public operator fun get(name: String): String? =
+        lines.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+    /** Returns the values of all lines named [name]. */
+    public fun all(name: String): List<String> =
+        lines.filter { it.name.equals(name, ignoreCase = true) }.map { it.value }
+
+    /** Whether a comma-separated header [name] contains [token]. */
+    public fun hasToken(name: String, token: String): Boolean = all(name).any { value ->
+        value.split(',').any { it.trim().equals(token, ignoreCase = true) }
+    }
+}
+
+/** First line and headers of a request. [target] is kept as it was sent. */
+public class RequestHead(
+    public val method: String,
+    public val target: String,
+    public val headers: Headers
+) {
+    /** Path of the target, without the query. */
+    public val path: String get() = target.substringBefore('?')
+}
+
+/** First line and headers of an answer. */
+public class ResponseHead(
+    public val status: Int,
+    public val reason: String,
+    public val headers: Headers
+)
+
+/** Headers that concern one connection only and are not passed on. */
+public val CONNECTION_HEADERS: Set<String> = setOf(
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te",
+    "trailer", "upgrade", "expect"
+)
--- /dev/null
+++ b/wire/src/main/kotlin/cowslipcart/wire/figures/FigureCodec.kt
@@ -0,0 +1,116 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package cowslipcart.wire.figures
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import cowslipcart.core.forwarding.CrashNotice
+import cowslipcart.core.forwarding.HostFigures
+import cowslipcart.core.forwarding.HostLoad
+import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.ReadPart
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.wire.WireError
+import cowslipcart.wire.peer.peerCbor
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.CborArray
+
+/** Encodes what hosts tell each other in one datagram. */
+public object FigureCodec {
+    private const val VERSION = 1
+
+    /** Encodes a report. */
+    public fun encode(figures: HostFigures): ByteArray =
+        peerCbor.encodeToByteArray(FiguresDocument.serializer(), toDocument(figures, false))
+
+    /** Encodes the last report of a host that stops in good order. */
+    public fun encodeLeaving(figures: HostFigures): ByteArray =
+        peerCbor.encodeToByteArray(FiguresDocument.serializer(), toDocument(figures, true))
+
+    /** Decodes a datagram. */
+    public fun decode(bytes: ByteArray): Either<WireError, DecodedFigures> = try {
+        val document = peerCbor.decodeFromByteArray(FiguresDocument.serializer(), bytes)
+        if (document.version == VERSION) {
+            DecodedFigures(toFigures(document), document.isLeaving).right()
+        } else {
+            WireError.UnknownVersion(VERSION, document.version).left()
+        }
+    } catch (e: SerializationException) {
+        WireError.Malformed("expected a report, found ${e.message}").left()
+    } catch (e: IllegalArgumentException) {
+        WireError.Malformed("expected a report, found ${e.message}").left()
+    }
+
+    private fun toDocument(figures: HostFigures, isLeaving: Boolean) = FiguresDocument(
+        VERSION,
+        figures.host.value,
+        figures.incarnation.value,
+        figures.sequence,
+        isLeaving,
+        figures.loads.map { (id, load) ->
+            LoadDocument(id.value, load.running, load.unreadTokens)
+        },
+        figures.unitsUsed.map { (id, units) -> UseDocument(id.value, units) },
+        figures.readParts.map { ReadDocument(it.part.value, it.endpoint.value) },
+        figures.crashes.map {
+            CrashDocument(it.number, it.fingerprint.value, it.endpoint.value)
+        }
+    )
+
+    private fun toFigures(document: FiguresDocument) = HostFigures(
+        host = HostId(document.host),
+        incarnation = IncarnationId(document.incarnation),
+        sequence = document.sequence,
+        loads = document.loads.associate {
+            EndpointId(it.endpoint) to HostLoad(it.running, it.unreadTokens)
+        },
+        unitsUsed = document.uses.associate { OrganisationId(it.organisation) to it.units },
+        readParts = document.reads.map {
+            ReadPart(PromptPartId(it.part), EndpointId(it.endpoint))
+        },
+        crashes = document.crashes.map {
+            CrashNotice(it.number, Fingerprint(it.fingerprint), EndpointId(it.endpoint))
+        }
+    )
+}
+
+/** A decoded report; [isLeaving] if it is the last one of its host. */
+public data class DecodedFigures(public val figures: HostFigures, public val isLeaving: Boolean)
+
+/** Array form of [HostFigures]. The order of the fields is part of the protocol. */
+@Serializable
+@CborArray
+private class FiguresDocument(
+    val version: Int,
+    val host: String,
+    val incarnation: Long,
+    val sequence: Long,
+    val isLeaving: Boolean,
+    val loads: List<LoadDocument>,
+    val uses: List<UseDocument>,
+    val reads: List<ReadDocument>,
+    val crashes: List<CrashDocument>
+)
+
+@Serializable
+@CborArray
+private class LoadDocument(val endpoint: String, val running: Int, val unreadTokens: Long)
+
+@Serializable
+@CborArray
+private class UseDocument(val organisation: String, val units: Double)
+
+@Serializable
+@CborArray
+private class ReadDocument(val part: Long, val endpoint: String)
+
+@Serializable
+@CborArray
+private class CrashDocument(val number: Long, val fingerprint: String, val endpoint: String)
