Read the store less often and test the gateway against stand-ins

Change: the configuration is awaited for 2 s, endpoints are read every 1.6 s, reports between hosts go out every 200 ms. Specs for routing, limits, placement, listing, codec and streams; stand-ins of the platform's store and runners; a system test of the real program.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/FigureReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/FigureReporter.kt
@@ -53,6 +53,6 @@
         const val MAX_PARTS = 16
 
         /** Longest time between two reports, in ms. */
-        const val QUIET_INTERVAL_MS = 400L
+        const val QUIET_INTERVAL_MS = 1_000L
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HostRoster.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HostRoster.kt
@@ -63,10 +63,10 @@
 
     private companion object {
         /** Twice the longest interval between reports, and some loss of datagrams, in ms. */
-        const val SILENT_MS = 1_200L
+        const val SILENT_MS = 2_400L
 
         /** Requests of a host that died have ended by then, in ms. */
-        const val LOAD_LIFETIME_MS = 2_500L
+        const val LOAD_LIFETIME_MS = 3_000L
 
         /** Longer than partitions usually last, in ms. */
         const val GONE_MS = 20_000L
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -0,0 +1,227 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.forwarding.ForwardingFixture.Companion.entry
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.routing.WorkKind
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+class ForwardingControllerTest {
+    private val fixture = ForwardingFixture()
+    private val broken = AttemptOutcome.Broken("reset")
+
+    private fun dispatchedTo(commands: List<CallCommand>): EndpointId =
+        assertIs<CallCommand.Dispatch>(commands.single()).endpoint.id
+
+    @Nested
+    inner class Repeating {
+        @Test
+        fun `a request that runs once is not sent again after it may have run`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call(WorkKind.AtMostOnce)
+            dispatchedTo(fixture.arrive(call))
+
+            assertIs<CallCommand.GiveUp>(fixture.end(call, broken).single())
+        }
+
+        @Test
+        fun `an idempotent request goes to another endpoint after a break`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call()
+            val first = dispatchedTo(fixture.arrive(call))
+
+            assertTrue(dispatchedTo(fixture.end(call, broken)) != first)
+        }
+
+        @Test
+        fun `a declined request is refused as not run when its attempts are used up`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call(WorkKind.AtMostOnce, maxAttempts = 1)
+            fixture.arrive(call)
+
+            val declined = AttemptOutcome.Declined(DeclineReason.FULL)
+            val refusal = assertIs<CallCommand.Refuse>(fixture.end(call, declined).single())
+            assertEquals(RefusalReason.DECLINED, refusal.reason)
+        }
+
+        @Test
+        fun `a request that may have run is never refused as not run`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call()
+            fixture.arrive(call)
+            fixture.end(call, broken)
+
+            val declined = AttemptOutcome.Declined(DeclineReason.FULL)
+            assertIs<CallCommand.GiveUp>(fixture.end(call, declined).single())
+        }
+
+        @Test
+        fun `a failed connection does not count as an attempt`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call(WorkKind.AtMostOnce, maxAttempts = 1)
+            val first = dispatchedTo(fixture.arrive(call))
+
+            val next = fixture.end(call, AttemptOutcome.NotSent("no connection"))
+            assertTrue(dispatchedTo(next) != first)
+        }
+
+        @Test
+        fun `repeats stay below the shared budget when every request breaks`() {
+            fixture.list(*Array(40) { entry("e$it", slots = 100) })
+            val repeats = (1..500).count {
+                val call = fixture.call()
+                fixture.arrive(call)
+                fixture.end(call, broken).single() is CallCommand.Dispatch
+            }
+            assertTrue(repeats <= 500 * 0.2 + 100, "expected at most 200 repeats, found $repeats")
+        }
+    }
+
+    @Nested
+    inner class Waiting {
+        @Test
+        fun `a request waits while all places are taken and starts when one is free`() {
+            fixture.list(entry("e1", slots = 1))
+            val first = fixture.call(rank = 1)
+            fixture.list(entry("e1", slots = 1))
+            fixture.arrive(first)
+            val second = fixture.call(rank = 1)
+            assertTrue(fixture.arrive(second).isEmpty())
+
+            val commands = fixture.end(first, AttemptOutcome.Answered(isSuccess = true))
+            assertEquals(EndpointId("e1"), dispatchedTo(commands))
+        }
+
+        @Test
+        fun `a request that found no place is refused well before its caller gives up`() {
+            fixture.list(entry("e1", slots = 1))
+            fixture.arrive(fixture.call(rank = 1))
+            fixture.arrive(fixture.call(rank = 1))
+            fixture.nowMs = 150
+
+            val refusal = fixture.commandsOf(ForwardingInput.Tick).single()
+            assertEquals(
+                RefusalReason.OVERLOADED,
+                assertIs<CallCommand.Refuse>(refusal).reason
+            )
+        }
+
+        @Test
+        fun `urgent work overtakes waiting work`() {
+            fixture.list(entry("e1", slots = 1))
+            val running = fixture.call(rank = 0)
+            fixture.arrive(running)
+            fixture.arrive(fixture.call(rank = 2))
+            fixture.arrive(fixture.call(rank = 1))
+            val urgent = fixture.call(rank = 0)
+            repeat(3) { fixture.arrive(fixture.call(rank = 0)) }
+            fixture.arrive(urgent)
+
+            val effects = fixture.send(
+                ForwardingInput.AttemptEnded(running.id, AttemptOutcome.Answered(true))
+            )
+            val started = effects.filterIsInstance<ForwardingEffect.Command>().single()
+            assertEquals(0, started.call.rankInPool)
+        }
+
+        @Test
+        fun `a request whose caller left takes no place`() {
+            fixture.list(entry("e1", slots = 1))
+            val running = fixture.call(rank = 1)
+            fixture.arrive(running)
+            val gone = fixture.call(rank = 1)
+            fixture.arrive(gone)
+            fixture.send(ForwardingInput.CallerLeft(gone.id))
+
+            assertTrue(fixture.end(running, AttemptOutcome.Answered(true)).isEmpty())
+        }
+    }
+
+    @Nested
+    inner class Draining {
+        @Test
+        fun `a draining endpoint gets no request`() {
+            fixture.list(entry("e1", isDraining = true), entry("e2"))
+            repeat(2) {
+                assertEquals(EndpointId("e2"), dispatchedTo(fixture.arrive(fixture.call())))
+            }
+        }
+
+        @Test
+        fun `a waiting request is not sent to an endpoint that began to drain`() {
+            fixture.list(entry("e1", slots = 1))
+            val running = fixture.call(rank = 1)
+            fixture.arrive(running)
+            fixture.arrive(fixture.call(rank = 1))
+            val commands = fixture.commandsOf(
+                ForwardingInput.EndpointsChanged(listOf(entry("e1", 1, isDraining = true)))
+            )
+
+            assertIs<CallCommand.Refuse>(commands.single())
+            assertTrue(fixture.end(running, AttemptOutcome.Answered(true)).isEmpty())
+        }
+    }
+
+    @Nested
+    inner class Crashing {
+        @Test
+        fun `a request that broke three endpoints is refused on any host`() {
+            fixture.list(entry("e1"), entry("e2"), entry("e3"))
+            val fingerprint = fixture.call(fingerprint = "poison").fingerprint
+            val notices = listOf("e1", "e2", "e3").mapIndexed { index, id ->
+                CrashNotice(index + 1L, fingerprint, EndpointId(id))
+            }
+            fixture.report("host-2", 1, crashes = notices)
+
+            val commands = fixture.arrive(fixture.call(fingerprint = "poison"))
+            val refusal = assertIs<CallCommand.Refuse>(commands.single())
+            assertEquals(RefusalReason.QUARANTINED, refusal.reason)
+            assertNull(refusal.retryAfterMs)
+        }
+
+        @Test
+        fun `a request that ran to its end is cleared`() {
+            fixture.list(entry("e1"), entry("e2"))
+            val call = fixture.call(fingerprint = "innocent")
+            fixture.arrive(call)
+            fixture.end(call, broken)
+            fixture.end(call, AttemptOutcome.Answered(isSuccess = true))
+
+            dispatchedTo(fixture.arrive(fixture.call(fingerprint = "innocent")))
+        }
+    }
+
+    @Nested
+    inner class PeerLoad {
+        @Test
+        fun `requests of other hosts take places`() {
+            fixture.list(entry("e1"), entry("e2"))
+            fixture.report("host-2", 1, mapOf(EndpointId("e1") to HostLoad(2, 0)))
+
+            assertEquals(EndpointId("e2"), dispatchedTo(fixture.arrive(fixture.call(rank = 1))))
+        }
+
+        @Test
+        fun `an outdated report changes nothing`() {
+            fixture.list(entry("e1"))
+            fixture.report("host-2", 2)
+            fixture.report("host-2", 1, mapOf(EndpointId("e1") to HostLoad(2, 0)))
+
+            dispatchedTo(fixture.arrive(fixture.call(rank = 1)))
+        }
+
+        @Test
+        fun `the load of a silent host stops to count`() {
+            fixture.list(entry("e1"))
+            fixture.report("host-2", 1, mapOf(EndpointId("e1") to HostLoad(2, 0)))
+            fixture.nowMs = 3_000
+            fixture.send(ForwardingInput.Tick)
+
+            dispatchedTo(fixture.arrive(fixture.call(rank = 1)))
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -0,0 +1,137 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.Tier
+import cowslipcart.core.routing.CallerLimits
+import cowslipcart.core.routing.OrganisationAccess
+import cowslipcart.core.routing.PoolProfile
+import cowslipcart.core.routing.QuotaUnit
+import cowslipcart.core.routing.Route
+import cowslipcart.core.routing.RouteId
+import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.routing.TokenQuota
+import cowslipcart.core.routing.WeightedPool
+import cowslipcart.core.routing.WorkKind
+import kotlin.random.Random
+
+/** A controller with one pool, on a clock that the test sets. */
+internal class ForwardingFixture(isFirstStart: Boolean = true) {
+    val controller = createForwardingController(
+        ForwardingSettings(
+            host = HostId("host-1"),
+            incarnation = IncarnationId(1),
+            domain = "a",
+            isFirstStart = isFirstStart,
+            retryShare = 0.2,
+            retrySlack = 100
+        ),
+        Random(1)
+    )
+    var nowMs = 0L
+    private var lastCall = 0L
+
+    fun send(input: ForwardingInput): List<ForwardingEffect> = controller.handle(input, nowMs)
+
+    fun commandsOf(input: ForwardingInput): List<CallCommand> =
+        send(input).filterIsInstance<ForwardingEffect.Command>().map { it.command }
+
+    fun arrive(call: ForwardedCall): List<CallCommand> = commandsOf(ForwardingInput.Arrived(call))
+
+    fun end(call: ForwardedCall, outcome: AttemptOutcome): List<CallCommand> =
+        commandsOf(ForwardingInput.AttemptEnded(call.id, outcome))
+
+    fun list(vararg entries: EndpointEntry) =
+        send(ForwardingInput.EndpointsChanged(entries.toList()))
+
+    fun call(
+        kind: WorkKind = WorkKind.Idempotent,
+        rank: Int = 0,
+        maxAttempts: Int = 2,
+        tokens: Int = 0,
+        fingerprint: String = "f${lastCall + 1}",
+        leftMs: Long = 10_000,
+        prompt: List<PromptPart> = emptyList()
+    ): ForwardedCall {
+        lastCall++
+        return ForwardedCall(
+            id = CallId(lastCall),
+            requestId = RequestId("r$lastCall"),
+            organisation = ORGANISATION,
+            route = route(kind, maxAttempts),
+            pool = POOL,
+            tier = Tier(rank),
+            rankInPool = rank,
+            statedSize = if (tokens > 0) WorkSize(tokens, 0) else null,
+            prompt = prompt,
+            fingerprint = Fingerprint(fingerprint),
+            arrivedAtMs = nowMs,
+            givenUpAtMs = nowMs + leftMs
+        )
+    }
+
+    /** Puts a configuration in force that limits [ORGANISATION]. */
+    fun limit(ratePerS: Double, revision: Long = 1) {
+        val quota = TokenQuota(QuotaUnit.TOKENS, ratePerS, ratePerS, 1)
+        send(
+            ForwardingInput.RoutingChanged(
+                RoutingTable(
+                    Revision(revision),
+                    listOf(route(WorkKind.Idempotent, 2)),
+                    listOf(PoolProfile(POOL, 100, 6, null)),
+                    mapOf("key" to OrganisationAccess(ORGANISATION, null, quota)),
+                    CallerLimits(16_384, 1_024, 1_000, 1_000),
+                    requiresKey = true
+                )
+            )
+        )
+    }
+
+    fun report(
+        host: String,
+        sequence: Long,
+        loads: Map<EndpointId, HostLoad> = emptyMap(),
+        used: Double = 0.0,
+        incarnation: Long = 9,
+        crashes: List<CrashNotice> = emptyList()
+    ) = send(
+        ForwardingInput.PeerReported(
+            HostFigures(
+                HostId(host),
+                IncarnationId(incarnation),
+                sequence,
+                loads,
+                mapOf(ORGANISATION to used),
+                emptyList(),
+                crashes
+            )
+        )
+    )
+
+    companion object {
+        val POOL = PoolId("pool")
+        val ORGANISATION = OrganisationId("org")
+
+        fun entry(id: String, slots: Int = 2, isDraining: Boolean = false) =
+            EndpointEntry(EndpointId(id), POOL, "127.0.0.1", 1, "a", slots, isDraining)
+
+        fun route(kind: WorkKind, maxAttempts: Int) = Route(
+            id = RouteId("route"),
+            host = "shop.example",
+            pathPrefix = "/a/",
+            kind = kind,
+            targets = listOf(WeightedPool(POOL, 1.0)),
+            timeoutMs = 10_000,
+            objectiveMs = 300,
+            tier = Tier(0),
+            maxAttempts = maxAttempts,
+            isPublic = false
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/SharedQuotaTest.kt
@@ -0,0 +1,83 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.routing.QuotaUnit
+import cowslipcart.core.routing.TokenQuota
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+class SharedQuotaTest {
+    private val quota = TokenQuota(QuotaUnit.TOKENS, RATE, RATE, 1)
+    private val together = HostCounts(known = 4, heard = 4)
+    private val alone = HostCounts(known = 4, heard = 1)
+
+    private fun bucket() = SharedQuota(quota, startShare = 1.0, nowMs = 0)
+
+    /** Units that a host gets in [WINDOW_MS] if it asks for more than the limit all the time. */
+    private fun takeAll(bucket: SharedQuota, hosts: HostCounts): Double {
+        var taken = 0.0
+        for (nowMs in 0L..WINDOW_MS step 10) {
+            if (bucket.tryTake(COST, hosts, nowMs) == SharedQuota.Admission.Taken) taken += COST
+        }
+        return taken
+    }
+
+    @Nested
+    inner class Together {
+        @Test
+        fun `one host gets the whole limit if nobody else uses it`() {
+            val taken = takeAll(bucket(), together)
+            assertTrue(taken >= RATE * WINDOW_MS / 1_000, "found $taken")
+        }
+
+        @Test
+        fun `the use of other hosts counts`() {
+            val bucket = bucket()
+            bucket.onPeerUse(HostId("b"), 0.0)
+            bucket.onPeerUse(HostId("b"), RATE)
+
+            assertIs<SharedQuota.Admission.Later>(bucket.tryTake(COST, together, 0))
+        }
+
+        @Test
+        fun `units that another host gives back are there again`() {
+            val bucket = bucket()
+            bucket.onPeerUse(HostId("b"), 0.0)
+            bucket.onPeerUse(HostId("b"), RATE)
+            bucket.onPeerUse(HostId("b"), 0.0)
+
+            assertEquals(SharedQuota.Admission.Taken, bucket.tryTake(COST, together, 0))
+        }
+    }
+
+    @Nested
+    inner class Partitioned {
+        @Test
+        fun `hosts that hear nobody stay below the limit together`() {
+            val taken = (1..4).sumOf { takeAll(bucket(), alone) }
+            val allowed = (RATE * WINDOW_MS / 1_000 + RATE) * 1.1
+            assertTrue(taken <= allowed, "expected at most $allowed, found $taken")
+        }
+    }
+
+    @Nested
+    inner class Changed {
+        @Test
+        fun `a lower limit binds at once`() {
+            val bucket = bucket()
+            bucket.change(quota.copy(ratePerS = COST, burst = COST))
+            bucket.tryTake(COST, together, 0)
+
+            assertIs<SharedQuota.Admission.Later>(bucket.tryTake(COST, together, 0))
+        }
+    }
+
+    private companion object {
+        const val RATE = 10_000.0
+        const val COST = 100.0
+        const val WINDOW_MS = 8_000L
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -106,6 +106,6 @@
 
     private companion object {
         /** Age of the figures on which other hosts decide, in ms. */
-        const val REPORT_INTERVAL_MS = 100L
+        const val REPORT_INTERVAL_MS = 200L
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -167,11 +167,14 @@
         }.toMap()
 
     private companion object {
-        /** A silent connection is noticed soon after this time, in ms. */
-        const val CONFIGURATION_WAIT_MS = 1_000L
-
-        /** Half of the time within which a draining endpoint gets no more work, in ms. */
-        const val ENDPOINT_INTERVAL_MS = 900L
+        /**
+         * With the time-out of a call, a silent connection is noticed within the 3 s after which a
+         * host has to know a change again, in ms.
+         */
+        const val CONFIGURATION_WAIT_MS = 2_000L
+
+        /** Less than the 2 s within which a draining endpoint may still get work, in ms. */
+        const val ENDPOINT_INTERVAL_MS = 1_600L
 
         /** New hosts are usually known by their reports before, in ms. */
         const val HOSTS_INTERVAL_MS = 12_000L
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
@@ -0,0 +1,88 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.Header
+import cowslipcart.daemon.http1.Headers
+import cowslipcart.daemon.http1.ResponseHead
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.readRemaining
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlinx.coroutines.test.runTest
+import kotlinx.io.readByteArray
+import org.junit.jupiter.api.Nested
+
+class StreamRelayTest {
+    private val channel = ByteChannel()
+    private val answer = CallerAnswer(channel, isHeadRequest = false) { false }
+    private val relay = StreamRelay(answer, RuntimeClock())
+
+    private fun head(seal: String) = ResponseHead(200, "OK", Headers(listOf(Header("Seal", seal))))
+
+    private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
+
+    private suspend fun written(): String {
+        channel.flushAndClose()
+        return channel.readRemaining().readByteArray().decodeToString()
+    }
+
+    @Nested
+    inner class Resuming {
+        @Test
+        fun `half an event of a broken run is not passed on`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1) + "id: 2\ndata".toByteArray())
+            relay.begin(head("second"))
+            relay.onBytes(event(2))
+            relay.finish()
+
+            val text = written()
+            assertEquals(1, Regex("id: 2").findAll(text).count())
+            assertTrue(text.endsWith("0\r\n\r\n"))
+        }
+
+        @Test
+        fun `the answer keeps the head of the first endpoint`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1))
+            relay.begin(head("second"))
+            relay.onBytes(event(2))
+
+            val text = written()
+            assertTrue("Seal: first" in text)
+            assertFalse("Seal: second" in text)
+        }
+
+        @Test
+        fun `an endpoint that failed before its first event leaves no trace`() = runTest {
+            relay.begin(head("first"))
+            relay.begin(head("second"))
+            relay.onBytes(event(1))
+
+            assertTrue("Seal: second" in written())
+        }
+    }
+
+    @Nested
+    inner class Order {
+        @Test
+        fun `an event that was passed on before is left out`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1) + event(2))
+            relay.onBytes(event(2) + event(3))
+
+            assertEquals(1, Regex("id: 2").findAll(written()).count())
+        }
+
+        @Test
+        fun `a missing event is a failure`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1))
+
+            assertFailsWith<EventOrderException> { relay.onBytes(event(3)) }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/http1/HeadParserTest.kt
@@ -0,0 +1,132 @@
+package cowslipcart.daemon.http1
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import org.junit.jupiter.api.Nested
+
+class HeadParserTest {
+    private fun request(vararg lines: String): RequestHead =
+        HeadParser.parseRequest(lines.joinToString("\r\n").toByteArray())
+
+    @Nested
+    inner class Framing {
+        @Test
+        fun `a length and a transfer encoding together are refused`() {
+            val head =
+                request("POST /a HTTP/1.1", "Content-Length: 4", "Transfer-Encoding: chunked")
+            assertFailsWith<MalformedMessageException> { HeadParser.requestFraming(head) }
+        }
+
+        @Test
+        fun `two lengths are refused`() {
+            val head = request("POST /a HTTP/1.1", "Content-Length: 4", "content-length: 4")
+            assertFailsWith<MalformedMessageException> { HeadParser.requestFraming(head) }
+        }
+
+        @Test
+        fun `a length that is not a plain number is refused`() {
+            for (length in listOf(
+                "+4",
+                "-4",
+                "4,4",
+                "0x4",
+                "4 4",
+                "",
+                "٤",
+                "1234567890123456789"
+            )) {
+                val head = request("POST /a HTTP/1.1", "Content-Length: $length")
+                assertFailsWith<MalformedMessageException>(length) {
+                    HeadParser.requestFraming(head)
+                }
+            }
+        }
+
+        @Test
+        fun `only the chunked encoding is known`() {
+            for (encoding in listOf("gzip, chunked", "xchunked", "identity", "chunked, chunked")) {
+                val head = request("POST /a HTTP/1.1", "Transfer-Encoding: $encoding")
+                assertFailsWith<MalformedMessageException>(encoding) {
+                    HeadParser.requestFraming(head)
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class Lines {
+        @Test
+        fun `headers that readers understand differently are refused`() {
+            val bad = listOf(
+                "Content-Length : 4", " Folded: x", "\tFolded: x", "NoColon", ": x", "A: b\nC: d",
+                "A: b\rC: d", "A\u0000: b", "Näme: x"
+            )
+            for (line in bad) {
+                assertFailsWith<MalformedMessageException>(line) {
+                    request("GET /a HTTP/1.1", line)
+                }
+            }
+        }
+
+        @Test
+        fun `request lines of another form are refused`() {
+            val bad = listOf(
+                "GET /a",
+                "GET  /a HTTP/1.1",
+                "GET a HTTP/1.1",
+                "GET /a HTTP/2.0",
+                "G T /a HTTP/1.1",
+                "GET http://x/a HTTP/1.1",
+                ""
+            )
+            for (line in bad) {
+                assertFailsWith<MalformedMessageException>(line) { request(line, "Host: x") }
+            }
+        }
+
+        @Test
+        fun `target and headers are kept as they are`() {
+            val head = request("PUT /a%20b/?q=1&r= HTTP/1.1", "X-One:  two \t", "x-one: three")
+            assertEquals("/a%20b/?q=1&r=", head.target)
+            assertEquals(listOf("two", "three"), head.headers.all("X-ONE"))
+        }
+    }
+
+    @Nested
+    inner class RandomInput {
+        /** Any input is either parsed or refused as malformed; no other failure ends a process. */
+        @Test
+        fun `ten thousand random heads fail in one way only`() {
+            val random = Random(SEED)
+            val valid = "POST /a?c HTTP/1.1\r\nHost: x\r\nContent-Length: 12\r\nA: b".toByteArray()
+            repeat(10_000) {
+                val bytes = valid.copyOf()
+                repeat(random.nextInt(1, 6)) {
+                    bytes[random.nextInt(bytes.size)] = random.nextInt(256).toByte()
+                }
+                val cut = bytes.copyOf(random.nextInt(bytes.size + 1))
+                for (parse in listOf(::parseRequestFraming, ::parseResponseFraming)) {
+                    try {
+                        parse(cut)
+                    } catch (_: MalformedMessageException) {
+                        continue
+                    }
+                }
+            }
+        }
+
+        private fun parseRequestFraming(bytes: ByteArray) {
+            HeadParser.requestFraming(HeadParser.parseRequest(bytes))
+        }
+
+        private fun parseResponseFraming(bytes: ByteArray) {
+            HeadParser.responseFraming(HeadParser.parseResponse(bytes), "GET")
+        }
+    }
+
+    private companion object {
+        const val SEED = 20_261_204
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/PlatformStoreServer.kt
@@ -0,0 +1,145 @@
+package cowslipcart.standins.platform
+
+import cowslipcart.standins.http.StandinServer
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receive
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.RoutingCall
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import java.io.ByteArrayOutputStream
+import java.io.DataOutputStream
+import java.util.Base64
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+
+/** How the store treats calls. */
+public sealed interface StoreFault {
+    public data object None : StoreFault
+
+    /** Refuses every call. */
+    public data object Busy : StoreFault
+
+    /** Takes calls and never answers. */
+    public data object Silent : StoreFault
+
+    /** Answers after [delayMs]. */
+    public data class Slow(public val delayMs: Long) : StoreFault
+}
+
+/** The platform's store over HTTP, with keyed topics only. */
+public class PlatformStoreServer(port: Int = 0) : AutoCloseable {
+    /** What the store holds; operators and endpoints write to it directly. */
+    public val log: KeyedLog = KeyedLog()
+
+    /** Fault in force. */
+    @Volatile
+    public var fault: StoreFault = StoreFault.None
+
+    private val callCount = AtomicInteger()
+    private val server = StandinServer(port) { routes() }
+
+    /** Calls that arrived, refused ones too. */
+    public val calls: Int get() = callCount.get()
+
+    /** Port that the store listens on. */
+    public val port: Int = server.start()
+
+    override fun close(): Unit = server.close()
+
+    private fun Application.routes() {
+        routing {
+            get("/log-newest") { answer { newest() } }
+            get("/log-read") { answer { read() } }
+            post("/log-append") { answer { append() } }
+        }
+    }
+
+    private suspend fun io.ktor.server.routing.RoutingContext.answer(
+        block: suspend RoutingCall.() -> Unit
+    ) {
+        callCount.incrementAndGet()
+        when (val current = fault) {
+            StoreFault.None -> call.block()
+
+            StoreFault.Busy -> call.respondText("", status = HttpStatusCode.ServiceUnavailable)
+
+            StoreFault.Silent -> awaitCancellation()
+
+            is StoreFault.Slow -> {
+                delay(current.delayMs)
+                call.block()
+            }
+        }
+    }
+
+    private suspend fun RoutingCall.newest() {
+        val topic = topic()
+        val items = log.newest(topic).joinToString(",") { record ->
+            val value = Base64.getEncoder().encodeToString(record.value)
+            """{"key":"${record.key}","value":"$value","offset":${record.offset}}"""
+        }
+        respondText(
+            """{"items":[$items],"hasMore":false,"endOffset":${log.end(topic)}}""",
+            ContentType.Application.Json
+        )
+    }
+
+    private suspend fun RoutingCall.read() {
+        val topic = topic()
+        val from = queryParameters["from"].orEmpty().toLong()
+        val endMs = queryParameters["waitMs"]?.toLong() ?: 0
+        var waitedMs = 0L
+        while (waitedMs < endMs && log.end(topic) <= from) {
+            delay(POLL_MS)
+            waitedMs += POLL_MS
+        }
+        val records = log.read(topic, from)
+        if (records == null) {
+            respondText("""{"first":${log.firstKept(topic)}}""", status = HttpStatusCode.Gone)
+        } else {
+            respondBytes(encode(topic, records))
+        }
+    }
+
+    private suspend fun RoutingCall.append() {
+        val topic = topic()
+        val body = receive<ByteArray>()
+        val keyLength = body[LENGTH_BYTES].toInt()
+        val keyEnd = LENGTH_BYTES + 1 + keyLength
+        val key = body.decodeToString(LENGTH_BYTES + 1, keyEnd)
+        val offset = log.append(topic, key, body.copyOfRange(keyEnd, body.size))
+        respondText(
+            """{"offset":$offset,"endOffset":${offset + 1}}""",
+            ContentType.Application.Json
+        )
+    }
+
+    private fun ApplicationCall.topic(): String = request.queryParameters["topic"].orEmpty()
+
+    private fun encode(topic: String, records: List<KeyedRecord>): ByteArray {
+        val bytes = ByteArrayOutputStream()
+        val output = DataOutputStream(bytes)
+        output.writeLong(log.end(topic))
+        output.writeLong(log.firstKept(topic))
+        for (record in records) {
+            val key = record.key.encodeToByteArray()
+            output.writeInt(1 + key.size + record.value.size)
+            output.writeByte(key.size)
+            output.write(key)
+            output.write(record.value)
+        }
+        return bytes.toByteArray()
+    }
+
+    private companion object {
+        const val LENGTH_BYTES = 4
+        const val POLL_MS = 10L
+    }
+}
--- /dev/null
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -0,0 +1,138 @@
+package cowslipcart.systemtest
+
+import cowslipcart.standins.platform.PlatformStoreServer
+import cowslipcart.standins.platform.RunnerServer
+import java.net.DatagramSocket
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+/** Gateways as processes of their own, before stand-ins of the platform's store and runners. */
+internal class GatewayCluster : AutoCloseable {
+    val store = PlatformStoreServer()
+    private val runners = mutableListOf<RunnerServer>()
+    private val gateways = mutableListOf<GatewayHandle>()
+    private var revision = 0L
+    private var beats = 0L
+
+    /** Starts a runner and lists it under [service]. */
+    fun startRunner(id: String, service: String, eventGapMs: Long = 0): RunnerServer {
+        val runner = RunnerServer(id, eventGapMs)
+        runners += runner
+        list(id, runner, service)
+        return runner
+    }
+
+    /** Writes the entry of [runner]. */
+    fun list(id: String, runner: RunnerServer, service: String, state: String = "ready") {
+        beats++
+        val entry = """{"service":"$service","address":"${runner.address}","zone":"a",""" +
+            """"version":"v1","slots":4,"state":"$state","coldLeftMs":0,"sequence":$beats}"""
+        store.log.append("keyed.servers", id, entry.toByteArray())
+    }
+
+    /** Publishes a configuration; [routes] and [keys] take the place of the standard ones. */
+    fun publish(
+        routes: String = ROUTES,
+        keys: List<String> = listOf(KEY),
+        ratePerS: Int = 1_000_000
+    ) {
+        revision += 3
+        val quoted = keys.joinToString(",") { "\"$it\"" }
+        val config = """{"version":$revision,"routes":[$routes],"services":[""" +
+            """{"name":"model","maxConns":50,"engine":{"slots":4,"stride":6}},""" +
+            """{"name":"desk","maxConns":50}],"limits":{"maxHeaderBytes":16384,""" +
+            """"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000},""" +
+            """"tenants":[{"name":"org","apiKeys":[$quoted],"unit":"tokens",""" +
+            """"plainTokens":200,"ratePerS":$ratePerS,"burst":$ratePerS}]}"""
+        store.log.append("keyed.op", "config", config.toByteArray())
+    }
+
+    /** Starts a gateway; it serves once it knows a configuration. */
+    fun startGateway(name: String): GatewayHandle {
+        val front = freeTcpPort()
+        val ready = freeTcpPort()
+        val peer = DatagramSocket(0).use { it.localPort }
+        val settings = """{"node":"$name","role":"gateway","zone":"a","ip":"127.0.0.1",""" +
+            """"listen":{"front":"127.0.0.1:$front","ready":"127.0.0.1:$ready"},""" +
+            """"portRange":[$peer,$peer],"bootstrap":true,"unknown":{"x":[1]},""" +
+            """"bounds":{"graceS":8,"retryBudgetRatio":0.2,"budgetSlack":100},""" +
+            """"platform":{"address":"127.0.0.1:${store.port}"}}"""
+        val file = Files.createTempFile(Files.createDirectories(Path.of("target")), name, ".json")
+        file.writeText(settings)
+        val process = ManagedProcess.start(
+            name,
+            Program.GATEWAY,
+            emptyList(),
+            mapOf("COWSLIPCART_CONFIG" to file.toString())
+        )
+        return GatewayHandle(process, front, ready).also { gateways += it }
+    }
+
+    override fun close() {
+        gateways.forEach { it.process.close() }
+        runners.forEach { it.close() }
+        store.close()
+    }
+
+    private fun freeTcpPort(): Int = ServerSocket(0).use { it.localPort }
+
+    companion object {
+        const val KEY = "sample-key"
+        private const val CHAT = """{"name":"chat","host":"shop.example","pathPrefix":"/chat/",""" +
+            """"kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"priority":0,""" +
+            """"service":"model","maxAttempts":2,"sticky":true,"streamResume":true,""" +
+            """"gapTargetMs":250}"""
+        private const val READ = """{"name":"read","host":"shop.example","pathPrefix":"/read/",""" +
+            """"kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,"priority":2,""" +
+            """"service":"desk","maxAttempts":2}"""
+        private const val ORDER = """{"name":"order","host":"shop.example",""" +
+            """"pathPrefix":"/order/","kind":"non_idempotent","timeoutMs":2000,""" +
+            """"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":1}"""
+        const val ROUTES = "$CHAT,$READ,$ORDER"
+        const val ROUTES_WITHOUT_READ = "$CHAT,$ORDER"
+    }
+}
+
+/** A running gateway with the calls that tests make to it. */
+internal class GatewayHandle(
+    val process: ManagedProcess,
+    val frontPort: Int,
+    private val readyPort: Int
+) {
+    private var lastId = 0
+
+    suspend fun awaitReady() = awaitValue("gateway to be ready", LONG_BOUND_MS) {
+        isReady().takeIf { it }
+    }
+
+    suspend fun isReady(): Boolean = HttpCaller.trySend(
+        HttpRequestData("http://127.0.0.1:$readyPort/readyz", "GET"),
+        timeoutMs = 1_000
+    )?.status == 200
+
+    /** Sends a request with a new id; [headers] are added. */
+    suspend fun send(
+        path: String,
+        method: String = "POST",
+        body: String? = "{}",
+        key: String? = GatewayCluster.KEY,
+        headers: List<Pair<String, String>> = emptyList()
+    ): HttpAnswer = HttpCaller.send(
+        HttpRequestData(
+            "http://127.0.0.1:$frontPort$path",
+            method,
+            listOf("Host" to "shop.example", "Attempt-Id" to "a${++lastId}-$frontPort") +
+                listOf("Deadline-Ms" to "4000") + listOfNotNull(key?.let { "Api-Key" to it }) +
+                headers,
+            body?.toByteArray()
+        )
+    )
+
+    /** Sends raw bytes and returns all that comes until the connection closes. */
+    fun sendRaw(text: String): String = java.net.Socket("127.0.0.1", frontPort).use { socket ->
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getInputStream().readAllBytes().decodeToString()
+    }
+}
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -11,7 +11,8 @@
 internal enum class Program(val module: String) {
     DAEMON("daemon"),
     STANDIN("standins"),
-    CLI("cli")
+    CLI("cli"),
+    GATEWAY("platform")
 }
 
 /** A process that a test has started. Only its own process is signalled, by its id. */
