--- a/cli/src/main/kotlin/cowslipcart/cli/Cli.kt
+++ b/cli/src/main/kotlin/cowslipcart/cli/Cli.kt
@@ -34,7 +34,7 @@
         HostsCommand(),
         EndpointsCommand(),
         DrainCommand(),
-        RequestsCommand().subcommands(RequestShowCommand()),
+        RequestsCommand().subcommands(RequestShowCommand(), RequestExplainCommand()),
         LogCommand().subcommands(LogTailCommand())
     )
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
@@ -37,6 +37,7 @@
         if (table == null || !state.areEndpointsKnown) {
             return Result.Rejected(facts.requestId, UNAVAILABLE, "no-configuration")
         }
+        if (state.isRefusing) return Result.Rejected(facts.requestId, UNAVAILABLE, "stopping")
         val route = table.match(hostName(request.head), request.head.path)
             ?: return Result.Rejected(facts.requestId, NOT_FOUND, "no-route")
         val requestId = facts.requestId
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -59,8 +59,11 @@
         } catch (e: MalformedMessageException) {
             return rejectUnread(writer, BAD_REQUEST, e.message ?: "malformed")
         } catch (e: TooLongException) {
-            val status = if (e.message?.startsWith("body") == true) TOO_LARGE else HEADERS_TOO_LARGE
-            return rejectUnread(writer, status, e.message ?: "too long")
+            val status = when (e) {
+                is TooLongException.OfBody -> TOO_LARGE
+                is TooLongException.OfHead -> HEADERS_TOO_LARGE
+            }
+            return rejectUnread(writer, status, e.message.orEmpty())
         }
         return answerTo(request, answer, source)
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -99,6 +99,7 @@
         journal.event("stop", "active" to state.activeRequests.get())
         state.isStopping = true
         delay(BALANCER_NOTICE_MS)
+        state.isRefusing = true
         while (state.activeRequests.get() > 0 && clock.nowMs() < endMs) delay(STOP_POLL_MS)
         journal.event("stopped", "active" to state.activeRequests.get())
         scope.cancel()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
@@ -13,6 +13,10 @@
     @Volatile
     var isStopping: Boolean = false
 
+    /** Whether callers have had time to leave, so that new requests are refused. */
+    @Volatile
+    var isRefusing: Boolean = false
+
     /** Whether endpoints have been read at least once. */
     @Volatile
     var areEndpointsKnown: Boolean = false
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -30,7 +30,7 @@
         while (true) {
             val piece = next() ?: return bytes.toByteArray()
             if (bytes.size() + piece.size > maxBytes) {
-                throw TooLongException("body over $maxBytes bytes")
+                throw TooLongException.OfBody(maxBytes)
             }
             bytes.write(piece)
         }
@@ -72,7 +72,7 @@
         repeat(MAX_TRAILERS) {
             if (source.readLine().isEmpty()) return
         }
-        throw TooLongException("more than $MAX_TRAILERS trailers")
+        throw MalformedMessageException("more than $MAX_TRAILERS trailers")
     }
 
     private fun endOfConnection(): Nothing = throw EOFException("connection ended within a body")
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -6,8 +6,12 @@
 import java.io.EOFException
 import java.io.IOException
 
-/** A head or a line is longer than allowed. */
-internal class TooLongException(message: String) : IOException(message)
+/** A part of a message is longer than allowed. */
+internal sealed class TooLongException(message: String) : IOException(message) {
+    class OfHead(maxBytes: Int) : TooLongException("head over $maxBytes bytes")
+
+    class OfBody(maxBytes: Int) : TooLongException("body over $maxBytes bytes")
+}
 
 /** Buffered bytes of a connection. Used by one coroutine at a time. */
 internal class ByteSource(private val channel: ByteReadChannel) {
@@ -62,7 +66,7 @@
                 start += length + HEAD_END_BYTES
                 return head
             }
-            if (bufferedCount > maxBytes) throw TooLongException("head over $maxBytes bytes")
+            if (bufferedCount > maxBytes) throw TooLongException.OfHead(maxBytes)
             searched = maxOf(0, bufferedCount - HEAD_END_BYTES)
             if (!fill()) {
                 if (bufferedCount == 0) return null
@@ -79,7 +83,7 @@
                 if (buffer[index] == LF) return takeLine(index)
                 index++
             }
-            if (bufferedCount > MAX_LINE_BYTES) throw TooLongException("line too long")
+            if (bufferedCount > MAX_LINE_BYTES) throw TooLongException.OfHead(MAX_LINE_BYTES)
             val before = index - start
             if (!fill()) throw EOFException("connection ended within a line")
             index = start + before
