Refuse requests late in a shutdown, and wait for endpoints that queue

Requests that only test the configuration got 502 after half of their time, since a silent endpoint was given up although no other could be asked. Change: requests later than 2.8 s after the signal are refused as not run. Silence ends an attempt only while attempts are left and the endpoint is silent towards all requests of the host.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -41,12 +41,10 @@
         return PlacementResult.Found(best, unreadTokens(call, best, nowMs))
     }
 
-    private fun unreadTokens(call: ForwardedCall, endpoint: EndpointLoad, nowMs: Long): Int =
-        if (call.prompt.isEmpty()) {
-            call.inputTokens
-        } else {
-            homes.unreadTokens(call.prompt, endpoint.entry.id, nowMs)
-        }
+    private fun unreadTokens(call: ForwardedCall, endpoint: EndpointLoad, nowMs: Long): Int {
+        if (call.prompt.isEmpty()) return PrefillCost.ofTokens(call.inputTokens)
+        return PrefillCost.ofTokens(homes.unreadTokens(call.prompt, endpoint.entry.id, nowMs))
+    }
 
     private fun costMs(
         call: ForwardedCall,
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -0,0 +1,90 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.forwarding.ForwardingFixture.Companion.entry
+import cowslipcart.core.model.EndpointId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Placement under the load patterns that the deployments see at their worst. */
+class PlacementLoadTest {
+    private val fixture = ForwardingFixture()
+
+    private fun place(call: ForwardedCall): EndpointId =
+        assertIs<CallCommand.Dispatch>(fixture.arrive(call).single()).endpoint.id
+
+    @Nested
+    inner class LongPrompts {
+        @Test
+        fun `a short prompt goes past one long prompt to several of the same length together`() {
+            fixture.list(entry("long", slots = 13), entry("many", slots = 13))
+            val long = place(fixture.call(tokens = 50_000))
+            repeat(8) { assertTrue(place(fixture.call(tokens = 6_250)) != long) }
+
+            assertTrue(place(fixture.call(tokens = 600)) != long)
+        }
+
+        @Test
+        fun `a prompt that has been read holds up nobody`() {
+            fixture.list(entry("e1", slots = 13), entry("e2", slots = 13))
+            val long = fixture.call(tokens = 50_000)
+            val first = place(long)
+            fixture.send(ForwardingInput.Answering(long.id))
+            place(fixture.call(tokens = 20_000))
+
+            assertEquals(first, place(fixture.call(tokens = 600)))
+        }
+    }
+
+    @Nested
+    inner class KeptPrompts {
+        @Test
+        fun `a session returns to the endpoint that keeps its history`() {
+            fixture.list(entry("e1", slots = 13), entry("e2", slots = 13))
+            val history = listOf(PromptPart(PromptPartId(1), 6_000))
+            val first = fixture.call(tokens = 6_000, prompt = history)
+            val home = place(first)
+            fixture.send(ForwardingInput.Answering(first.id))
+
+            repeat(3) {
+                assertEquals(home, place(fixture.call(tokens = 6_000, prompt = history)))
+            }
+        }
+    }
+
+    @Nested
+    inner class UnlikeSpeeds {
+        @Test
+        fun `a faster endpoint takes more of the load`() {
+            fixture.list(entry("slow", slots = 13), entry("fast", slots = 13))
+            fixture.limit(1e9)
+            repeat(8) { teachSpeed(it % 2 == 0) }
+
+            val placed = (1..10).map { place(fixture.call(rank = 0, tokens = 6_000)) }
+            val fast = placed.count { it == EndpointId("fast") }
+            assertTrue(fast > 5, "expected most on the fast endpoint, found $fast of 10")
+        }
+
+        /** Runs one stream; its pauses tell the speed of the endpoint it was placed on. */
+        private fun teachSpeed(isFirst: Boolean) {
+            val call = fixture.call(tokens = if (isFirst) 100 else 110)
+            val endpoint = place(call)
+            val tokenMs = if (endpoint.value == "fast") 1L else 8L
+            val other = fixture.call(tokens = 100)
+            val otherEndpoint = place(other)
+            val otherMs = if (otherEndpoint.value == "fast") 1L else 8L
+            for ((ended, ms) in listOf(call to tokenMs, other to otherMs)) {
+                fixture.send(
+                    ForwardingInput.AttemptEnded(
+                        ended.id,
+                        AttemptOutcome.Answered(true),
+                        streamedEvents = 20,
+                        streamedMs = 120 * ms
+                    )
+                )
+            }
+        }
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -76,7 +76,7 @@
     private suspend fun attempt(command: CallCommand.Dispatch): Boolean {
         val startMs = context.clock.nowMs()
         attemptRuns = true
-        val result = context.exchange.run(call, request, command.endpoint, relay) {
+        val result = context.exchange.run(call, request, command, relay) {
             context.loop.submit(ForwardingInput.Answering(call.id))
         }
         attemptRuns = false
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -1,8 +1,8 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.core.forwarding.AttemptOutcome
+import cowslipcart.core.forwarding.CallCommand
 import cowslipcart.core.forwarding.DeclineReason
-import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.routing.WorkKind
 import cowslipcart.core.routing.isRepeatable
@@ -19,6 +19,7 @@
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -44,20 +45,23 @@
     private val dialect: EdgeDialect,
     private val clock: RuntimeClock
 ) {
+    private val activity = EndpointActivity(clock)
+
     /** Runs one attempt; [relay] receives the events of a stream. */
     suspend fun run(
         call: ForwardedCall,
         request: ReceivedRequest,
-        endpoint: EndpointEntry,
+        dispatch: CallCommand.Dispatch,
         relay: StreamRelay,
         onAnswering: () -> Unit
     ): ExchangeResult {
+        val endpoint = dispatch.endpoint
         val maxIdleMs = if (call.route.kind.isRepeatable) Long.MAX_VALUE else MAX_IDLE_ONCE_MS
         val connection = connections.take(endpoint, maxIdleMs)
             ?: return ExchangeResult(AttemptOutcome.NotSent("no connection"))
         var isReusable = false
         try {
-            val attempt = Attempt(call, request, endpoint, relay, onAnswering, connection)
+            val attempt = Attempt(call, request, dispatch, relay, onAnswering, connection)
             val result = attempt.run()
             attempt.reusableHead?.let { head ->
                 isReusable = true
@@ -78,11 +82,13 @@
     private inner class Attempt(
         private val call: ForwardedCall,
         private val request: ReceivedRequest,
-        private val endpoint: EndpointEntry,
+        private val dispatch: CallCommand.Dispatch,
         private val relay: StreamRelay,
         private val onAnswering: () -> Unit,
         private val connection: ServerConnection
     ) {
+        private val endpoint = dispatch.endpoint
+
         /** Head of the answer if the connection can be used again. */
         var reusableHead: ResponseHead? = null
             private set
@@ -208,20 +214,32 @@
         }
 
         /**
-         * Ends an attempt that is silent for long, but only while another endpoint could still
-         * answer; a request that runs once waits until its caller leaves.
+         * Ends an attempt that is silent for long, but only while another endpoint may be asked
+         * and this one is silent towards all requests of this host. An endpoint that answers others
+         * has queued the request; sent elsewhere, its prompt would be read twice.
          */
         private suspend fun <T> withSilenceLimit(what: String, read: suspend () -> T): T {
-            val limitMs = silenceLimitMs() ?: return read()
-            val result = withTimeoutOrNull(limitMs) { ReadResult(read()) }
-                ?: broken("$what for $limitMs ms")
-            return result.value
+            val limitMs = silenceLimitMs()
+            if (limitMs == null) return read().also { activity.onBytes(endpoint.id) }
+            return coroutineScope {
+                val reading = async { read() }
+                var result = withTimeoutOrNull(limitMs) { ReadResult(reading.await()) }
+                while (result == null) {
+                    if (!activity.isActive(endpoint.id)) broken("$what for $limitMs ms")
+                    result = withTimeoutOrNull(limitMs) { ReadResult(reading.await()) }
+                }
+                activity.onBytes(endpoint.id)
+                result.value
+            }
         }
 
-        private fun silenceLimitMs(): Long? = when (val kind = call.route.kind) {
-            WorkKind.AtMostOnce -> null
-            WorkKind.Idempotent -> (call.givenUpAtMs - call.arrivedAtMs) / 2
-            is WorkKind.EventStream -> if (kind.isResumable) STREAM_SILENCE_MS else null
+        private fun silenceLimitMs(): Long? {
+            if (dispatch.attempt >= call.route.maxAttempts) return null
+            return when (val kind = call.route.kind) {
+                WorkKind.AtMostOnce -> null
+                WorkKind.Idempotent -> (call.givenUpAtMs - call.arrivedAtMs) / 2
+                is WorkKind.EventStream -> if (kind.isResumable) STREAM_SILENCE_MS else null
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -163,8 +163,11 @@
     }
 
     private companion object {
-        /** The balancer asks once a second and takes a host out after two misses, in ms. */
-        const val BALANCER_NOTICE_MS = 3_000L
+        /**
+         * The balancer asks once a second and takes a host out after two misses. Requests that
+         * come later than 3 s may not be cut at the end, so they are refused before, in ms.
+         */
+        const val BALANCER_NOTICE_MS = 2_800L
 
         /** Time to end in good order before the process is killed, in ms. */
         const val STOP_RESERVE_MS = 400L
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -18,6 +18,9 @@
     /** Declines it as full. */
     public data object Full : RunnerFault
 
+    /** Runs it and never answers. */
+    public data object Hang : RunnerFault
+
     /** Runs it and closes the connection without an answer. */
     public data object AnswerLost : RunnerFault
 
@@ -97,6 +100,10 @@
         runs += request
         val signed = "Attempt-Id: ${request.id}\r\nResponse-Seal: seal-$id-${request.id}\r\n"
         if (fault == RunnerFault.AnswerLost) return false
+        if (fault == RunnerFault.Hang) {
+            input.read()
+            return false
+        }
         if (fault == RunnerFault.Fails) {
             output.answer(500, signed, "failed")
             return true
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
@@ -251,7 +252,50 @@
         }
     }
 
+    @Nested
+    inner class LateRequests {
+        /** Guards against a request that is taken late and cut when the process is killed. */
+        @Test
+        fun `a request on an open connection three seconds after the signal is refused`(): Unit =
+            runBlocking {
+                val model = cluster.startRunner("model-1", "model", eventGapMs = 600)
+                val gateway = startServing()
+                val under = async { gateway.send("/chat/1", headers = chat) }
+                delay(SETTLE_MS)
+                gateway.process.terminate()
+                delay(LATE_MS)
+
+                assertEquals(503, gateway.send("/chat/2", headers = chat).status)
+                assertEquals(1, model.runs.size)
+                assertEquals(200, under.await().status)
+            }
+
+        @Test
+        fun `the only endpoint allowed is waited for until the timeout`(): Unit = runBlocking {
+            val desk = cluster.startRunner("desk-1", "desk")
+            val gateway = startServing()
+            desk.faults += RunnerFault.Hang
+
+            assertEquals(504, gateway.send("/order/1").status)
+        }
+
+        @Test
+        fun `a read is repeated when its runner is silent`(): Unit = runBlocking {
+            val runners = listOf("desk-1", "desk-2").map { cluster.startRunner(it, "desk") }
+            val gateway = startServing()
+            runners.first().faults += RunnerFault.Hang
+
+            val statuses = (1..2).map { gateway.send("/read/$it", "GET", null).status }
+            assertEquals(listOf(200, 200), statuses)
+        }
+    }
+
     private companion object {
+        const val SETTLE_MS = 300L
+
+        /** Callers keep sending on open connections; the platform counts them up to here. */
+        const val LATE_MS = 3_000L
+
         /** Bounds of the platform, in ms. */
         const val IN_FORCE_MS = 2_000L
         const val DRAIN_MS = 2_000L
