Keep units of a limit and places for urgent kinds of request

All requests of an organisation share its tier, so reserves by tier did not tell kinds apart. Change: the reserve of places and of units goes by the tiers of the routes to a pool; what waits is ordered by the organisation's tier first. Decisions log units asked and left, attempts the time to the first event. Test: SharedQuotaTest replays an organisation far over its limit.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -28,6 +28,24 @@
         return MIN_RETRY_AFTER_MS + ((longestMs - MIN_RETRY_AFTER_MS) * position).toLong()
     }
 
+    /**
+     * Returns after how long the caller of a request over its organisation's limit may come back:
+     * when the units are there, if nobody else takes them, and spread over as long again as it can
+     * wait, since more requests are refused than fit at that moment.
+     */
+    fun retryOverQuotaMs(call: ForwardedCall, waitMs: Long, position: Double, nowMs: Long): Long {
+        val latestMs = maxOf(waitMs, (call.givenUpAtMs - nowMs) / WAIT_DIVISOR)
+        return waitMs + ((latestMs - waitMs) * position).toLong()
+    }
+
+    /**
+     * Share of an organisation's burst that has to be left after a request of [rank] is admitted,
+     * so that its urgent requests still find units when it asks for more than its limit.
+     */
+    fun reservedQuotaShare(rank: Int): Double =
+        RESERVED_QUOTA_SHARE_PER_RANK * rank.coerceIn(0, MAX_RESERVING_RANK)
+
+    private const val RESERVED_QUOTA_SHARE_PER_RANK = 0.2
     private const val RESERVED_SHARE_PER_RANK = 0.06
     private const val MAX_RESERVING_RANK = 3
     private const val TOP_RANK_EXTRA_SLOTS = 2
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -36,7 +36,8 @@
  * A request that arrived at this host.
  *
  * @property requestId id that the caller gave to this attempt
- * @property rankInPool tiers of its pool that go before its own
+ * @property tier of its organisation, if that has one, else of its route; orders what waits
+ * @property rankInPool tiers of the routes to its pool that go before that of its route
  * @property statedSize null for a request that states no tokens
  * @property prompt parts of the prompt; empty for a plain service
  * @property arrivedAtMs when its last byte was read, by the monotonic clock
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -95,7 +95,13 @@
         }
         when (val admission = quotas.tryTake(call, roster.counts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
-                val afterMs = admission.waitMs.coerceIn(MIN_QUOTA_RETRY_MS, MAX_QUOTA_RETRY_MS)
+                val afterMs =
+                    AdmissionRule.retryOverQuotaMs(
+                        call,
+                        admission.waitMs,
+                        random.nextDouble(),
+                        nowMs
+                    )
                 refuse(state, RefusalReason.OVER_QUOTA, afterMs, nowMs)
             }
 
@@ -107,7 +113,7 @@
     }
 
     private fun enqueue(state: CallState) {
-        val position = waiting.indexOfFirst { it.call.rankInPool > state.call.rankInPool }
+        val position = waiting.indexOfFirst { waitingOrder.compare(it, state) > 0 }
         if (position < 0) waiting += state else waiting.add(position, state)
     }
 
@@ -278,7 +284,9 @@
             slotCount = endpoints.sumOf { it.entry.slotCount },
             heardHosts = counts.heard,
             knownHosts = counts.known,
-            waitedMs = nowMs - state.call.arrivedAtMs
+            waitedMs = nowMs - state.call.arrivedAtMs,
+            unitsAsked = quotas.costOf(state.call).toLong(),
+            unitsLeft = quotas.left(state.call)
         )
         effects += ForwardingEffect.Command(state.call, command, facts)
     }
@@ -344,6 +352,10 @@
     private val knownHosts: Int get() = roster.knownCount
 
     private companion object {
+        /** The tier of an organisation goes before that of a route. */
+        val waitingOrder: Comparator<CallState> =
+            compareBy({ it.call.tier }, { it.call.rankInPool })
+
         /** Tokens that a restarted host takes as left, since others may have used the limit. */
         const val RESTART_QUOTA_SHARE = 0.3
 
@@ -355,8 +367,6 @@
 
         /** Time that a repeated request may wait for a place, in ms. */
         const val RETRY_WAIT_MS = 150L
-        const val MIN_QUOTA_RETRY_MS = 100L
-        const val MAX_QUOTA_RETRY_MS = 3_000L
         const val IDLE_TICK_MS = 500L
 
         /** Places become free on other hosts without a message to this one, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -71,6 +71,8 @@
  * @property freeSlots places of the pool that no request takes
  * @property heardHosts hosts whose figures are recent
  * @property waitedMs time since the request arrived
+ * @property unitsAsked units of its organisation's limit that the request counts as
+ * @property unitsLeft units that this host took as left; null without a limit
  */
 public data class DecisionFacts(
     public val revision: Long,
@@ -78,7 +80,9 @@
     public val slotCount: Int,
     public val heardHosts: Int,
     public val knownHosts: Int,
-    public val waitedMs: Long
+    public val waitedMs: Long,
+    public val unitsAsked: Long,
+    public val unitsLeft: Long?
 )
 
 /**
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaBook.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaBook.kt
@@ -40,10 +40,17 @@
         }
     }
 
+    /** Units that are taken as left for the organisation of [call]; null without a limit. */
+    fun left(call: ForwardedCall): Long? {
+        val organisation = call.organisation ?: return null
+        return if (organisation in quotas) buckets.getValue(organisation).left.toLong() else null
+    }
+
     fun tryTake(call: ForwardedCall, hosts: HostCounts, nowMs: Long): SharedQuota.Admission {
         val organisation = call.organisation
         if (organisation == null || organisation !in quotas) return SharedQuota.Admission.Taken
-        return buckets.getValue(organisation).tryTake(costOf(call), hosts, nowMs)
+        val reservedShare = AdmissionRule.reservedQuotaShare(call.rankInPool)
+        return buckets.getValue(organisation).tryTake(costOf(call), hosts, nowMs, reservedShare)
     }
 
     fun giveBack(call: ForwardedCall) {
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/SharedQuota.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/SharedQuota.kt
@@ -19,16 +19,28 @@
     var ownUsed = 0.0
         private set
 
+    /** Units that are there as of the last call. */
+    val left: Double get() = level
+
     /** Puts a changed limit in force; what is available stays below the new burst. */
     fun change(next: TokenQuota) {
         quota = next
         level = minOf(level, next.burst)
     }
 
-    /** Takes [cost] units, or returns how long until they are there if nobody else takes them. */
-    fun tryTake(cost: Double, hosts: HostCounts, nowMs: Long): Admission {
+    /**
+     * Takes [cost] units if [reservedShare] of the burst is left after that, or returns how long until they are
+     * there if nobody else takes them.
+     */
+    fun tryTake(
+        cost: Double,
+        hosts: HostCounts,
+        nowMs: Long,
+        reservedShare: Double = 0.0
+    ): Admission {
         refill(hosts, nowMs)
-        val needed = minOf(cost, quota.burst * hosts.heardShare)
+        val most = quota.burst * hosts.heardShare
+        val needed = minOf(cost, most) + reservedShare * maxOf(0.0, most - cost)
         if (level < needed) {
             val missing = needed - level
             return Admission.Later((missing / quota.ratePerS * MS_PER_S).toLong() + 1)
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/SharedQuotaTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/SharedQuotaTest.kt
@@ -63,6 +63,24 @@
         }
     }
 
+    @Nested
+    inner class Scarce {
+        /** Load pattern: an organisation asks for several times its limit, of all kinds. */
+        @Test
+        fun `urgent work finds units while less urgent work is refused`() {
+            val bucket = bucket()
+            var urgent = 0
+            var other = 0
+            for (nowMs in 0L..WINDOW_MS step 10) {
+                val taken = SharedQuota.Admission.Taken
+                if (bucket.tryTake(COST, together, nowMs, reservedShare = 0.4) == taken) other++
+                if (nowMs % 20 == 0L && bucket.tryTake(COST, together, nowMs) == taken) urgent++
+            }
+            assertEquals(401, urgent)
+            assertTrue(other > 0)
+        }
+    }
+
     @Nested
     inner class Changed {
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
@@ -69,7 +69,7 @@
             route = route,
             pool = pool,
             tier = tier,
-            rankInPool = table.rankInPool(pool, tier),
+            rankInPool = table.rankInPool(pool, route.tier),
             statedSize = facts.size,
             prompt = facts.prompt,
             fingerprint = fingerprint(request, access?.id),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -91,7 +91,9 @@
     private fun report(outcome: AttemptOutcome, endpoint: String, startMs: Long) {
         val text = describe(outcome)
         context.metrics.attempts.labelValues(text.substringBefore(':')).inc()
-        context.journal.attemptEnded(call, endpoint, text, context.clock.nowMs() - startMs)
+        val firstEventMs = (relay.firstEventAtMs - call.arrivedAtMs).takeIf { relay.isStarted }
+        val tookMs = context.clock.nowMs() - startMs
+        context.journal.attemptEnded(call, endpoint, text, tookMs, firstEventMs)
         context.loop.submit(
             ForwardingInput.AttemptEnded(
                 call.id,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/DecisionJournal.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/DecisionJournal.kt
@@ -36,13 +36,23 @@
         }
     }
 
-    /** Writes the end of an attempt at an endpoint. */
-    fun attemptEnded(call: ForwardedCall, endpoint: String, outcome: String, tookMs: Long) {
+    /**
+     * Writes the end of an attempt at an endpoint; [firstEventMs] is the time from the arrival of
+     * the request to the first event of its stream, null if there is none.
+     */
+    fun attemptEnded(
+        call: ForwardedCall,
+        endpoint: String,
+        outcome: String,
+        tookMs: Long,
+        firstEventMs: Long?
+    ) {
         line(Level.INFO)
             ?.addKeyValue("request", call.requestId.value)
             ?.addKeyValue("endpoint", endpoint)
             ?.addKeyValue("outcome", outcome)
             ?.addKeyValue("tookMs", tookMs)
+            ?.addKeyValue("firstEventMs", firstEventMs)
             ?.log("attempt")
     }
 
@@ -101,6 +111,8 @@
             .addKeyValue("slots", facts.slotCount)
             .addKeyValue("hosts", "${facts.heardHosts}/${facts.knownHosts}")
             .addKeyValue("waitedMs", facts.waitedMs)
+            .addKeyValue("unitsAsked", facts.unitsAsked)
+            .addKeyValue("unitsLeft", facts.unitsLeft)
             .addKeyValue("revision", facts.revision)
             .log("decision")
     }
