--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EventSplitter.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EventSplitter.kt
@@ -19,7 +19,7 @@
         val events = mutableListOf<StreamEvent>()
         var start = 0
         for (index in 1 until all.size) {
-            if (index > start && all[index] == LF && all[index - 1] == LF) {
+            if (isEventEnd(all, start, index)) {
                 val event = all.copyOfRange(start, index + 1)
                 events += StreamEvent(event, idOf(event))
                 start = index + 1
@@ -32,6 +32,13 @@
         return events
     }
 
+    /** Whether [index] holds the last byte of an empty line after [start]. */
+    private fun isEventEnd(bytes: ByteArray, start: Int, index: Int): Boolean {
+        if (bytes[index] != LF) return false
+        val before = if (bytes[index - 1] == CR) index - 2 else index - 1
+        return before >= start && bytes[before] == LF
+    }
+
     private fun idOf(event: ByteArray): Long? = String(event, Charsets.ISO_8859_1)
         .lineSequence()
         .firstOrNull { it.startsWith(ID_FIELD) }
@@ -40,6 +47,7 @@
         ?.toLongOrNull()
 
     private companion object {
+        const val CR = '\r'.code.toByte()
         const val LF = '\n'.code.toByte()
         const val ID_FIELD = "id:"
     }
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EventSplitterTest.kt
@@ -0,0 +1,49 @@
+package cowslipcart.daemon.gateway
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import org.junit.jupiter.api.Nested
+
+class EventSplitterTest {
+    private fun text(event: StreamEvent) = event.bytes.decodeToString()
+
+    @Nested
+    inner class Whole {
+        @Test
+        fun `events keep their bytes and tell their id`() {
+            val events = EventSplitter().add(
+                "weights: 2\nid: 7\ndata: a\n\ndata: b\n\n".toByteArray()
+            )
+            assertEquals(
+                listOf("weights: 2\nid: 7\ndata: a\n\n", "data: b\n\n"),
+                events.map(::text)
+            )
+            assertEquals(7, events[0].id)
+            assertNull(events[1].id)
+        }
+
+        @Test
+        fun `lines may end with carriage returns`() {
+            val events = EventSplitter().add("id: 1\r\ndata: a\r\n\r\nid: 2".toByteArray())
+            assertEquals(listOf("id: 1\r\ndata: a\r\n\r\n"), events.map(::text))
+        }
+    }
+
+    @Nested
+    inner class RandomPieces {
+        @Test
+        fun `the cut of the bytes does not matter`() {
+            val random = Random(11)
+            val all = (1..50).map { "id: $it\ndata: ${"x".repeat(random.nextInt(40))}\n\n" }
+            val bytes = all.joinToString("").toByteArray()
+            repeat(200) {
+                val splitter = EventSplitter()
+                val found = bytes.toList().chunked(random.nextInt(1, 300))
+                    .flatMap { splitter.add(it.toByteArray()) }
+                assertEquals(all, found.map(::text))
+            }
+        }
+    }
+}
--- a/standins/src/main/kotlin/cowslipcart/standins/Main.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/Main.kt
@@ -8,6 +8,7 @@
 import cowslipcart.standins.command.HostsCommand
 import cowslipcart.standins.command.LoadCommand
 import cowslipcart.standins.command.LogCommand
+import cowslipcart.standins.command.PlatformCommand
 import cowslipcart.standins.command.ServiceCommand
 
 private class StandinCommand : NoOpCliktCommand(name = "standin")
@@ -24,7 +25,8 @@
             EngineCommand(),
             ServiceCommand(),
             LoadCommand(),
-            HopCommand()
+            HopCommand(),
+            PlatformCommand()
         )
         .main(args)
 }
