--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -154,7 +154,7 @@
                 val result = when {
                     facts.isDeclined -> decline(head, reader)
                     head.headers["Content-Encoding"] != null -> broken("encoded answer")
-                    isEventStream(head) && facts.isSigned -> stream(head, reader)
+                    isEventStream(head) && isOwn(facts) -> stream(head, reader)
                     else -> whole(head, facts, reader)
                 }
                 val isClean = framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
@@ -164,6 +164,9 @@
             broken("only answers to other requests")
         }
 
+        private fun isOwn(facts: AnswerFacts): Boolean =
+            facts.isSigned && facts.requestId == call.requestId
+
         private suspend fun readHead(): ResponseHead {
             while (true) {
                 val bytes =
@@ -189,7 +192,7 @@
         ): ExchangeResult {
             val body = withSilenceLimit("answer broke off") { reader.readAll(MAX_ANSWER_BYTES) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
-            if (isSuccess && (!facts.isSigned || facts.requestId == null)) broken("unsigned answer")
+            if (isSuccess && !isOwn(facts)) broken("unsigned answer")
             if (relay.isStarted) broken("plain answer within a stream")
             if (head.status in PROMISING_STATUSES) broken("status ${head.status} after a run")
             val held = HeldAnswer(head, body)
