Leave units of a limit for small requests

Change: a request that takes 3 in 100 of the burst or more leaves 5 in 100; the reserve by rank goes from 0.20 to 0.12 a rank.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -55,12 +55,20 @@
 
     /**
      * Share of an organisation's burst that has to be left after a request of [rank] is admitted,
-     * so that its urgent requests still find units when it asks for more than its limit.
+     * so that its urgent requests still find units when it asks for more than its limit. A request
+     * that takes a large part of the burst, [costShare], leaves some for the many small ones.
      */
-    fun reservedQuotaShare(rank: Int): Double =
-        RESERVED_QUOTA_SHARE_PER_RANK * rank.coerceIn(0, MAX_RESERVING_RANK)
+    fun reservedQuotaShare(rank: Int, costShare: Double): Double {
+        val forSmall = if (costShare >= LARGE_COST_SHARE) RESERVED_FOR_SMALL_SHARE else 0.0
+        val forUrgent = RESERVED_QUOTA_SHARE_PER_RANK * rank.coerceIn(0, MAX_RESERVING_RANK)
+        return maxOf(forSmall, forUrgent)
+    }
+
+    private const val RESERVED_QUOTA_SHARE_PER_RANK = 0.12
 
-    private const val RESERVED_QUOTA_SHARE_PER_RANK = 0.2
+    /** A plain request takes far less, a draft more, at the limits of both deployments. */
+    private const val LARGE_COST_SHARE = 0.03
+    private const val RESERVED_FOR_SMALL_SHARE = 0.05
     private const val RESERVED_SHARE_PER_RANK = 0.06
     private const val MAX_RESERVING_RANK = 3
     private const val TOP_RANK_EXTRA_SLOTS = 2
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaBook.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaBook.kt
@@ -49,8 +49,10 @@
     fun tryTake(call: ForwardedCall, hosts: HostCounts, nowMs: Long): SharedQuota.Admission {
         val organisation = call.organisation
         if (organisation == null || organisation !in quotas) return SharedQuota.Admission.Taken
-        val reservedShare = AdmissionRule.reservedQuotaShare(call.rankInPool)
-        return buckets.getValue(organisation).tryTake(costOf(call), hosts, nowMs, reservedShare)
+        val cost = costOf(call)
+        val costShare = cost / quotas.getValue(organisation).burst
+        val reservedShare = AdmissionRule.reservedQuotaShare(call.rankInPool, costShare)
+        return buckets.getValue(organisation).tryTake(cost, hosts, nowMs, reservedShare)
     }
 
     fun giveBack(call: ForwardedCall) {
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -195,6 +195,24 @@
         }
     }
 
+    @Nested
+    inner class OverLimit {
+        /** Load pattern: a limit far below what its organisation sends, in large and small requests. */
+        @Test
+        fun `small requests find units beside large ones that ask for more than the limit`() {
+            fixture.list(entry("e1", slots = 10_000))
+            fixture.limit(ratePerS = 36_000.0)
+            var refusedSmall = 0
+            for (nowMs in 0L..10_000 step 50) {
+                fixture.nowMs = nowMs
+                fixture.arrive(fixture.call(tokens = 7_000, leftMs = 1_000_000))
+                val small = fixture.arrive(fixture.call(tokens = 200, leftMs = 1_000_000))
+                if (small.any { it is CallCommand.Refuse }) refusedSmall++
+            }
+            assertEquals(0, refusedSmall)
+        }
+    }
+
     @Nested
     inner class PeerLoad {
         @Test
