--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -74,9 +74,6 @@
 
     /** The connection or the answer broke after the request was sent; it may have run. */
     public data class Broken(public val reason: String) : AttemptOutcome
-
-    /** The caller left, or its time ended, while the endpoint had the request. */
-    public data object Abandoned : AttemptOutcome
 }
 
 /** Why an endpoint did not run a request. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -68,7 +68,7 @@
             is ForwardingInput.Arrived -> onArrived(input.call, nowMs)
             is ForwardingInput.Answering -> onAnswering(input.call, nowMs)
             is ForwardingInput.AttemptEnded -> onAttemptEnded(input, nowMs)
-            is ForwardingInput.CallerLeft -> onCallerLeft(input.call)
+            is ForwardingInput.CallClosed -> onCallClosed(input.call)
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
             is ForwardingInput.EndpointsChanged -> effects += fleet.onEntries(input.entries)
             is ForwardingInput.PeerReported -> onPeer(input.figures, nowMs)
@@ -189,7 +189,6 @@
             is AttemptOutcome.Declined -> onDeclined(state, attempt, outcome, nowMs)
             is AttemptOutcome.NotSent -> onNotSent(state, attempt, nowMs)
             is AttemptOutcome.Broken -> onBroken(state, attempt, nowMs)
-            AttemptOutcome.Abandoned -> calls -= state.call.id
         }
     }
 
@@ -298,7 +297,7 @@
     private fun retryAfterMs(call: ForwardedCall, nowMs: Long): Long? =
         AdmissionRule.retryAfterMs(call, random.nextDouble(), nowMs)
 
-    private fun onCallerLeft(id: CallId) {
+    private fun onCallClosed(id: CallId) {
         val state = calls.remove(id) ?: return
         state.current?.let { it.endpoint.onEnded(it.unreadTokens) }
         waiting -= state
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -16,7 +16,7 @@
     public data class Answering(public val call: CallId) : ForwardingInput
 
     /**
-     * An attempt ended; the call waits for the next command unless it was abandoned.
+     * An attempt ended; the call waits for the next command unless it has its answer.
      *
      * @property streamedEvents events after the first, 0 for a plain answer
      * @property streamedMs time from the first event to the last
@@ -28,8 +28,8 @@
         public val streamedMs: Long = 0
     ) : ForwardingInput
 
-    /** The caller left or its time ended while the call waited for a command. */
-    public data class CallerLeft(public val call: CallId) : ForwardingInput
+    /** The call ended; whatever it holds is free, if it has not been before. */
+    public data class CallClosed(public val call: CallId) : ForwardingInput
 
     /** The operator's configuration changed. */
     public data class RoutingChanged(public val table: RoutingTable) : ForwardingInput
--- a/core/src/main/kotlin/cowslipcart/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/cowslipcart/core/routing/RoutingTable.kt
@@ -52,13 +52,11 @@
  *
  * @property maxConnections of all hosts to one endpoint
  * @property tokensPerEvent tokens in one event of a stream; 0 for a plain service
- * @property slotCount requests that one endpoint runs at once; null if its entry tells
  */
 public data class PoolProfile(
     public val id: PoolId,
     public val maxConnections: Int,
-    public val tokensPerEvent: Int,
-    public val slotCount: Int?
+    public val tokensPerEvent: Int
 )
 
 /** One revision of the operator's configuration; immutable. */
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -135,7 +135,7 @@
             fixture.arrive(running)
             val gone = fixture.call(rank = 1)
             fixture.arrive(gone)
-            fixture.send(ForwardingInput.CallerLeft(gone.id))
+            fixture.send(ForwardingInput.CallClosed(gone.id))
 
             assertTrue(fixture.end(running, AttemptOutcome.Answered(true)).isEmpty())
         }
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -84,7 +84,7 @@
                 RoutingTable(
                     Revision(revision),
                     listOf(route(WorkKind.Idempotent, 2)),
-                    listOf(PoolProfile(POOL, 100, 6, null)),
+                    listOf(PoolProfile(POOL, 100, 6)),
                     mapOf("key" to OrganisationAccess(ORGANISATION, null, quota)),
                     CallerLimits(16_384, 1_024, 1_000, 1_000),
                     requiresKey = true
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -45,7 +45,7 @@
             throw e
         } finally {
             context.loop.forget(call.id)
-            context.loop.submit(ForwardingInput.CallerLeft(call.id))
+            context.loop.submit(ForwardingInput.CallClosed(call.id))
             val tookMs = context.clock.nowMs() - call.arrivedAtMs
             context.journal.answered(call, answer.status, end, tookMs)
         }
@@ -107,7 +107,6 @@
         is AttemptOutcome.Declined -> "declined: ${outcome.reason}"
         is AttemptOutcome.NotSent -> "not-sent: ${outcome.reason}"
         is AttemptOutcome.Broken -> "broken: ${outcome.reason}"
-        AttemptOutcome.Abandoned -> "abandoned"
     }
 
     private suspend fun refuse(command: CallCommand.Refuse) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EdgeDialect.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EdgeDialect.kt
@@ -3,7 +3,6 @@
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.PromptPart
 import cowslipcart.core.forwarding.WorkSize
-import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
 import cowslipcart.daemon.http1.Header
@@ -56,11 +55,9 @@
  * @property requestId request that it answers; null if it names none
  * @property isSigned whether it carries the endpoint's signature
  * @property isDeclined whether the endpoint states that it did not run the request
- * @property endpoint id of the endpoint, if it says so
  */
 public data class AnswerFacts(
     public val requestId: RequestId?,
     public val isSigned: Boolean,
-    public val isDeclined: Boolean,
-    public val endpoint: EndpointId?
+    public val isDeclined: Boolean
 )
