Read the store once a group and tell the others

Cause: every gateway read both tables itself, 1.7 calls a second and host. Change: the first host of a group reads, and tells the others in a datagram what matters; each host reads itself when its knowledge is 1.1 s old. Records that only confirm an entry are not passed on. A host that stops says so. A datagram with surplus CBOR elements ended the coroutine that receives reports; it is now counted as unreadable (found by the new test with damaged datagrams). The counter of store calls counts.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -36,6 +36,9 @@
     /** Figures for the other hosts, or null if there is nothing new to tell. */
     public fun figures(nowMs: Long): HostFigures?
 
+    /** Part of this host in spreading what hosts know. */
+    public fun reportPlan(nowMs: Long): ReportPlan
+
     /** Hosts that the platform lists. */
     public fun onHostsListed(hosts: Collection<HostId>, nowMs: Long)
 }
@@ -83,6 +86,8 @@
 
     override fun figures(nowMs: Long): HostFigures? = reporter.next(nowMs)
 
+    override fun reportPlan(nowMs: Long): ReportPlan = ReportPlan(roster.dutyRank(nowMs))
+
     override fun onHostsListed(hosts: Collection<HostId>, nowMs: Long) =
         roster.onListed(hosts, nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HostRoster.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HostRoster.kt
@@ -1,5 +1,6 @@
 package cowslipcart.core.forwarding
 
+import cowslipcart.core.membership.stableHash
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
 
@@ -16,6 +17,12 @@
         return HostCounts(known = knownCount, heard = heard + 1)
     }
 
+    /** Place of this host among those that are heard, in an order that all hosts share. */
+    fun dutyRank(nowMs: Long): Int {
+        val own = stableHash(self.value)
+        return hosts.count { (host, peer) -> peer.isHeard(nowMs) && stableHash(host.value) < own }
+    }
+
     /** Hosts that the platform lists; one that is new counts as silent until it reports. */
     fun onListed(listed: Collection<HostId>, nowMs: Long) {
         for (host in listed) if (host != self) hosts.getOrPut(host) { Peer(nowMs) }
--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -48,18 +48,28 @@
         isStoreLost = false
     }
 
-    /** Takes changes in the order of the log. */
-    public fun onChanges(changes: List<EndpointChange>) {
-        for (change in changes) {
-            val known = listed[change.id]
-            if (known != null && change.offset <= known.offset) continue
-            val record = change.record
-            if (record == null) {
-                known?.droppedAt = known.droppedAt ?: change.offset
-            } else if (known == null || isNewer(record, known.record)) {
-                listed[change.id] = Listed(record, change.offset)
-            }
+    /**
+     * Takes changes in the order of the log. Returns those that another listing needs to come to
+     * the same result: a record that only confirms the known one is left out, and a dropped key
+     * comes with the last record before it, so that an older one that arrives late is told.
+     */
+    public fun onChanges(changes: List<EndpointChange>): List<EndpointChange> =
+        changes.flatMap { onChange(it) }
+
+    private fun onChange(change: EndpointChange): List<EndpointChange> {
+        val known = listed[change.id]
+        if (known != null && change.offset <= known.offset) return emptyList()
+        val record = change.record
+        if (record == null) {
+            if (known == null || known.droppedAt != null) return emptyList()
+            known.droppedAt = change.offset
+            return listOf(EndpointChange(change.id, known.record, known.offset), change)
         }
+        if (known != null && !isNewer(record, known.record)) return emptyList()
+        listed[change.id] = Listed(record, change.offset)
+        val isConfirmed = known != null && known.droppedAt == null &&
+            known.record.entry == record.entry && known.record.startedAtMs == record.startedAtMs
+        return if (isConfirmed) emptyList() else listOf(change)
     }
 
     /** Takes the newest records of all endpoints; [end] is the end of the log at the read. */
@@ -80,6 +90,15 @@
             .map { it.record.entry }
     }
 
+    /** When the store could be read again after its last failure; null if that is long ago. */
+    public fun regainedAtMs(nowMs: Long): Long? =
+        storeBackAtMs.takeIf { !isStoreLost && nowMs - it < LAPSE_GRACE_MS }
+
+    /** Another host could read the store again at [atMs]. */
+    public fun onRegainedElsewhere(atMs: Long) {
+        storeBackAtMs = maxOf(storeBackAtMs, atMs)
+    }
+
     /** Time until entries that lapsed in an outage no longer count, in ms; 0 if none can. */
     public fun graceLeftMs(nowMs: Long): Long =
         if (isStoreLost) 0 else maxOf(0, storeBackAtMs + LAPSE_GRACE_MS - nowMs)
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/store/EndpointFeedTest.kt
@@ -0,0 +1,154 @@
+package cowslipcart.core.store
+
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.PoolId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+class EndpointFeedTest {
+    private val reader = EndpointFeed()
+    private val member = EndpointFeed()
+    private val id = EndpointId("e1")
+
+    private fun record(beat: Long, isDraining: Boolean = false, of: EndpointId = id) =
+        EndpointRecord(
+            EndpointEntry(of, PoolId("p"), "127.0.0.1", 1, "a", 4, isDraining),
+            startedAtMs = 1,
+            beatNumber = beat
+        )
+
+    private fun change(offset: Long, record: EndpointRecord?) =
+        EndpointChange(record?.entry?.id ?: id, record, LogOffset(offset))
+
+    private fun EndpointFeed.read(from: Long, changes: List<EndpointChange>, atMs: Long = 0) {
+        val end = LogOffset(from + changes.size)
+        onChanges(changes, LogOffset(from), end, atMs, atMs)
+    }
+
+    private fun start(vararg feeds: EndpointFeed) {
+        for (feed in feeds) {
+            feed.onSnapshot(listOf(change(0, record(1))), LogOffset(1), 0, 0)
+        }
+    }
+
+    @Nested
+    inner class Told {
+        @Test
+        fun `records that confirm what is known are left out`() {
+            start(reader)
+            reader.read(1, listOf(change(1, record(2)), change(2, record(3))))
+
+            val news = assertNotNull(reader.news(0))
+            assertEquals(emptyList(), news.changes)
+            assertEquals(LogOffset(3), news.next)
+        }
+
+        @Test
+        fun `news cover the reads of the last seconds`() {
+            start(reader, member)
+            reader.read(1, listOf(change(1, record(2, isDraining = true))), atMs = 1_000)
+            reader.read(2, listOf(change(2, record(3, isDraining = true))), atMs = 2_000)
+
+            assertTrue(member.onNews(assertNotNull(reader.news(2_000)), 2_000))
+            assertTrue(member.entries(2_000).single().isDraining)
+        }
+
+        /** Guards against a host that missed a change and takes later news as complete. */
+        @Test
+        fun `news that begin after what is known are not used`() {
+            start(reader, member)
+            reader.read(1, listOf(change(1, record(2, isDraining = true))), atMs = 1_000)
+            reader.read(2, listOf(change(2, record(3, isDraining = true))), atMs = 9_000)
+
+            assertFalse(member.onNews(assertNotNull(reader.news(9_000)), 9_000))
+            assertEquals(LogOffset(1), member.next)
+        }
+
+        /**
+         * Guards against a dropped endpoint that comes back: its beats in between were left out of
+         * the news, and one of them arrives late in the log.
+         */
+        @Test
+        fun `a late record from before a drop does not bring the endpoint back`() {
+            start(reader, member)
+            reader.read(1, listOf(change(1, record(50)), change(2, null)))
+            assertTrue(member.onNews(assertNotNull(reader.news(0)), 0))
+
+            member.read(3, listOf(change(3, record(30))))
+            assertEquals(emptyList(), member.entries(10_000))
+        }
+    }
+
+    @Nested
+    inner class Patience {
+        @Test
+        fun `the first host reads before the others run out of patience`() {
+            start(reader, member)
+            val firstMs = reader.untilReadMs(0, 0)
+            assertTrue(firstMs < member.untilReadMs(1, 0))
+            assertTrue(member.untilReadMs(1, 0) < member.untilReadMs(7, 0))
+        }
+
+        @Test
+        fun `the age of the read counts, not the arrival of the news`() {
+            start(reader, member)
+            reader.read(1, listOf(change(1, record(2))), atMs = 500)
+            val before = member.untilReadMs(7, 500)
+            assertTrue(member.onNews(assertNotNull(reader.news(700)), 700))
+
+            assertEquals(before + 500 - 200, member.untilReadMs(7, 700))
+        }
+    }
+
+    @Nested
+    inner class Histories {
+        /** Random logs, read in parts by one host and told to another that misses some messages. */
+        @Test
+        fun `a host that gets news has the same endpoints as one that reads everything`() {
+            for (seed in 1..500) compare(Random(seed))
+        }
+
+        private fun compare(random: Random) {
+            val log = randomLog(random)
+            val told = EndpointFeed()
+            val direct = EndpointFeed()
+            for (feed in listOf(direct, told)) feed.onSnapshot(emptyList(), LogOffset(0), 0, 0)
+            var from = 0
+            while (from < log.size) {
+                val until = minOf(log.size, from + random.nextInt(1, 5))
+                direct.read(from.toLong(), log.subList(from, until))
+                val isLost = random.nextInt(4) == 0
+                if (!isLost) assertTrue(told.onNews(assertNotNull(direct.news(0)), 0))
+                from = until
+            }
+            told.onNews(assertNotNull(direct.news(0)), 0)
+            val expected = direct.entries(10_000).toSet()
+            assertEquals(expected, told.entries(10_000).toSet())
+        }
+
+        private fun randomLog(random: Random): List<EndpointChange> {
+            val beats = mutableMapOf<EndpointId, Long>()
+            return (0L until 40).map { offset ->
+                val endpoint = EndpointId("e${random.nextInt(3)}")
+                val beat = beats.getOrDefault(endpoint, 0) + 1
+                when (random.nextInt(6)) {
+                    0 -> EndpointChange(endpoint, null, LogOffset(offset))
+
+                    1 -> change(offset, record(maxOf(1, beat - 3), of = endpoint))
+
+                    else -> {
+                        beats[endpoint] = beat
+                        change(offset, record(beat, random.nextInt(5) == 0, endpoint))
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CountedStore.kt
@@ -0,0 +1,39 @@
+package cowslipcart.daemon.gateway
+
+import arrow.core.Either
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.store.KeyedStore
+import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreTable
+import cowslipcart.core.store.TableChanges
+import cowslipcart.core.store.TableSnapshot
+
+/** Counts the calls to [store] by table and result. */
+internal class CountedStore(private val store: KeyedStore, private val metrics: GatewayMetrics) :
+    KeyedStore {
+    override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> =
+        store.newest(table).also { count("newest", it) }
+
+    override suspend fun changes(
+        table: StoreTable,
+        from: LogOffset,
+        waitMs: Long,
+        answerMs: Long
+    ): Either<StoreError, TableChanges> =
+        store.changes(table, from, waitMs, answerMs).also { count("changes", it) }
+
+    override suspend fun put(
+        table: StoreTable,
+        key: String,
+        value: ByteArray
+    ): Either<StoreError, Unit> = store.put(table, key, value).also { count("put", it) }
+
+    private fun count(call: String, answer: Either<StoreError, Any>) {
+        val result = when (answer.leftOrNull()) {
+            null -> "answered"
+            is StoreError.Unavailable -> "failed"
+            StoreError.Trimmed -> "trimmed"
+        }
+        metrics.storeCalls.labelValues(call, result).inc()
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.HostFigures
+import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.ConcurrentHashMap
@@ -25,7 +26,7 @@
     private val controller: ForwardingController,
     private val clock: RuntimeClock,
     private val log: DecisionJournal,
-    private val publish: (HostFigures) -> Unit
+    private val publish: (HostFigures?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
         class Input(val input: ForwardingInput) : Message
@@ -101,7 +102,7 @@
         val nowMs = clock.nowMs()
         if (nowMs < reportDueMs) return
         reportDueMs = nowMs + REPORT_INTERVAL_MS
-        controller.figures(nowMs)?.let(publish)
+        publish(controller.figures(nowMs), controller.reportPlan(nowMs))
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -55,7 +55,7 @@
     private val state = GatewayState()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val self = settings.forwarding.host
-    private val peers = PeerReports(self, metrics, journal) { loop.submit(it) }
+    private val peers: PeerReports = PeerReports(self, metrics, journal, ::onPeer)
     private val loop: ForwardingLoop = ForwardingLoop(
         createForwardingController(settings.forwarding, random),
         clock,
@@ -72,6 +72,8 @@
         clock
     )
 
+    private var follower: StoreFollower? = null
+
     @Volatile
     private var listed = emptySet<EndpointId>()
 
@@ -87,8 +89,9 @@
                 StatusConnection(state, metrics, journal).serve(it)
             }
         }
-        StoreFollower(store, decoder, listener, journal, clock, random)
-            .start(scope, self, settings.peer)
+        val counted = CountedStore(store, metrics)
+        follower = StoreFollower(counted, decoder, listener, peers, journal, clock, random)
+            .also { it.start(scope, self, settings.peer) }
         scope.launch { sweep() }
     }
 
@@ -101,6 +104,7 @@
         delay(BALANCER_NOTICE_MS)
         state.isRefusing = true
         while (state.activeRequests.get() > 0 && clock.nowMs() < endMs) delay(STOP_POLL_MS)
+        peers.sendLeaving()
         journal.event("stopped", "active" to state.activeRequests.get())
         scope.cancel()
     }
@@ -136,6 +140,13 @@
         loop.submitHosts(hosts.keys)
     }
 
+    private fun onPeer(message: PeerMessage) {
+        when (message) {
+            is PeerMessage.Input -> loop.submit(message.input)
+            is PeerMessage.News -> follower?.onNews(message.news)
+        }
+    }
+
     private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit) {
         val server = aSocket(selector).tcp()
             .bind(InetSocketAddress(listen.ip, listen.port)) { backlogSize = BACKLOG }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -7,19 +7,24 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.EndpointChange
-import cowslipcart.core.store.EndpointListing
+import cowslipcart.core.store.EndpointFeed
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreNews
 import cowslipcart.core.store.StoreTable
+import cowslipcart.core.store.TableFreshness
 import cowslipcart.core.store.TableRecord
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Decodes the records of a platform. Returns null for a record of another form. */
 public interface RecordDecoder {
@@ -39,40 +44,93 @@
     fun onHosts(hosts: Map<HostId, SocketAddressSetting>)
 }
 
-/** Keeps up with the tables of the store, each in a coroutine of its own. */
+/** Tells the other hosts of the group what this host read. */
+internal interface NewsPublisher {
+    /** Place of this host in the order in which its group takes duties, from 0. */
+    val dutyRank: Int
+
+    fun publish(news: StoreNews)
+}
+
+/**
+ * Keeps up with the tables of the store, each in a coroutine of its own. A host reads the store
+ * itself when the news of others stays out.
+ */
 internal class StoreFollower(
     private val store: KeyedStore,
     private val decoder: RecordDecoder,
     private val listener: StoreListener,
+    private val publisher: NewsPublisher,
     private val journal: DecisionJournal,
     private val clock: RuntimeClock,
     private val random: Random
 ) {
-    private val listing = EndpointListing()
+    private val endpoints = EndpointFeed()
+    private val configuration = TableFreshness(CONFIGURATION_PATIENCE_MS)
+    private val endpointNews = newsChannel<StoreNews.Endpoints>()
+    private val configurationNews = newsChannel<StoreNews.Configuration>()
+    private var entries: List<EndpointEntry>? = null
 
     fun start(scope: CoroutineScope, self: HostId, peerAddress: SocketAddressSetting) {
-        scope.launch {
-            follow(StoreTable.CONFIGURATION, CONFIGURATION_WAIT_MS, 0, ::onConfiguration)
-        }
-        scope.launch { follow(StoreTable.ENDPOINTS, 0, ENDPOINT_INTERVAL_MS, ::onEndpoints) }
+        scope.launch { while (isActive) followConfiguration() }
+        scope.launch { while (isActive) followEndpoints() }
         scope.launch { announce(self, peerAddress) }
     }
 
-    /** What a table's records mean; [end] is set for a snapshot. */
-    private fun onConfiguration(records: List<TableRecord>, end: LogOffset?) {
-        for (record in records) {
-            val value = record.value ?: continue
-            val table = decoder.decodeRouting(record.key, value)
-            if (table == null) {
-                journal.event("record-unreadable", "key" to record.key, "snapshot" to (end != null))
-            } else {
-                listener.onRouting(table)
+    /** Takes the news of another host; never blocks. */
+    fun onNews(news: StoreNews) {
+        when (news) {
+            is StoreNews.Endpoints -> endpointNews.trySend(news)
+            is StoreNews.Configuration -> configurationNews.trySend(news)
+        }
+    }
+
+    private val endpointHealth = StoreHealth(StoreTable.ENDPOINTS, journal)
+
+    /** Waits for news of the endpoints, or reads them itself. */
+    private suspend fun followEndpoints() {
+        val waitMs = endpoints.untilReadMs(publisher.dutyRank, clock.nowMs())
+        val news = withTimeoutOrNull(waitMs) { endpointNews.receive() }
+        if (news == null) {
+            readEndpoints()
+        } else {
+            endpoints.onNews(news, clock.nowMs())
+        }
+        if (endpoints.next != null) showEndpoints()
+    }
+
+    private fun showEndpoints() {
+        val current = endpoints.entries(clock.nowMs())
+        if (current == entries) return
+        entries = current
+        listener.onEndpoints(current)
+    }
+
+    private suspend fun readEndpoints() {
+        val from = endpoints.next
+        val sentAtMs = clock.nowMs()
+        val table = StoreTable.ENDPOINTS
+        val answer = if (from == null) {
+            store.newest(table).onRight {
+                endpoints.onSnapshot(decodeEndpoints(it.records), it.end, sentAtMs, clock.nowMs())
             }
+        } else {
+            store.changes(table, from, 0, answerMs(endpointHealth)).onRight {
+                val changes = decodeEndpoints(it.records)
+                endpoints.onChanges(changes, from, it.next, sentAtMs, clock.nowMs())
+            }
+        }
+        val error = answer.leftOrNull()
+        endpointHealth.onCall(error)
+        when (error) {
+            null -> endpoints.news(clock.nowMs())?.let { publisher.publish(it) }
+            StoreError.Trimmed -> endpoints.onTrimmed()
+            is StoreError.Unavailable -> endpoints.onFailed(clock.nowMs() + pauseMs(endpointHealth))
         }
     }
 
-    private fun onEndpoints(records: List<TableRecord>, end: LogOffset?) {
-        val changes = records.map { record ->
+    private fun decodeEndpoints(records: List<TableRecord>): List<EndpointChange> =
+        records.map { record ->
             val id = EndpointId(record.key)
             val decoded = record.value?.let { decoder.decodeEndpoint(id, it) }
             if (decoded == null && record.value != null) {
@@ -80,81 +138,81 @@
             }
             EndpointChange(id, decoded, record.offset)
         }
-        if (end == null) listing.onChanges(changes) else listing.onSnapshot(changes, end)
-        listing.compact(clock.nowMs())
+
+    private val configurationHealth = StoreHealth(StoreTable.CONFIGURATION, journal)
+
+    /** Waits for news of the configuration, or reads it; the first host waits at the store. */
+    private suspend fun followConfiguration() {
+        val rank = publisher.dutyRank
+        val waitMs = configuration.untilReadMs(rank, clock.nowMs())
+        val news = if (waitMs == 0L) {
+            configurationNews.tryReceive().getOrNull()
+        } else {
+            withTimeoutOrNull(waitMs) { configurationNews.receive() }
+        }
+        if (news != null && configuration.onNews(news, clock.nowMs())) return
+        readConfiguration(if (news == null && rank == 0) CONFIGURATION_WAIT_MS else 0)
     }
 
-    private suspend fun follow(
-        table: StoreTable,
-        waitMs: Long,
-        intervalMs: Long,
-        apply: (List<TableRecord>, LogOffset?) -> Unit
-    ) {
-        var next: LogOffset? = null
-        val health = StoreHealth(table, journal)
-        while (clock.nowMs() >= 0) {
-            val from = next
-            val error = if (from == null) {
-                store.newest(table).onRight {
-                    apply(it.records, it.end)
-                    next = it.end
-                }.leftOrNull()
-            } else {
-                store.changes(table, from, waitMs, answerMs(health)).onRight {
-                    apply(it.records, null)
-                    next = it.next
-                }.leftOrNull()
+    private suspend fun readConfiguration(waitMs: Long) {
+        val from = configuration.next
+        val sentAtMs = clock.nowMs()
+        val table = StoreTable.CONFIGURATION
+        val answer: Either<StoreError, Unit> = if (from == null) {
+            store.newest(table).map {
+                showConfiguration(it.records)
+                configuration.onRead(it.end, sentAtMs)
+            }
+        } else {
+            store.changes(table, from, waitMs, answerMs(configurationHealth)).map {
+                showConfiguration(it.records)
+                // Without a change the store has waited the whole time before it answered.
+                val waitedMs = if (it.next == from) waitMs else 0
+                configuration.onRead(it.next, minOf(sentAtMs + waitedMs, clock.nowMs()))
+            }
+        }
+        val error = answer.leftOrNull()
+        configurationHealth.onCall(error)
+        when (error) {
+            null -> configuration.next?.let {
+                val ageMs = configuration.ageMs(clock.nowMs())
+                publisher.publish(StoreNews.Configuration(it, ageMs))
             }
-            if (error == StoreError.Trimmed) next = null
-            onCallEnded(table, error)
-            health.onCall(error)
-            delay(untilNextCallMs(table, pauseMs(error, intervalMs, health)))
+
+            StoreError.Trimmed -> configuration.onTrimmed()
+
+            is StoreError.Unavailable ->
+                configuration.onFailed(clock.nowMs() + pauseMs(configurationHealth))
         }
     }
 
-    /** Entries that lapsed in an outage have to be given up on time, not at the next read. */
-    private fun untilNextCallMs(table: StoreTable, pauseMs: Long): Long {
-        if (table != StoreTable.ENDPOINTS) return pauseMs
-        val graceLeftMs = listing.graceLeftMs(clock.nowMs())
-        return if (graceLeftMs > 0) minOf(pauseMs, graceLeftMs) else pauseMs
+    private fun showConfiguration(records: List<TableRecord>) {
+        for (record in records) {
+            val value = record.value ?: continue
+            val table = decoder.decodeRouting(record.key, value)
+            if (table == null) {
+                journal.event("record-unreadable", "key" to record.key)
+            } else {
+                listener.onRouting(table)
+            }
+        }
     }
 
     /** Doubles after each failure, so that a slow store is not taken for a silent one for ever. */
     private fun answerMs(health: StoreHealth): Long =
         ANSWER_MS shl minOf(health.failures, MAX_DOUBLINGS)
 
-    private fun onCallEnded(table: StoreTable, error: StoreError?) {
-        if (table != StoreTable.ENDPOINTS) return
-        when (error) {
-            is StoreError.Unavailable -> listing.onStoreLost()
-
-            StoreError.Trimmed -> Unit
-
-            null -> {
-                listing.onStoreAnswered(clock.nowMs())
-                listener.onEndpoints(listing.entries(clock.nowMs()))
-            }
-        }
+    private fun pauseMs(health: StoreHealth): Long {
+        val pauseMs = FIRST_PAUSE_MS shl minOf(health.failures - 1, MAX_DOUBLINGS)
+        return pauseMs / 2 + random.nextLong(pauseMs / 2)
     }
 
-    private fun pauseMs(error: StoreError?, intervalMs: Long, health: StoreHealth): Long =
-        when (error) {
-            null -> intervalMs
-
-            StoreError.Trimmed -> 0
-
-            is StoreError.Unavailable -> {
-                val pauseMs = FIRST_PAUSE_MS shl minOf(health.failures, MAX_DOUBLINGS)
-                pauseMs / 2 + random.nextLong(pauseMs / 2)
-            }
-        }
-
     /** Writes where this host is reached, and reads where the others are. */
     private suspend fun announce(self: HostId, address: SocketAddressSetting) {
         val health = StoreHealth(StoreTable.HOSTS, journal)
         val value = address.toString().encodeToByteArray()
         while (store.put(StoreTable.HOSTS, self.value, value).onHost(health) == null) {
-            delay(pauseMs(StoreError.Unavailable(""), 0, health))
+            delay(pauseMs(health))
         }
         while (clock.nowMs() >= 0) {
             val snapshot = store.newest(StoreTable.HOSTS).onHost(health)
@@ -177,18 +235,17 @@
             }
         }.toMap()
 
+    private fun <T> newsChannel() = Channel<T>(NEWS_CAPACITY, BufferOverflow.DROP_OLDEST)
+
     private companion object {
         /**
-         * With [ANSWER_MS] a silent connection is noticed within the 3 s after which a host has to
-         * know a change again, in ms.
+         * The first host of a group waits so long at the store for a change. The others read
+         * themselves when they have heard nothing for a little longer, in ms.
          */
-        const val CONFIGURATION_WAIT_MS = 2_000L
+        const val CONFIGURATION_WAIT_MS = 800L
 
-        /**
-         * An endpoint that drains may get work for 2 s. One read that fails, its pause and the next
-         * one have to fit into that time, in ms.
-         */
-        const val ENDPOINT_INTERVAL_MS = 900L
+        /** Bounds the calls a second if the store answers at once without a change, in ms. */
+        const val CONFIGURATION_PATIENCE_MS = 50L
 
         /** An answer takes 4 ms; on slow days close to 400 ms. */
         const val ANSWER_MS = 500L
@@ -200,31 +257,8 @@
         /** First pause after a failed call, which doubles up to 800 ms. */
         const val FIRST_PAUSE_MS = 200L
         const val MAX_DOUBLINGS = 2
-    }
-}
-
-/** Notes when a table of the store can no longer be read, and when it can again. */
-private class StoreHealth(private val table: StoreTable, private val journal: DecisionJournal) {
-    var failures = 0
-        private set
-
-    fun onCall(error: StoreError?) {
-        when (error) {
-            is StoreError.Unavailable -> {
-                if (failures == 0) {
-                    journal.event("store-lost", "table" to table.name, "reason" to error.reason)
-                }
-                failures++
-            }
-
-            StoreError.Trimmed -> journal.event("store-trimmed", "table" to table.name)
 
-            null -> {
-                if (failures > 0) {
-                    journal.event("store-regained", "table" to table.name, "failures" to failures)
-                }
-                failures = 0
-            }
-        }
+        /** Each message covers the last seconds, so the newest ones suffice. */
+        const val NEWS_CAPACITY = 8
     }
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -9,10 +9,12 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointListing
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreNews
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.TableChanges
 import cowslipcart.core.store.TableRecord
@@ -88,11 +90,21 @@
         }
     }
 
+    private class FakePublisher : NewsPublisher {
+        override var dutyRank = 0
+        val published = mutableListOf<StoreNews>()
+
+        override fun publish(news: StoreNews) {
+            published += news
+        }
+    }
+
+    private val publisher = FakePublisher()
     private val store = FakeStore()
     private var entries = emptyList<EndpointEntry>()
     private val answeredAtMs = mutableListOf<Long>()
 
-    private fun TestScope.follow() {
+    private fun TestScope.follow(): StoreFollower {
         val clock = RuntimeClock(testTimeSource)
         val listener = object : StoreListener {
             override fun onRouting(table: RoutingTable) = Unit
@@ -105,8 +117,15 @@
             override fun onHosts(hosts: Map<HostId, SocketAddressSetting>) = Unit
         }
         val journal = DecisionJournal(clock, GatewayMetrics())
-        StoreFollower(store, StateDecoder, listener, journal, clock, Random(3))
-            .start(backgroundScope, HostId("h"), SocketAddressSetting("127.0.0.1", 1))
+        return StoreFollower(
+            store,
+            StateDecoder,
+            listener,
+            publisher,
+            journal,
+            clock,
+            Random(3)
+        ).also { it.start(backgroundScope, HostId("h"), SocketAddressSetting("127.0.0.1", 1)) }
     }
 
     /** Time after which the draining of the endpoint is known, in ms. */
@@ -185,6 +204,71 @@
         }
     }
 
+    @Nested
+    inner class News {
+        private suspend fun tellEvery(follower: StoreFollower, intervalMs: Long, count: Int) =
+            repeat(count) {
+                val next = LogOffset(store.records.size.toLong())
+                follower.onNews(StoreNews.Endpoints(next, next, emptyList(), 0, null))
+                delay(intervalMs)
+            }
+
+        /** Guards against 20 or 145 hosts that all read the same table of the store. */
+        @Test
+        fun `a host that hears news of another does not read the store`() = runTest {
+            publisher.dutyRank = 5
+            val follower = follow()
+            delay(10)
+            val before = store.readCount
+            tellEvery(follower, intervalMs = 900, count = 10)
+
+            assertEquals(before, store.readCount)
+        }
+
+        @Test
+        fun `a draining endpoint is known in time by news of another host`() = runTest {
+            store.write("ready")
+            publisher.dutyRank = 5
+            val follower = follow()
+            delay(10)
+            store.write("draining")
+            val record = StateDecoder.decodeEndpoint(EndpointId("e1"), "draining".toByteArray())
+            val change = EndpointChange(EndpointId("e1"), record, LogOffset(1))
+            follower.onNews(
+                StoreNews.Endpoints(LogOffset(1), LogOffset(2), listOf(change), 0, null)
+            )
+            delay(10)
+
+            assertTrue(entries.single().isDraining)
+            assertEquals(0, store.readCount)
+        }
+
+        /** Guards against news of a cut-off or frozen reader that stay out unnoticed. */
+        @Test
+        fun `a draining endpoint is known within two seconds after the reader fell silent`() =
+            runTest {
+                store.write("ready")
+                publisher.dutyRank = 5
+                val follower = follow()
+                delay(10)
+                tellEvery(follower, intervalMs = 900, count = 3)
+                assertTrue(drainKnownAfterMs() < DRAIN_MS)
+            }
+
+        @Test
+        fun `the first host tells the others what it read`() = runTest {
+            store.write("ready")
+            follow()
+            delay(START_MS)
+            store.write("draining")
+            delay(1_000)
+
+            val news = publisher.published.filterIsInstance<StoreNews.Endpoints>().last()
+            assertEquals(LogOffset(2), news.next)
+            assertTrue(checkNotNull(news.changes.single().record).entry.isDraining)
+        }
+    }
+
     private companion object {
         /** After the first reads, right after a read of the endpoints, in ms. */
         const val START_MS = 1_805L
--- a/wire/src/main/kotlin/cowslipcart/wire/figures/FigureCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/figures/FigureCodec.kt
@@ -22,30 +22,21 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.CborArray
 
-/** Encodes what hosts tell each other in one datagram. */
-public object FigureCodec {
-    private const val VERSION = 1
+/** Encodes the figures of a host. Decoding fails with a [SerializationException]. */
+internal object FigureCodec {
+    private const val VERSION = 2
 
-    /** Encodes a report. */
-    public fun encode(figures: HostFigures): ByteArray =
-        peerCbor.encodeToByteArray(FiguresDocument.serializer(), toDocument(figures, false))
+    /** Encodes [figures]; [isLeaving] marks the last ones of a host that stops in good order. */
+    fun encode(figures: HostFigures, isLeaving: Boolean): ByteArray =
+        peerCbor.encodeToByteArray(FiguresDocument.serializer(), toDocument(figures, isLeaving))
 
-    /** Encodes the last report of a host that stops in good order. */
-    public fun encodeLeaving(figures: HostFigures): ByteArray =
-        peerCbor.encodeToByteArray(FiguresDocument.serializer(), toDocument(figures, true))
-
-    /** Decodes a datagram. */
-    public fun decode(bytes: ByteArray): Either<WireError, DecodedFigures> = try {
+    fun decode(bytes: ByteArray): Either<WireError, PeerDatagram> {
         val document = peerCbor.decodeFromByteArray(FiguresDocument.serializer(), bytes)
-        if (document.version == VERSION) {
-            DecodedFigures(toFigures(document), document.isLeaving).right()
+        return if (document.version == VERSION) {
+            PeerDatagram.Figures(toFigures(document), document.isLeaving).right()
         } else {
             WireError.UnknownVersion(VERSION, document.version).left()
         }
-    } catch (e: SerializationException) {
-        WireError.Malformed("expected a report, found ${e.message}").left()
-    } catch (e: IllegalArgumentException) {
-        WireError.Malformed("expected a report, found ${e.message}").left()
     }
 
     private fun toDocument(figures: HostFigures, isLeaving: Boolean) = FiguresDocument(
@@ -81,9 +72,6 @@
     )
 }
 
-/** A decoded report; [isLeaving] if it is the last one of its host. */
-public data class DecodedFigures(public val figures: HostFigures, public val isLeaving: Boolean)
-
 /** Array form of [HostFigures]. The order of the fields is part of the protocol. */
 @Serializable
 @CborArray
--- /dev/null
+++ b/wire/src/test/kotlin/cowslipcart/wire/figures/DatagramCodecTest.kt
@@ -0,0 +1,85 @@
+package cowslipcart.wire.figures
+
+import cowslipcart.core.forwarding.CrashNotice
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.HostFigures
+import cowslipcart.core.forwarding.HostLoad
+import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.ReadPart
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.store.EndpointChange
+import cowslipcart.core.store.EndpointRecord
+import cowslipcart.core.store.StoreNews
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+class DatagramCodecTest {
+    private val id = EndpointId("e1")
+    private val entry = EndpointEntry(id, PoolId("p"), "127.0.0.1", 80, "a", 4, isDraining = true)
+    private val figures = HostFigures(
+        HostId("h"),
+        IncarnationId(7),
+        sequence = 3,
+        loads = mapOf(id to HostLoad(2, 600)),
+        unitsUsed = mapOf(OrganisationId("o") to 12.5),
+        readParts = listOf(ReadPart(PromptPartId(5), id)),
+        crashes = listOf(CrashNotice(1, Fingerprint("f"), id))
+    )
+    private val samples = listOf(
+        PeerDatagram.Figures(figures, isLeaving = false),
+        PeerDatagram.Figures(figures, isLeaving = true),
+        PeerDatagram.News(StoreNews.Configuration(LogOffset(9), ageMs = 4)),
+        PeerDatagram.News(
+            StoreNews.Endpoints(
+                LogOffset(4),
+                LogOffset(9),
+                listOf(
+                    EndpointChange(id, EndpointRecord(entry, 11, 12), LogOffset(5)),
+                    EndpointChange(id, null, LogOffset(6))
+                ),
+                ageMs = 4,
+                regainedForMs = 100
+            )
+        )
+    )
+
+    @Nested
+    inner class RoundTrip {
+        @Test
+        fun `every kind of message comes back as it was`() {
+            for (sample in samples) {
+                assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+            }
+        }
+    }
+
+    @Nested
+    inner class BadInput {
+        @Test
+        fun `an empty datagram and an unknown kind are errors`() {
+            assertTrue(DatagramCodec.decode(ByteArray(0)).isLeft())
+            assertTrue(DatagramCodec.decode(byteArrayOf(99, 1, 2)).isLeft())
+        }
+
+        @Test
+        fun `10,000 damaged datagrams are decoded or refused without an exception`() {
+            val random = Random(5)
+            repeat(10_000) {
+                val bytes = DatagramCodec.encode(samples.random(random))
+                repeat(random.nextInt(1, 4)) {
+                    bytes[random.nextInt(bytes.size)] = random.nextInt().toByte()
+                }
+                DatagramCodec.decode(bytes.copyOf(random.nextInt(1, bytes.size + 1)))
+            }
+        }
+    }
+}
