Emulate the engines of the sheets behind the gateway's decisions

Change: bin/experiment-gateway runs the real ForwardingController of many hosts in virtual time against engines with the step times, prompt chunks and sizes of the sheets, and callers that come back and give up. Gateways log how long an answer was expected to be and how many events were passed on.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -26,8 +26,14 @@
  *
  * @property inputTokens tokens of the prompt; 0 for a plain service
  * @property outputTokens most tokens of the answer
+ * @property hintedOutputTokens the caller's estimate of the tokens of the answer, right at the
+ * median but often far off; null for none
  */
-public data class WorkSize(public val inputTokens: Int, public val outputTokens: Int) {
+public data class WorkSize(
+    public val inputTokens: Int,
+    public val outputTokens: Int,
+    public val hintedOutputTokens: Int? = null
+) {
     /** Tokens that a limit of an organisation counts. */
     public val totalTokens: Long get() = inputTokens.toLong() + outputTokens
 }
@@ -59,6 +65,11 @@
 ) {
     /** Prompt tokens that an engine without a cache reads. */
     public val inputTokens: Int get() = statedSize?.inputTokens ?: 0
+
+    /** Tokens that the answer is expected to have; 0 for a plain service. */
+    public val expectedOutputTokens: Int
+        get() = statedSize?.let { minOf(it.hintedOutputTokens ?: it.outputTokens, it.outputTokens) }
+            ?: 0
 }
 
 /** How one attempt at an endpoint ended. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -91,7 +91,14 @@
         context.metrics.attempts.labelValues(text.substringBefore(':')).inc()
         val firstEventMs = (relay.firstEventAtMs - call.arrivedAtMs).takeIf { relay.isStarted }
         val tookMs = context.clock.nowMs() - startMs
-        context.journal.attemptEnded(call, endpoint, text, tookMs, firstEventMs)
+        context.journal.attemptEnded(
+            call,
+            endpoint,
+            text,
+            tookMs,
+            firstEventMs,
+            relay.eventCount
+        )
         context.loop.submit(
             ForwardingInput.AttemptEnded(
                 call.id,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/DecisionJournal.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/DecisionJournal.kt
@@ -38,14 +38,16 @@
 
     /**
      * Writes the end of an attempt at an endpoint; [firstEventMs] is the time from the arrival of
-     * the request to the first event of its stream, null if there is none.
+     * the request to the first event of its stream, null if there is none; [events] have been
+     * passed on so far.
      */
     fun attemptEnded(
         call: ForwardedCall,
         endpoint: String,
         outcome: String,
         tookMs: Long,
-        firstEventMs: Long?
+        firstEventMs: Long?,
+        events: Int
     ) {
         line(Level.INFO)
             ?.addKeyValue("request", call.requestId.value)
@@ -53,6 +55,7 @@
             ?.addKeyValue("outcome", outcome)
             ?.addKeyValue("tookMs", tookMs)
             ?.addKeyValue("firstEventMs", firstEventMs)
+            ?.addKeyValue("events", events)
             ?.log("attempt")
     }
 
@@ -107,6 +110,7 @@
             .addKeyValue("pool", call.pool.value)
             .addKeyValue("tier", call.tier.rank)
             .addKeyValue("inputTokens", call.inputTokens)
+            .addKeyValue("expectedTokens", call.expectedOutputTokens)
             .addKeyValue("freeSlots", facts.freeSlots)
             .addKeyValue("slots", facts.slotCount)
             .addKeyValue("hosts", "${facts.heardHosts}/${facts.knownHosts}")
--- a/experiment/src/main/kotlin/cowslipcart/experiment/Commands.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Commands.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.CliktError
 import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.required
@@ -18,6 +19,10 @@
 import cowslipcart.experiment.compare.decodeComparison
 import cowslipcart.experiment.compare.encodeComparison
 import cowslipcart.experiment.compare.runInParallel
+import cowslipcart.experiment.gateway.GatewayResult
+import cowslipcart.experiment.gateway.parseGatewayWorkload
+import cowslipcart.experiment.gateway.renderGatewayResult
+import cowslipcart.experiment.gateway.runGatewayWorkload
 import cowslipcart.experiment.report.renderReport
 import cowslipcart.experiment.result.encodeResult
 import cowslipcart.experiment.result.renderText
@@ -27,6 +32,7 @@
 import cowslipcart.experiment.workload.WorkloadError
 import cowslipcart.experiment.workload.parseWorkload
 import java.io.File
+import kotlinx.serialization.json.Json
 
 /** `bin/experiment`: one run. */
 internal class RunCommand : CliktCommand(name = "run") {
@@ -89,6 +95,30 @@
     }
 }
 
+/** `bin/experiment-gateway`: a load of the gateway, with any number of seeds. */
+internal class GatewayCommand : CliktCommand(name = "gateway") {
+    private val workloads by argument("FILE").file(mustExist = true, canBeDir = false).multiple()
+    private val seeds by option("--seeds", help = "runs seeds 1 to this number").int()
+        .restrictTo(1..MAX_SEEDS).default(1)
+    private val output by option("--output").choice("json", "text").default("text")
+
+    override fun run() {
+        for (file in workloads) {
+            val workload = parseGatewayWorkload(file.readText()).getOrElse {
+                throw CliktError("${file.name}: ${describe(it)}")
+            }
+            val runs = runInParallel((1L..seeds).map { { runGatewayWorkload(workload, it) } })
+            for (result in runs) {
+                val text = when (output) {
+                    "json" -> Json.encodeToString(GatewayResult.serializer(), result)
+                    else -> renderGatewayResult(result).trimEnd()
+                }
+                echo(text)
+            }
+        }
+    }
+}
+
 private fun loadWorkload(file: File): Workload = parseWorkload(file.readText()).getOrElse {
     throw CliktError("${file.name}: ${describe(it)}")
 }
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -0,0 +1,180 @@
+package cowslipcart.experiment.gateway
+
+import cowslipcart.core.forwarding.CallId
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.ForwardedCall
+import cowslipcart.core.forwarding.ForwardingController
+import cowslipcart.core.forwarding.ForwardingEffect
+import cowslipcart.core.forwarding.ForwardingInput
+import cowslipcart.core.forwarding.ForwardingSettings
+import cowslipcart.core.forwarding.createForwardingController
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.Revision
+import cowslipcart.core.model.Tier
+import cowslipcart.core.routing.CallerLimits
+import cowslipcart.core.routing.PoolProfile
+import cowslipcart.core.routing.Route
+import cowslipcart.core.routing.RouteId
+import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.routing.WeightedPool
+import cowslipcart.core.routing.WorkKind
+import cowslipcart.experiment.sim.EventQueue
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** Runs [workload] through the decisions of the gateway in virtual time. */
+public fun runGatewayWorkload(workload: GatewayWorkload, seed: Long): GatewayResult =
+    GatewayRun(workload, seed).run()
+
+/** Decides for the requests of one gateway. */
+internal class EmulatedHost(val id: HostId, val controller: ForwardingController)
+
+internal class GatewayRun(val workload: GatewayWorkload, private val seed: Long) {
+    val queue = EventQueue()
+    val random = Random(seed)
+    val ended = mutableListOf<EndedRequest>()
+    private val requests = mutableListOf<EmulatedRequest>()
+    private var openCount = 0
+    private var lastCallId = 0L
+    private val hosts = (1..workload.hosts).map { createHost(HostId("host-$it")) }
+    val engines: Map<EndpointId, EmulatedEngine> =
+        workload.engines.speeds.withIndex().associate { (index, speed) ->
+            EndpointId("e$index") to EmulatedEngine(workload.engines, speed, queue)
+        }
+    private val callers = mutableMapOf<CallId, EmulatedRequest>()
+    val routes: Map<RequestKind, Route> = workload.kinds.associateWith { toRoute(it) }
+
+    fun run(): GatewayResult {
+        val table = RoutingTable(
+            Revision(1),
+            routes.values.toList(),
+            listOf(PoolProfile(POOL, MAX_CONNECTIONS, workload.engines.tokensPerEvent)),
+            emptyMap(),
+            CallerLimits(HEADER_BYTES, BODY_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS),
+            requiresKey = false
+        )
+        for (host in hosts) {
+            send(host, ForwardingInput.RoutingChanged(table))
+            send(host, ForwardingInput.EndpointsChanged(entries()))
+            every(REPORT_INTERVAL_MS, random.nextLong(REPORT_INTERVAL_MS)) { report(host) }
+            every(TICK_MS, random.nextLong(TICK_MS)) { send(host, ForwardingInput.Tick) }
+        }
+        workload.kinds.forEach { arrive(it, Random(seed xor it.name.hashCode().toLong())) }
+        queue.run { queue.nowMs < workload.durationMs || openCount > 0 }
+        return summarize(workload, seed, ended)
+    }
+
+    fun randomHost(): EmulatedHost = hosts.random(random)
+
+    fun nextCallId(): Long = ++lastCallId
+
+    /** Gives [input] to control of [host] and carries its commands out. */
+    fun send(host: EmulatedHost, input: ForwardingInput) {
+        for (effect in host.controller.handle(input, queue.nowMs)) {
+            when (effect) {
+                is ForwardingEffect.Belief -> Unit
+
+                is ForwardingEffect.Command ->
+                    callers[effect.call.id]?.onCommand(effect.call, effect.command)
+            }
+        }
+    }
+
+    fun register(call: ForwardedCall, request: EmulatedRequest) {
+        callers[call.id] = request
+    }
+
+    fun close(host: EmulatedHost, call: ForwardedCall) {
+        callers -= call.id
+        send(host, ForwardingInput.CallClosed(call.id))
+    }
+
+    fun onEnded(request: EndedRequest) {
+        openCount--
+        ended += request
+    }
+
+    private fun arrive(kind: RequestKind, draws: Random) {
+        var atMs = 0.0
+        while (true) {
+            val factor = workload.bursts
+                .filter { atMs >= it.fromMs && atMs < it.untilMs }
+                .filter { it.kind == null || it.kind == kind.name }
+                .fold(1.0) { product, burst -> product * burst.factor }
+            atMs += -ln(1 - draws.nextDouble()) / (kind.ratePerS * factor) * MS_PER_S
+            if (atMs >= workload.durationMs) return
+            val request = EmulatedRequest(this, kind, draws)
+            requests += request
+            openCount++
+            queue.schedule(atMs.toLong()) { request.start() }
+        }
+    }
+
+    private fun report(host: EmulatedHost) {
+        val figures = host.controller.figures(queue.nowMs) ?: return
+        queue.scheduleIn(workload.networkMs) {
+            for (other in hosts) {
+                if (other !== host) send(other, ForwardingInput.PeerReported(figures))
+            }
+        }
+    }
+
+    private fun every(intervalMs: Long, firstMs: Long, action: () -> Unit) {
+        queue.scheduleIn(firstMs) {
+            action()
+            every(intervalMs, intervalMs, action)
+        }
+    }
+
+    private fun createHost(id: HostId) = EmulatedHost(
+        id,
+        createForwardingController(
+            ForwardingSettings(
+                id,
+                IncarnationId(1),
+                DOMAIN,
+                isFirstStart = true,
+                RETRY_SHARE,
+                RETRY_SLACK
+            ),
+            Random(seed xor id.value.hashCode().toLong())
+        )
+    )
+
+    private fun entries(): List<EndpointEntry> = engines.keys.map {
+        EndpointEntry(it, POOL, "127.0.0.1", 1, DOMAIN, workload.engines.slots, isDraining = false)
+    }
+
+    private fun toRoute(kind: RequestKind) = Route(
+        RouteId(kind.name),
+        "host",
+        "/${kind.name}/",
+        WorkKind.EventStream(kind.isResumable, kind.gapTargetMs),
+        listOf(WeightedPool(POOL, 1.0)),
+        kind.deadlineMs,
+        kind.objectiveMs,
+        Tier(kind.rank),
+        kind.maxAttempts,
+        isPublic = true
+    )
+
+    companion object {
+        val POOL = PoolId("pool")
+        private const val DOMAIN = "a"
+        private const val MAX_CONNECTIONS = 1_000
+        private const val HEADER_BYTES = 16_384
+        private const val BODY_BYTES = 4_194_304
+        private const val HEADER_TIMEOUT_MS = 3_000L
+        private const val IDLE_TIMEOUT_MS = 15_000L
+        private const val RETRY_SHARE = 0.2
+        private const val RETRY_SLACK = 129
+        private const val MS_PER_S = 1_000.0
+
+        /** As in the daemon, in ms. */
+        private const val REPORT_INTERVAL_MS = 200L
+        private const val TICK_MS = 20L
+    }
+}
--- /dev/null
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
@@ -0,0 +1,132 @@
+package cowslipcart.experiment.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import cowslipcart.experiment.workload.WorkloadError
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.sqrt
+import kotlin.random.Random
+import kotlinx.serialization.Serializable
+
+/**
+ * Load of one pool of engines behind gateways.
+ *
+ * @property durationMs arrivals stop then; the run ends with the last request
+ * @property hosts gateways that callers are spread over
+ * @property networkMs one-way delay between a gateway and an engine, and between gateways
+ */
+@Serializable
+public data class GatewayWorkload(
+    public val name: String,
+    public val description: String,
+    public val durationMs: Long,
+    public val hosts: Int,
+    public val networkMs: Long,
+    public val engines: EngineSheet,
+    public val kinds: List<RequestKind>,
+    public val bursts: List<Burst> = emptyList()
+)
+
+/**
+ * Engines of the pool.
+ *
+ * @property speeds speed of each engine relative to the reference one
+ * @property slots requests that run at once
+ * @property queue requests that wait for a slot; more are declined
+ * @property stepMs time of a step with one request and no prompt
+ * @property slotStepMs added for each running request
+ * @property contextMsPerK added for each thousand tokens that running requests hold
+ * @property prefillTokensPerMs prompt tokens that a step reads in a ms
+ * @property pairMsPerM added for each million pairs of a prompt token and one before it
+ * @property chunkTokens prompt tokens that a step reads at most
+ * @property firstMs added before the first token
+ * @property tokensPerEvent tokens in one event of a stream
+ */
+@Serializable
+public data class EngineSheet(
+    public val speeds: List<Double>,
+    public val slots: Int,
+    public val queue: Int,
+    public val stepMs: Double,
+    public val slotStepMs: Double,
+    public val contextMsPerK: Double,
+    public val prefillTokensPerMs: Double,
+    public val pairMsPerM: Double,
+    public val chunkTokens: Int,
+    public val firstMs: Double,
+    public val tokensPerEvent: Int
+)
+
+/**
+ * One kind of request.
+ *
+ * @property rank tiers that go before this kind; 0 is the most urgent
+ * @property hintSpread spread of the callers' estimate of the output around the real one
+ */
+@Serializable
+public data class RequestKind(
+    public val name: String,
+    public val rank: Int,
+    public val ratePerS: Double,
+    public val inputTokens: SizeSpread,
+    public val outputEvents: SizeSpread,
+    public val objectiveMs: Long,
+    public val gapTargetMs: Long,
+    public val deadlineMs: Long,
+    public val worth: Double,
+    public val lateWorth: Double,
+    public val maxAttempts: Int,
+    public val isResumable: Boolean,
+    public val retries: Int = 1,
+    public val hintSpread: Double = 0.5
+)
+
+/** A log-normal size with this [mean] and [spread], at most [max]. */
+@Serializable
+public data class SizeSpread(
+    public val mean: Double,
+    public val spread: Double,
+    public val max: Double
+) {
+    internal fun draw(random: Random): Double =
+        minOf(max, exp(ln(mean) - spread * spread / 2 + spread * random.nextGaussian()))
+}
+
+/** Multiplies the arrivals of [kind], or of all kinds if that is null. */
+@Serializable
+public data class Burst(
+    public val fromMs: Long,
+    public val untilMs: Long,
+    public val factor: Double,
+    public val kind: String? = null
+)
+
+/** Parses the text of a workload file for gateways. */
+public fun parseGatewayWorkload(text: String): Either<WorkloadError, GatewayWorkload> = try {
+    val workload = Yaml.default.decodeFromString(GatewayWorkload.serializer(), text)
+    when {
+        workload.hosts < 1 -> WorkloadError.Invalid("hosts", "at least 1", "${workload.hosts}")
+            .left()
+
+        workload.engines.speeds.isEmpty() ->
+            WorkloadError.Invalid("engines.speeds", "at least one", "none").left()
+
+        else -> workload.right()
+    }
+} catch (e: YamlException) {
+    WorkloadError.Malformed(e.line, e.message).left()
+}
+
+/** Standard normal value by the polar method. */
+internal fun Random.nextGaussian(): Double {
+    while (true) {
+        val x = nextDouble(-1.0, 1.0)
+        val y = nextDouble(-1.0, 1.0)
+        val square = x * x + y * y
+        if (square > 0 && square < 1) return x * sqrt(-2 * ln(square) / square)
+    }
+}
