Divide many hosts into groups that report to each other through relays

Cause: every host sent its figures to all others. Each endpoint is left to one group, whose hosts know its load without delay; others are drawn at random.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/FigureReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/FigureReporter.kt
@@ -41,6 +41,7 @@
             host = settings.host,
             incarnation = settings.incarnation,
             sequence = ++sequence,
+            profile = settings.profile,
             loads = fleet.ownLoads(),
             unitsUsed = quotas.ownUse(),
             readParts = parts,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -11,6 +11,7 @@
 /**
  * What a host decides with.
  *
+ * @property profile what places this host among the others
  * @property isFirstStart whether the whole system starts for the first time, so that nobody has
  * used the limits of organisations yet
  * @property retryShare repeats that all hosts together may cause, as a share of the requests
@@ -19,7 +20,7 @@
 public data class ForwardingSettings(
     public val host: HostId,
     public val incarnation: IncarnationId,
-    public val domain: String,
+    public val profile: HostProfile,
     public val isFirstStart: Boolean,
     public val retryShare: Double,
     public val retrySlack: Int
@@ -40,7 +41,7 @@
     public fun reportPlan(nowMs: Long): ReportPlan
 
     /** Hosts that the platform lists. */
-    public fun onHostsListed(hosts: Collection<HostId>, nowMs: Long)
+    public fun onHostsListed(hosts: Map<HostId, HostProfile>, nowMs: Long)
 }
 
 /** Returns a controller that knows no configuration and no endpoints. */
@@ -55,8 +56,8 @@
 ) : ForwardingController {
     private val homes = PromptHomes()
     private val fleet = EndpointFleet(homes)
-    private val placement = Placement(homes)
-    private val roster = HostRoster(settings.host)
+    private val placement = Placement(homes, settings.profile.domain, random)
+    private val roster = HostRoster(settings.host, settings.profile)
     private val quotas = QuotaBook(if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE)
     private val suspicion = CrashSuspicion()
     private val reporter = FigureReporter(settings, fleet, quotas, suspicion)
@@ -86,9 +87,9 @@
 
     override fun figures(nowMs: Long): HostFigures? = reporter.next(nowMs)
 
-    override fun reportPlan(nowMs: Long): ReportPlan = ReportPlan(roster.dutyRank(nowMs))
+    override fun reportPlan(nowMs: Long): ReportPlan = roster.plan(nowMs)
 
-    override fun onHostsListed(hosts: Collection<HostId>, nowMs: Long) =
+    override fun onHostsListed(hosts: Map<HostId, HostProfile>, nowMs: Long) =
         roster.onListed(hosts, nowMs)
 
     private fun onArrived(call: ForwardedCall, nowMs: Long) {
@@ -137,7 +138,7 @@
             return true
         }
         val endpoints = fleet.inPool(call.pool)
-        val result = placement.choose(call, endpoints, state.tried, settings.domain, nowMs)
+        val result = placement.choose(call, endpoints, state.tried, roster.topology, nowMs)
         return when (result) {
             is PlacementResult.Found -> {
                 dispatch(state, result, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -89,6 +89,7 @@
  * What one host tells the others. Counts are totals since the start of its process, so a lost
  * message changes nothing.
  *
+ * @property profile what places the host among the others
  * @property loads endpoints at which the host has requests
  * @property unitsUsed units of limits that the host admitted, by organisation
  * @property readParts parts of prompts that endpoints read lately
@@ -98,6 +99,7 @@
     public val host: HostId,
     public val incarnation: IncarnationId,
     public val sequence: Long,
+    public val profile: HostProfile,
     public val loads: Map<EndpointId, HostLoad>,
     public val unitsUsed: Map<OrganisationId, Double>,
     public val readParts: List<ReadPart>,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.EndpointId
+import kotlin.random.Random
 
 /** Result of looking for an endpoint for one request. */
 internal sealed interface PlacementResult {
@@ -22,13 +23,17 @@
  *
  * Load pattern: a burst of long prompts on engines that differ several times in speed.
  */
-internal class Placement(private val homes: PromptHomes) {
+internal class Placement(
+    private val homes: PromptHomes,
+    private val ownDomain: String,
+    private val random: Random
+) {
     /** Returns the best of [endpoints] for [call], leaving out those in [tried]. */
     fun choose(
         call: ForwardedCall,
         endpoints: Collection<EndpointLoad>,
         tried: Set<EndpointId>,
-        ownDomain: String,
+        topology: ReportTopology,
         nowMs: Long
     ): PlacementResult {
         val usable = endpoints.filter { !it.entry.isDraining && it.entry.id !in tried }
@@ -38,7 +43,7 @@
         }
         val calm = usable.filter { !it.health.isAvoided(nowMs) }.ifEmpty { usable }
         val open = calm.filter { it.freeSlots > -AdmissionRule.extraSlots(call.rankInPool) }
-        val best = open.minByOrNull { costMs(call, it, ownDomain, nowMs) }
+        val best = candidates(open, topology).minByOrNull { costMs(call, it, nowMs) }
             ?: return PlacementResult.Full
         val ownTokens = unreadTokens(call, best, nowMs)
         val queueMs = readingMs(best, best.total.unreadTokens)
@@ -55,12 +60,17 @@
         return PrefillCost.ofTokens(homes.unreadTokens(call.prompt, endpoint.entry.id, nowMs))
     }
 
-    private fun costMs(
-        call: ForwardedCall,
-        endpoint: EndpointLoad,
-        ownDomain: String,
-        nowMs: Long
-    ): Double {
+    /**
+     * Where hosts are divided into groups, the endpoints of the own group and a few others drawn at
+     * random. What is known of the others is old, and all hosts would choose the same one.
+     */
+    private fun candidates(open: List<EndpointLoad>, topology: ReportTopology): List<EndpointLoad> {
+        if (!topology.isDivided) return open
+        val (own, others) = open.partition { topology.isOwn(it.entry.id, it.entry.domain) }
+        return own + others.shuffled(random).take(OTHER_CANDIDATES)
+    }
+
+    private fun costMs(call: ForwardedCall, endpoint: EndpointLoad, nowMs: Long): Double {
         val occupancy = endpoint.total.running.toDouble() / endpoint.entry.slotCount
         val crowdingMs = CROWDING_MS * occupancy * occupancy / endpoint.speed.relative
         val distanceMs = if (endpoint.entry.domain == ownDomain) 0.0 else OTHER_DOMAIN_MS
@@ -73,6 +83,9 @@
         /** Cost of a full endpoint against an empty one, in ms; a request there runs longer. */
         const val CROWDING_MS = 120.0
 
+        /** Enough that two of them are seldom both crowded. */
+        const val OTHER_CANDIDATES = 3
+
         /** A request and its answer cross twice, about a ms each; bytes across are priced. */
         const val OTHER_DOMAIN_MS = 4.0
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -27,7 +27,7 @@
         ForwardingSettings(
             host = HostId("host-1"),
             incarnation = IncarnationId(1),
-            domain = "a",
+            profile = HostProfile("a", 1.0),
             isFirstStart = isFirstStart,
             retryShare = 0.2,
             retrySlack = 100
@@ -106,6 +106,7 @@
                 HostId(host),
                 IncarnationId(incarnation),
                 sequence,
+                HostProfile("a", 1.0),
                 loads,
                 mapOf(ORGANISATION to used),
                 emptyList(),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.HostFigures
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.control.RuntimeClock
@@ -31,7 +32,7 @@
     private sealed interface Message {
         class Input(val input: ForwardingInput) : Message
 
-        class HostsListed(val hosts: Collection<HostId>) : Message
+        class HostsListed(val hosts: Map<HostId, HostProfile>) : Message
     }
 
     private val messages = Channel<Message>(Channel.UNLIMITED)
@@ -48,7 +49,7 @@
     }
 
     /** Tells control which hosts the platform lists. */
-    fun submitHosts(hosts: Collection<HostId>) {
+    fun submitHosts(hosts: Map<HostId, HostProfile>) {
         messages.trySend(Message.HostsListed(hosts))
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -91,7 +91,7 @@
         }
         val counted = CountedStore(store, metrics)
         follower = StoreFollower(counted, decoder, listener, peers, journal, clock, random)
-            .also { it.start(scope, self, settings.peer) }
+            .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { sweep() }
     }
 
@@ -119,7 +119,7 @@
 
         override fun onEndpoints(entries: List<EndpointEntry>) = this@Gateway.onEndpoints(entries)
 
-        override fun onHosts(hosts: Map<HostId, SocketAddressSetting>) = this@Gateway.onHosts(hosts)
+        override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
     }
 
     private fun onRouting(table: RoutingTable) {
@@ -135,9 +135,9 @@
         loop.submit(ForwardingInput.EndpointsChanged(entries))
     }
 
-    private fun onHosts(hosts: Map<HostId, SocketAddressSetting>) {
-        peers.onHosts(hosts)
-        loop.submitHosts(hosts.keys)
+    private fun onHosts(hosts: Map<HostId, HostRecord>) {
+        peers.onHosts(hosts.mapValues { it.value.address })
+        loop.submitHosts(hosts.mapValues { it.value.profile })
     }
 
     private fun onPeer(message: PeerMessage) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -8,6 +8,7 @@
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.wire.figures.DatagramCodec
 import cowslipcart.wire.figures.PeerDatagram
+import cowslipcart.wire.figures.RelayedFigures
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.BoundDatagramSocket
 import io.ktor.network.sockets.Datagram
@@ -18,6 +19,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
 import kotlinx.io.readByteArray
@@ -32,8 +35,9 @@
 }
 
 /**
- * Sends this host's figures and news to the others and receives theirs, in datagrams. A lost
- * datagram needs no repair, as figures are totals and news cover the last seconds.
+ * Sends this host's figures and news to its group and receives theirs, in datagrams; a relay also
+ * passes figures on between groups. A lost datagram needs no repair, as figures are totals and news
+ * cover the last seconds.
  */
 internal class PeerReports(
     private val self: HostId,
@@ -43,6 +47,7 @@
 ) : NewsPublisher {
     private val addresses = ConcurrentHashMap<HostId, InetSocketAddress>()
     private val outgoing = Channel<PeerDatagram>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val relayBuffer = RelayBuffer()
     private lateinit var socket: BoundDatagramSocket
 
     @Volatile
@@ -79,19 +84,49 @@
     ) {
         socket = aSocket(selector).udp().bind(InetSocketAddress(listen.ip, listen.port))
         scope.launch { receive() }
-        scope.launch { for (datagram in outgoing) sendToAll(datagram) }
+        scope.launch { for (datagram in outgoing) sendToGroup(datagram) }
+        scope.launch {
+            while (isActive) {
+                delay(RELAY_INTERVAL_MS)
+                relay()
+            }
+        }
     }
 
     /** Tells the others that this host stops and has no request any more. */
     suspend fun sendLeaving() {
         val last = lastFigures ?: return
         val figures = last.copy(sequence = last.sequence + 1, loads = emptyMap())
-        sendToAll(PeerDatagram.Figures(figures, isLeaving = true))
+        sendToGroup(PeerDatagram.Figures(figures, isLeaving = true))
+        relay()
     }
 
-    private suspend fun sendToAll(datagram: PeerDatagram) {
+    private suspend fun sendToGroup(datagram: PeerDatagram) {
         val bytes = DatagramCodec.encode(datagram)
-        for (address in addresses.values) {
+        if (datagram is PeerDatagram.Figures) {
+            relayBuffer.onDirect(DatagramCodec.toRelayed(datagram, bytes))
+        }
+        send(bytes, plan.members)
+    }
+
+    /** Passes on what is new, if this host is a relay; otherwise drops it. */
+    private suspend fun relay() {
+        val ofGroup = relayBuffer.takeOfGroup()
+        val ofOthers = relayBuffer.takeOfOthers()
+        if (!plan.isRelay) return
+        sendBundles(ofGroup, plan.otherRelays)
+        sendBundles(ofOthers, plan.members)
+    }
+
+    private suspend fun sendBundles(figures: List<RelayedFigures>, hosts: Set<HostId>) {
+        for (part in figures.chunked(BUNDLE_FIGURES)) {
+            send(DatagramCodec.encode(PeerDatagram.Bundle(part)), hosts)
+        }
+    }
+
+    private suspend fun send(bytes: ByteArray, hosts: Set<HostId>) {
+        for (host in hosts) {
+            val address = addresses[host] ?: continue
             try {
                 socket.send(Datagram(Buffer().apply { write(bytes) }, address))
                 metrics.peerReports.labelValues("sent").inc()
@@ -110,36 +145,63 @@
                 journal.event("report-not-received", "reason" to e.message)
                 continue
             }
-            DatagramCodec.decode(datagram.packet.readByteArray()).fold(
-                { error ->
-                    metrics.peerReports.labelValues("unreadable").inc()
-                    journal.event("report-unreadable", "reason" to error.message)
-                },
-                { onReceived(it, datagram.address as? InetSocketAddress) }
-            )
+            onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
         }
     }
 
-    private fun onReceived(message: PeerDatagram, from: InetSocketAddress?) {
-        metrics.peerReports.labelValues("received").inc()
-        when (message) {
-            is PeerDatagram.News -> deliver(PeerMessage.News(message.news))
-            is PeerDatagram.Figures -> onFigures(message, from)
+    private fun onReceived(bytes: ByteArray, from: InetSocketAddress?) {
+        DatagramCodec.decode(bytes).fold(
+            { error ->
+                metrics.peerReports.labelValues("unreadable").inc()
+                journal.event("report-unreadable", "reason" to error.message)
+            },
+            { message ->
+                metrics.peerReports.labelValues("received").inc()
+                when (message) {
+                    is PeerDatagram.News -> deliver(PeerMessage.News(message.news))
+                    is PeerDatagram.Figures -> onDirectFigures(message, bytes, from)
+                    is PeerDatagram.Bundle -> message.figures.forEach { onRelayedFigures(it) }
+                }
+            }
+        )
+    }
+
+    private fun onDirectFigures(
+        message: PeerDatagram.Figures,
+        bytes: ByteArray,
+        from: InetSocketAddress?
+    ) {
+        from?.let { addresses[message.figures.host] = it }
+        relayBuffer.onDirect(DatagramCodec.toRelayed(message, bytes))
+        onFigures(message)
+    }
+
+    private fun onRelayedFigures(relayed: RelayedFigures) {
+        if (relayed.host == self || !relayBuffer.onRelayed(relayed)) return
+        when (val message = DatagramCodec.decode(relayed.datagram).getOrNull()) {
+            is PeerDatagram.Figures -> onFigures(message)
+
+            is PeerDatagram.Bundle, is PeerDatagram.News, null -> {
+                metrics.peerReports.labelValues("unreadable").inc()
+                journal.event("report-unreadable", "relayed" to relayed.host.value)
+            }
         }
     }
 
-    private fun onFigures(message: PeerDatagram.Figures, from: InetSocketAddress?) {
+    private fun onFigures(message: PeerDatagram.Figures) {
         val host = message.figures.host
-        from?.let { addresses[host] = it }
         deliver(PeerMessage.Input(ForwardingInput.PeerReported(message.figures)))
-        if (message.isLeaving) {
-            addresses -= host
-            deliver(PeerMessage.Input(ForwardingInput.PeerLeft(host)))
-        }
+        if (message.isLeaving) deliver(PeerMessage.Input(ForwardingInput.PeerLeft(host)))
     }
 
     private companion object {
         /** Figures and news of both tables that wait to be sent. */
         const val OUTGOING_CAPACITY = 4
+
+        /** Two relays lie between hosts of different groups, in ms. */
+        const val RELAY_INTERVAL_MS = 400L
+
+        /** Figures of one host take about 300 bytes; keeps a bundle below a few kilobytes. */
+        const val BUNDLE_FIGURES = 12
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -15,7 +15,6 @@
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.TableFreshness
 import cowslipcart.core.store.TableRecord
-import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
@@ -41,7 +40,7 @@
 
     fun onEndpoints(entries: List<EndpointEntry>)
 
-    fun onHosts(hosts: Map<HostId, SocketAddressSetting>)
+    fun onHosts(hosts: Map<HostId, HostRecord>)
 }
 
 /** Tells the other hosts of the group what this host read. */
@@ -71,10 +70,10 @@
     private val configurationNews = newsChannel<StoreNews.Configuration>()
     private var entries: List<EndpointEntry>? = null
 
-    fun start(scope: CoroutineScope, self: HostId, peerAddress: SocketAddressSetting) {
+    fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
         scope.launch { while (isActive) followConfiguration() }
         scope.launch { while (isActive) followEndpoints() }
-        scope.launch { announce(self, peerAddress) }
+        scope.launch { announce(self, record) }
     }
 
     /** Takes the news of another host; never blocks. */
@@ -208,16 +207,20 @@
     }
 
     /** Writes where this host is reached, and reads where the others are. */
-    private suspend fun announce(self: HostId, address: SocketAddressSetting) {
+    private suspend fun announce(self: HostId, record: HostRecord) {
         val health = StoreHealth(StoreTable.HOSTS, journal)
-        val value = address.toString().encodeToByteArray()
+        val value = record.encode()
         while (store.put(StoreTable.HOSTS, self.value, value).onHost(health) == null) {
             delay(pauseMs(health))
         }
+        var intervalMs = FIRST_HOSTS_INTERVAL_MS
         while (clock.nowMs() >= 0) {
             val snapshot = store.newest(StoreTable.HOSTS).onHost(health)
-            if (snapshot != null) listener.onHosts(decodeHosts(snapshot.records))
-            delay(if (snapshot == null) HOSTS_RETRY_MS else HOSTS_INTERVAL_MS)
+            if (snapshot != null) {
+                listener.onHosts(decodeHosts(snapshot.records))
+                intervalMs = minOf(intervalMs * HOSTS_INTERVAL_GROWTH, MAX_HOSTS_INTERVAL_MS)
+            }
+            delay(if (snapshot == null) HOSTS_RETRY_MS else intervalMs)
         }
     }
 
@@ -226,13 +229,11 @@
         return getOrNull()
     }
 
-    private fun decodeHosts(records: List<TableRecord>): Map<HostId, SocketAddressSetting> =
+    private fun decodeHosts(records: List<TableRecord>): Map<HostId, HostRecord> =
         records.mapNotNull { record ->
-            val text = record.value?.decodeToString().orEmpty()
-            val port = text.substringAfterLast(':', "").toIntOrNull()
-            port?.let {
-                HostId(record.key) to SocketAddressSetting(text.substringBeforeLast(':'), it)
-            }
+            val decoded = record.value?.let { HostRecord.decode(it) }
+            if (decoded == null) journal.event("record-unreadable", "key" to record.key)
+            decoded?.let { HostId(record.key) to it }
         }.toMap()
 
     private fun <T> newsChannel() = Channel<T>(NEWS_CAPACITY, BufferOverflow.DROP_OLDEST)
@@ -250,8 +251,13 @@
         /** An answer takes 4 ms; on slow days close to 400 ms. */
         const val ANSWER_MS = 500L
 
-        /** New hosts are usually known by their reports before, in ms. */
-        const val HOSTS_INTERVAL_MS = 12_000L
+        /**
+         * Hosts that start together are listed soon; later ones are known by their reports. The
+         * interval grows with each read, in ms.
+         */
+        const val FIRST_HOSTS_INTERVAL_MS = 300L
+        const val HOSTS_INTERVAL_GROWTH = 4
+        const val MAX_HOSTS_INTERVAL_MS = 30_000L
         const val HOSTS_RETRY_MS = 1_000L
 
         /** First pause after a failed call, which doubles up to 800 ms. */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.LogOffset
@@ -114,9 +115,10 @@
                 answeredAtMs += currentTime
             }
 
-            override fun onHosts(hosts: Map<HostId, SocketAddressSetting>) = Unit
+            override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
         val journal = DecisionJournal(clock, GatewayMetrics())
+        val record = HostRecord(SocketAddressSetting("127.0.0.1", 1), HostProfile("a", 1.0))
         return StoreFollower(
             store,
             StateDecoder,
@@ -125,7 +127,7 @@
             journal,
             clock,
             Random(3)
-        ).also { it.start(backgroundScope, HostId("h"), SocketAddressSetting("127.0.0.1", 1)) }
+        ).also { it.start(backgroundScope, HostId("h"), record) }
     }
 
     /** Time after which the draining of the endpoint is known, in ms. */
--- a/experiment/src/main/kotlin/cowslipcart/experiment/Main.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/Main.kt
@@ -8,7 +8,13 @@
 /** Entry point of `bin/experiment`, `bin/compare`, `bin/report`, `bin/history` and
  * `bin/experiment-gateway`. */
 public fun main(args: Array<String>): Unit = ExperimentTool()
-    .subcommands(RunCommand(), CompareCommand(), ReportCommand(), HistoryCommand(), GatewayCommand())
+    .subcommands(
+        RunCommand(),
+        CompareCommand(),
+        ReportCommand(),
+        HistoryCommand(),
+        GatewayCommand()
+    )
     .main(args)
 
 private class ExperimentTool : CliktCommand(name = "cowslipcart-experiment") {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -26,7 +26,10 @@
 
     /** Worth grows with the size, in which a token of output counts as ten of the prompt. */
     private val worth = kind.worth *
-        minOf(MAX_SIZE_FACTOR, BASE_WORTH + (1 - BASE_WORTH) * size(promptTokens, outputTokens) / meanSize())
+        minOf(
+            MAX_SIZE_FACTOR,
+            BASE_WORTH + (1 - BASE_WORTH) * size(promptTokens, outputTokens) / meanSize()
+        )
     private var arrivedAtMs = 0L
     private var triesLeft = kind.retries
     private var current: Attempt? = null
@@ -84,6 +87,7 @@
             }
 
             is CallCommand.Refuse -> onRefused(attempt, command.retryAfterMs)
+
             is CallCommand.GiveUp -> end(RequestEnd.FAILED)
         }
     }
@@ -175,8 +179,10 @@
         run.onEnded(EndedRequest(kind, arrivedAtMs, end, worth, earned))
     }
 
-    private fun meanSize(): Double =
-        size(kind.inputTokens.mean.toInt(), kind.outputEvents.mean.toInt() * run.workload.engines.tokensPerEvent)
+    private fun meanSize(): Double = size(
+        kind.inputTokens.mean.toInt(),
+        kind.outputEvents.mean.toInt() * run.workload.engines.tokensPerEvent
+    )
 
     private fun size(input: Int, output: Int): Double = input + OUTPUT_WEIGHT * output
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.ForwardingSettings
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.createForwardingController
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -135,7 +136,7 @@
             ForwardingSettings(
                 id,
                 IncarnationId(1),
-                DOMAIN,
+                HostProfile(DOMAIN, 1.0),
                 isFirstStart = true,
                 RETRY_SHARE,
                 RETRY_SLACK
--- /dev/null
+++ b/wire/src/main/kotlin/cowslipcart/wire/figures/BundleCodec.kt
@@ -0,0 +1,47 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package cowslipcart.wire.figures
+
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.wire.peer.peerCbor
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborArray
+
+/** Encodes what a relay passes on. Decoding fails with a [SerializationException]. */
+internal object BundleCodec {
+    fun encode(bundle: PeerDatagram.Bundle): ByteArray = peerCbor.encodeToByteArray(
+        BundleDocument.serializer(),
+        BundleDocument(
+            bundle.figures.map {
+                RelayedDocument(it.host.value, it.incarnation.value, it.sequence, it.datagram)
+            }
+        )
+    )
+
+    fun decode(bytes: ByteArray): PeerDatagram.Bundle = PeerDatagram.Bundle(
+        peerCbor.decodeFromByteArray(BundleDocument.serializer(), bytes).figures.map {
+            RelayedFigures(
+                HostId(it.host),
+                IncarnationId(it.incarnation),
+                it.sequence,
+                it.datagram
+            )
+        }
+    )
+}
+
+@Serializable
+@CborArray
+private class BundleDocument(val figures: List<RelayedDocument>)
+
+@Serializable
+@CborArray
+private class RelayedDocument(
+    val host: String,
+    val incarnation: Long,
+    val sequence: Long,
+    @ByteString val datagram: ByteArray
+)
--- a/wire/src/main/kotlin/cowslipcart/wire/figures/FigureCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/figures/FigureCodec.kt
@@ -8,6 +8,7 @@
 import cowslipcart.core.forwarding.CrashNotice
 import cowslipcart.core.forwarding.HostFigures
 import cowslipcart.core.forwarding.HostLoad
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.PromptPartId
 import cowslipcart.core.forwarding.ReadPart
 import cowslipcart.core.model.EndpointId
@@ -24,7 +25,7 @@
 
 /** Encodes the figures of a host. Decoding fails with a [SerializationException]. */
 internal object FigureCodec {
-    private const val VERSION = 2
+    private const val VERSION = 3
 
     /** Encodes [figures]; [isLeaving] marks the last ones of a host that stops in good order. */
     fun encode(figures: HostFigures, isLeaving: Boolean): ByteArray =
@@ -44,6 +45,8 @@
         figures.host.value,
         figures.incarnation.value,
         figures.sequence,
+        figures.profile.domain,
+        figures.profile.capacityCores,
         isLeaving,
         figures.loads.map { (id, load) ->
             LoadDocument(id.value, load.running, load.unreadTokens)
@@ -59,6 +62,7 @@
         host = HostId(document.host),
         incarnation = IncarnationId(document.incarnation),
         sequence = document.sequence,
+        profile = HostProfile(document.domain, document.capacityCores),
         loads = document.loads.associate {
             EndpointId(it.endpoint) to HostLoad(it.running, it.unreadTokens)
         },
@@ -80,6 +84,8 @@
     val host: String,
     val incarnation: Long,
     val sequence: Long,
+    val domain: String,
+    val capacityCores: Double,
     val isLeaving: Boolean,
     val loads: List<LoadDocument>,
     val uses: List<UseDocument>,
--- a/wire/src/test/kotlin/cowslipcart/wire/figures/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/figures/DatagramCodecTest.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.HostFigures
 import cowslipcart.core.forwarding.HostLoad
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.PromptPartId
 import cowslipcart.core.forwarding.ReadPart
 import cowslipcart.core.model.EndpointId
@@ -29,6 +30,7 @@
         HostId("h"),
         IncarnationId(7),
         sequence = 3,
+        profile = HostProfile("a", 0.5),
         loads = mapOf(id to HostLoad(2, 600)),
         unitsUsed = mapOf(OrganisationId("o") to 12.5),
         readParts = listOf(ReadPart(PromptPartId(5), id)),
