--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -10,6 +10,7 @@
 import java.util.Collections
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
+import kotlin.time.TimeSource
 
 /** How a runner treats the next request. */
 public sealed interface RunnerFault {
@@ -40,7 +41,10 @@
     public val firstLine: String,
     public val headers: Map<String, String>,
     public val body: String
-)
+) {
+    /** When the runner had read it. */
+    public val startedAt: TimeSource.Monotonic.ValueTimeMark = TimeSource.Monotonic.markNow()
+}
 
 /**
  * A runner of the platform: answers plain requests, and requests that state a number of tokens
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -25,9 +25,14 @@
     }
 
     /** Writes the entry of [runner]. */
-    fun list(id: String, runner: RunnerServer, service: String, state: String = "ready") {
+    fun list(id: String, runner: RunnerServer, service: String, state: String = "ready") =
+        list(id, runner.address, service, state)
+
+    /** Writes the entry of a runner that is reached at [address]. */
+    @Synchronized
+    fun list(id: String, address: String, service: String, state: String) {
         beats++
-        val entry = """{"service":"$service","address":"${runner.address}","zone":"a",""" +
+        val entry = """{"service":"$service","address":"$address","zone":"a",""" +
             """"version":"v1","slots":4,"state":"$state","coldLeftMs":0,"sequence":$beats}"""
         store.log.append("keyed.servers", id, entry.toByteArray())
     }
@@ -50,7 +55,7 @@
     }
 
     /** Starts a gateway; it serves once it knows a configuration. */
-    fun startGateway(name: String): GatewayHandle {
+    fun startGateway(name: String, storePort: Int = store.port): GatewayHandle {
         val front = freeTcpPort()
         val ready = freeTcpPort()
         val peer = DatagramSocket(0).use { it.localPort }
@@ -58,7 +63,7 @@
             """"listen":{"front":"127.0.0.1:$front","ready":"127.0.0.1:$ready"},""" +
             """"portRange":[$peer,$peer],"bootstrap":true,"unknown":{"x":[1]},""" +
             """"bounds":{"graceS":8,"retryBudgetRatio":0.2,"budgetSlack":100},""" +
-            """"platform":{"address":"127.0.0.1:${store.port}"}}"""
+            """"platform":{"address":"127.0.0.1:$storePort"}}"""
         val file = Files.createTempFile(Files.createDirectories(Path.of("target")), name, ".json")
         file.writeText(settings)
         val process = ManagedProcess.start(
