--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.PoolId
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.ResponseHead
@@ -46,7 +47,8 @@
  */
 internal class EndpointConnections(
     private val selector: SelectorManager,
-    private val clock: RuntimeClock
+    private val clock: RuntimeClock,
+    private val keptLimit: (PoolId) -> Int
 ) {
     private class Kept(
         val connection: ServerConnection,
@@ -71,7 +73,7 @@
     }
 
     /** Keeps [connection] after the answer with [head], unless the endpoint closes it. */
-    suspend fun keep(endpoint: EndpointId, connection: ServerConnection, head: ResponseHead) {
+    suspend fun keep(endpoint: EndpointEntry, connection: ServerConnection, head: ResponseHead) {
         val idleMs = idleTimeoutMs(head)
         if (idleMs <= 0 || !connection.source.isIdle) {
             connection.close()
@@ -80,9 +82,9 @@
         connection.useCount++
         val nowMs = clock.nowMs()
         mutex.withLock {
-            val kept = keptByEndpoint.getOrPut(endpoint) { ArrayDeque() }
+            val kept = keptByEndpoint.getOrPut(endpoint.id) { ArrayDeque() }
             kept += Kept(connection, nowMs + idleMs, nowMs)
-            if (kept.size > MAX_KEPT) kept.removeFirst().connection.close()
+            if (kept.size > keptLimit(endpoint.pool)) kept.removeFirst().connection.close()
         }
     }
 
@@ -130,8 +132,6 @@
         /** A connection within a region takes a few ms; a lost packet is sent again after 200. */
         const val CONNECT_TIMEOUT_MS = 350L
 
-        /** Connections to one endpoint that are kept without use. */
-        const val MAX_KEPT = 8
         const val TIMEOUT_PARAMETER = "timeout="
         const val MS_PER_S = 1_000L
         const val PERCENT = 100L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -65,7 +65,7 @@
             val result = attempt.run()
             attempt.reusableHead?.let { head ->
                 isReusable = true
-                connections.keep(endpoint.id, connection, head)
+                connections.keep(endpoint, connection, head)
             }
             return result
         } catch (e: CallerLeftException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.forwarding.createForwardingController
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.daemon.SocketAddressSetting
@@ -62,7 +63,7 @@
         journal,
         peers::publish
     )
-    private val connections = EndpointConnections(selector, clock)
+    private val connections = EndpointConnections(selector, clock, ::keptLimit)
     private val admission = CallAdmission(dialect, state, clock, random)
     private val context = SessionContext(
         loop,
@@ -140,6 +141,13 @@
         loop.submitHosts(hosts.mapValues { it.value.profile })
     }
 
+    /** Connections to one endpoint that this host keeps without use; all hosts share a bound. */
+    private fun keptLimit(pool: PoolId): Int {
+        val bound = state.routing?.pool(pool)?.maxConnections ?: return 1
+        if (bound == 0) return MAX_KEPT
+        return (bound / (peers.hostCount * KEPT_SAFETY)).coerceIn(1, MAX_KEPT)
+    }
+
     private fun onPeer(message: PeerMessage) {
         when (message) {
             is PeerMessage.Input -> loop.submit(message.input)
@@ -186,6 +194,10 @@
          */
         const val STOP_RESERVE_MS = 900L
         const val STOP_POLL_MS = 50L
+        const val MAX_KEPT = 8
+
+        /** Half of the connections that an endpoint takes are left to those in use. */
+        const val KEPT_SAFETY = 2
         const val SWEEP_INTERVAL_MS = 1_000L
         const val ACCEPT_PAUSE_MS = 50L
         const val BACKLOG = 512
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -56,6 +56,9 @@
     @Volatile
     private var lastFigures: HostFigures? = null
 
+    /** Hosts that are known by address, this one included. */
+    val hostCount: Int get() = addresses.size + 1
+
     override val dutyRank: Int get() = plan.dutyRank
 
     /** Queues [figures], if there are any, to be sent by [plan]; old ones give way to newer. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -255,7 +255,7 @@
          * Hosts that start together are listed soon; later ones are known by their reports. The
          * interval grows with each read, in ms.
          */
-        const val FIRST_HOSTS_INTERVAL_MS = 300L
+        const val FIRST_HOSTS_INTERVAL_MS = 500L
         const val HOSTS_INTERVAL_GROWTH = 4
         const val MAX_HOSTS_INTERVAL_MS = 30_000L
         const val HOSTS_RETRY_MS = 1_000L
