--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
@@ -6,6 +6,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -45,7 +46,11 @@
     /** Resets all open connections. */
     fun reset() {
         for (socket in open) {
-            socket.setSoLinger(true, 0)
+            try {
+                socket.setSoLinger(true, 0)
+            } catch (_: SocketException) {
+                // It was closed meanwhile.
+            }
             close(socket)
         }
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
@@ -5,6 +5,7 @@
 import cowslipcart.standins.platform.StoreFault
 import cowslipcart.systemtest.GatewayCluster
 import cowslipcart.systemtest.GatewayHandle
+import java.io.IOException
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -31,6 +32,7 @@
     private val cluster = GatewayCluster()
     private val members = CopyOnWriteArrayList<Member>()
     private val workers = mutableListOf<Worker>()
+    private val failures = CopyOnWriteArrayList<String>()
     val log = SoakLog()
 
     @Volatile
@@ -53,7 +55,7 @@
         TimeUnit.MILLISECONDS.sleep(QUIET_MS)
         isEnded = true
         callers.forEach { it.join() }
-        return SoakChecks(log, runs()).findBreaches()
+        return SoakChecks(log, runs()).findBreaches() + failures
     }
 
     override fun close() {
@@ -111,7 +113,13 @@
             8 -> ({ drain(worker) })
             else -> ({ removeKey() })
         }
-        return thread { step() }
+        return thread {
+            try {
+                step()
+            } catch (e: IOException) {
+                failures += "a fault could not be put in: $e"
+            }
+        }
     }
 
     private fun pause(member: Member, lastsMs: Long) = synchronized(member) {
