--- a/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
@@ -10,7 +10,7 @@
 /** Replays of the load patterns of the deployments; bounds come from the targets in the issue. */
 class GatewayWorkloadTest {
     private fun load(name: String): GatewayWorkload = assertNotNull(
-        parseGatewayWorkload(File("../workloads/gateway/$name.yaml").readText()).getOrNull()
+        parseGatewayWorkload(File("../gateway-workloads/$name.yaml").readText()).getOrNull()
     )
 
     private fun kind(result: GatewayResult, rank: Int): KindResult = result.kinds[rank]
@@ -53,6 +53,21 @@
         }
     }
 
+    @Nested
+    inner class ShippedFiles {
+        @Test
+        fun `all are valid and named like their file`() {
+            val files = File("../gateway-workloads").listFiles().orEmpty()
+            assertTrue(files.isNotEmpty())
+            for (file in files) {
+                assertEquals(
+                    file.nameWithoutExtension,
+                    load(file.nameWithoutExtension).name
+                )
+            }
+        }
+    }
+
     @Nested
     inner class Repeatable {
         @Test
