--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -28,6 +28,7 @@
 import kotlin.test.assertTrue
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
@@ -105,7 +106,9 @@
     private var entries = emptyList<EndpointEntry>()
     private val answeredAtMs = mutableListOf<Long>()
 
-    private fun TestScope.follow(): StoreFollower {
+    private fun TestScope.follow(
+        publisher: NewsPublisher = this@StoreFollowerTest.publisher
+    ): StoreFollower {
         val clock = RuntimeClock(testTimeSource)
         val listener = object : StoreListener {
             override fun onRouting(table: RoutingTable) = Unit
@@ -271,7 +274,44 @@
         }
     }
 
+    @Nested
+    inner class Scale {
+        /** Follows the store with [count] hosts that tell each other; returns the reads of all. */
+        private suspend fun TestScope.readsOf(count: Int): Int {
+            val scope = backgroundScope
+            val followers = mutableListOf<StoreFollower>()
+            for (rank in 0 until count) {
+                val toOthers = object : NewsPublisher {
+                    override val dutyRank = rank
+
+                    override fun publish(news: StoreNews) {
+                        scope.launch {
+                            delay(NETWORK_MS)
+                            followers.filterIndexed { other, _ -> other != rank }
+                                .forEach { it.onNews(news) }
+                        }
+                    }
+                }
+                followers += follow(toOthers)
+            }
+            delay(START_MS)
+            val before = store.readCount
+            delay(20_000)
+            return store.readCount - before
+        }
+
+        /** Calls to the store are priced, and more so for many hosts. */
+        @Test
+        fun `the reads of a group do not grow with its hosts`() = runTest {
+            val alone = readsOf(1)
+            val together = readsOf(24)
+            assertTrue(together <= alone * 2, "expected about $alone reads, found $together")
+        }
+    }
+
     private companion object {
+        const val NETWORK_MS = 3L
+
         /** After the first reads, right after a read of the endpoints, in ms. */
         const val START_MS = 1_805L
 
