Keep the reading speed of the reference engine in one place

Cause: read-through; the figure stood in three files. Change: PrefillCost holds it; a list that nothing read is gone; comments. Result: tests of placement, admission and the emulator pass; no rule changed.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -11,7 +11,7 @@
     /** Share of all places that has to be free before [call] is admitted. */
     fun reservedShare(call: ForwardedCall): Double {
         if (call.rankInPool == 0) return 0.0
-        val readMs = PrefillCost.ofTokens(call.inputTokens) / READ_TOKENS_PER_MS
+        val readMs = PrefillCost.ofTokens(call.inputTokens) / PrefillCost.TOKENS_PER_MS
         val workMs = readMs + call.expectedOutputTokens * OUTPUT_TOKEN_MS
         return RESERVED_SHARE * (workMs / USUAL_WORK_MS).coerceIn(LEAST_PART, LARGEST_PART)
     }
@@ -76,8 +76,8 @@
     private const val RESERVED_FOR_SMALL_SHARE = 0.05
 
     /**
-     * In bursts of twice the usual load the emulator shows the most urgent kind on time more often
-     * up to about this share, and the others less often beyond it.
+     * In bursts of twice the usual load more than this hardly helps the most urgent kind, and
+     * costs the others (gateway-workloads, docs/experiments.md).
      */
     private const val RESERVED_SHARE = 0.22
 
@@ -88,9 +88,6 @@
     private const val LEAST_PART = 0.3
     private const val LARGEST_PART = 0.9
 
-    /** From the sheets: 101 prompt tokens are read in a ms. */
-    private const val READ_TOKENS_PER_MS = 101.0
-
     /** Part of a step of 3.1 ms that falls to one of 13 requests, in ms. */
     private const val OUTPUT_TOKEN_MS = 0.24
     private const val MAX_RESERVING_RANK = 3
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointSpeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointSpeed.kt
@@ -17,7 +17,7 @@
 
     /** Prompt tokens that the engine reads in a ms. */
     val prefillTokensPerMs: Double
-        get() = REFERENCE_PREFILL_TOKENS_PER_MS * relative
+        get() = PrefillCost.TOKENS_PER_MS * relative
 
     /** 1.0 for the reference engine, more for a faster one. */
     val relative: Double get() = REFERENCE_TOKEN_MS / tokenMs
@@ -65,9 +65,6 @@
         /** From the sheets: a decode step of the reference engine with ten requests, in ms. */
         const val REFERENCE_TOKEN_MS = 3.2
 
-        /** From the sheets of both deployments: 101 prompt tokens are read in a ms. */
-        const val REFERENCE_PREFILL_TOKENS_PER_MS = 101.0
-
         /** Shorter streams say more of the network than of the engine. */
         const val MIN_SAMPLE_TOKENS = 24
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PrefillCost.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PrefillCost.kt
@@ -11,6 +11,9 @@
     fun ofTokens(tokens: Int): Int =
         (tokens + SHORT_TOKENS_PER_PAIR * tokens.toDouble() * tokens).toInt()
 
+    /** From the sheets of both deployments: short prompts on the reference engine. */
+    const val TOKENS_PER_MS = 101.0
+
     /** From the sheets: a million pairs take 0.184 ms, in which 101 tokens a ms are read. */
-    private const val SHORT_TOKENS_PER_PAIR = 0.184 * 101 / 1_000_000
+    private const val SHORT_TOKENS_PER_PAIR = 0.184 * TOKENS_PER_MS / 1_000_000
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayBuffer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayBuffer.kt
@@ -6,8 +6,7 @@
 
 /**
  * Figures that a relay passes on between its group and the others: of each host the newest ones,
- * once. Confined to one coroutine at a time by its lock, since figures are received and sent by
- * different ones.
+ * once. Thread-safe, since one coroutine receives figures and another one sends them.
  */
 internal class RelayBuffer {
     private class Seen(val incarnation: IncarnationId, val sequence: Long)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -37,7 +37,6 @@
     val queue = EventQueue()
     val random = Random(seed)
     val ended = mutableListOf<EndedRequest>()
-    private val requests = mutableListOf<EmulatedRequest>()
     private var openCount = 0
     private var lastCallId = 0L
     private val hosts = (1..workload.hosts).map { createHost(HostId("host-$it")) }
@@ -111,7 +110,6 @@
             atMs += -ln(1 - draws.nextDouble()) / (kind.ratePerS * factor) * MS_PER_S
             if (atMs >= workload.durationMs) return
             val request = EmulatedRequest(this, kind, draws)
-            requests += request
             openCount++
             queue.schedule(atMs.toLong()) { request.start() }
         }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
@@ -31,9 +31,10 @@
     val requests: MutableList<SoakRequest> = Collections.synchronizedList(mutableListOf())
     val faults: MutableList<String> = Collections.synchronizedList(mutableListOf())
 
-    /** When each runner was written as draining, and the key was taken away. */
+    /** When each runner was written as draining. */
     val drainedAtMs: MutableMap<String, Long> = ConcurrentHashMap()
 
+    /** When the key was taken away. */
     @Volatile
     var keyRemovedAtMs: Long = Long.MAX_VALUE
 
