--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
@@ -193,7 +193,7 @@
     }
 
     private fun removeKey(): Unit = synchronized(log) {
-        if (log.keyRemovedAtMs != Long.MAX_VALUE) return
+        if (log.keyRemovedAtMs != null) return
         cluster.publish(keys = listOf(LASTING_KEY))
         log.keyRemovedAtMs = log.nowMs()
         log.note("key removed")
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
@@ -56,7 +56,9 @@
         if (!request.usesRemovedKey) return null
         val status = (request.outcome as? CallerOutcome.Whole)?.status
         val removedAtMs = log.keyRemovedAtMs
-        if (request.endedAtMs < removedAtMs && status == UNAUTHORIZED) return "401 for a valid key"
+        if (removedAtMs == null || request.endedAtMs < removedAtMs) {
+            return "401 for a valid key".takeIf { status == UNAUTHORIZED }
+        }
         val isLate = request.sentAtMs > removedAtMs + IN_FORCE_MS && isInTouch(request)
         return "ran with a removed key".takeIf { isLate && ran.isNotEmpty() }
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
@@ -34,9 +34,9 @@
     /** When each runner was written as draining. */
     val drainedAtMs: MutableMap<String, Long> = ConcurrentHashMap()
 
-    /** When the key was taken away. */
+    /** When the key was taken away; null if it was not. */
     @Volatile
-    var keyRemovedAtMs: Long = Long.MAX_VALUE
+    var keyRemovedAtMs: Long? = null
 
     @Volatile
     var lastFaultEndMs: Long = 0
