Count inputs of the control thread and decisions of a request

Cause: a request without any decision could not be told from one whose decision did not reach its session: the log has neither the number of commands that a session received nor the number of inputs that the control thread handled. Change: counter control_inputs_total by stage (submitted, handled), and the field decisions in the line of an ended request. No decision changes.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -31,6 +31,7 @@
     private val relay = StreamRelay(response, context.clock)
     private var lastResponse: BufferedResponse? = null
     private var isAttemptRunning = false
+    private var decisionCount = 0
     private var end = "answered"
 
     /**
@@ -50,7 +51,7 @@
             context.loop.unregister(call.id)
             context.loop.submit(ForwardingInput.CallClosed(call.id))
             val tookMs = context.clock.nowMs() - call.arrivedAtMs
-            context.eventLog.requestEnded(call, response.status, end, tookMs)
+            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount)
         }
     }
 
@@ -65,7 +66,9 @@
 
     private suspend fun followCommands() {
         while (true) {
-            when (val command = commands.receive()) {
+            val command = commands.receive()
+            decisionCount++
+            when (command) {
                 is CallCommand.Dispatch -> if (attempt(command)) return
                 is CallCommand.Refuse -> return refuse(command)
                 is CallCommand.GiveUp -> return giveUp()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -12,6 +12,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.channels.Channel
@@ -30,6 +31,8 @@
     private val controller: ForwardingController,
     private val clock: RuntimeClock,
     private val eventLog: GatewayEventLog,
+    private val metrics: GatewayMetrics,
+    private val dispatcher: CoroutineDispatcher = controlThread(),
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
@@ -42,12 +45,10 @@
     private val commandsByCall = ConcurrentHashMap<CallId, Channel<CallCommand>>()
     private var nextReportAtMs = 0L
     private var nextTickAtMs = 0L
-    private val dispatcher = Executors.newSingleThreadScheduledExecutor { task ->
-        Thread(task, "control").apply { isDaemon = true }
-    }.asCoroutineDispatcher()
 
     /** Queues an input; never blocks. */
     fun submit(input: ForwardingInput) {
+        metrics.controlInputs.labelValues("submitted").inc()
         messages.trySend(Message.Input(input))
     }
 
@@ -73,7 +74,10 @@
                 when (val message = withTimeoutOrNull(waitMs) { messages.receive() }) {
                     null -> Unit
 
-                    is Message.Input -> handle(message.input)
+                    is Message.Input -> {
+                        metrics.controlInputs.labelValues("handled").inc()
+                        handle(message.input)
+                    }
 
                     is Message.HostsListed ->
                         controller.onHostsListed(message.hosts, clock.nowMs())
@@ -111,6 +115,11 @@
     }
 
     private companion object {
+        fun controlThread(): CoroutineDispatcher =
+            Executors.newSingleThreadScheduledExecutor { task ->
+                Thread(task, "control").apply { isDaemon = true }
+            }.asCoroutineDispatcher()
+
         /** Interval of load reports, in ms; bounds the age of the loads on which other hosts decide. */
         const val REPORT_INTERVAL_MS = 200L
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -61,7 +61,8 @@
         createForwardingController(settings.forwarding, random),
         clock,
         eventLog,
-        peers::publish
+        metrics,
+        publish = peers::publish
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
     private val admission = CallAdmission(headerCodec, state, clock, random)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -63,8 +63,14 @@
             ?.log("attempt")
     }
 
-    /** Writes and counts the end of a request; [status] is 0 if no response was sent. */
-    fun requestEnded(call: ForwardedCall, status: Int, end: String, tookMs: Long) {
+    /**
+     * Writes and counts the end of a request.
+     *
+     * @param status status sent to the caller, 0 if no response was sent
+     * @param decisions commands of the control thread that reached the request; 0 means that it was
+     * never decided
+     */
+    fun requestEnded(call: ForwardedCall, status: Int, end: String, tookMs: Long, decisions: Int) {
         metrics.countEndedRequest(call.route.id.value, status, end, tookMs)
         line(Level.INFO)
             ?.addKeyValue("request", call.requestId.value)
@@ -72,6 +78,7 @@
             ?.addKeyValue("status", status)
             ?.addKeyValue("end", end)
             ?.addKeyValue("tookMs", tookMs)
+            ?.addKeyValue("decisions", decisions)
             ?.log("answer")
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -19,6 +19,12 @@
     /** Log lines dropped over the limit per second. */
     val droppedLines: Counter = counter("log_lines_dropped", "Log lines over the budget")
 
+    /**
+     * Inputs of the control thread by stage, submitted or handled. A difference that stays is an
+     * input that was lost.
+     */
+    val controlInputs: Counter = counter("control_inputs", "Inputs of the control thread", "stage")
+
     /** Calls to the platform's store, by operation and result. */
     val storeCalls: Counter = counter("store_calls", "Calls to the store", "call", "result")
 
