Keep control inputs that arrive as a wait times out

Cause: the control thread waits with withTimeoutOrNull { receive() }. A channel hands its element to a suspended receiver; if the timeout cancels the receiver before it resumes, the element is dropped. A lost AttemptEnded leaves a request without its next command and a slot occupied, a lost RoutingChanged or EndpointsChanged leaves the old state in force. StoreFollower received updates of other hosts in the same way. Change: both wait with select, which either takes the element or times out.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -18,7 +18,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * The control thread of the gateway. It alone accesses the [ForwardingController]; traffic
@@ -71,7 +70,7 @@
         scope.launch(dispatcher) {
             while (isActive) {
                 val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
-                when (val message = withTimeoutOrNull(waitMs) { messages.receive() }) {
+                when (val message = messages.receiveOrNull(waitMs)) {
                     null -> Unit
 
                     is Message.Input -> {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -23,7 +23,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 
 /** Decodes the records of a platform's store. Returns null for a record that is not valid. */
 public interface RecordDecoder {
@@ -90,7 +89,7 @@
     /** Waits for an update of the endpoints, or reads them if none arrives in time. */
     private suspend fun followEndpoints() {
         val waitMs = endpoints.untilReadMs(publisher.groupRank, clock.nowMs())
-        val update = withTimeoutOrNull(waitMs) { endpointUpdates.receive() }
+        val update = endpointUpdates.receiveOrNull(waitMs)
         if (update == null) {
             readEndpoints()
         } else {
@@ -155,7 +154,7 @@
         val update = if (waitMs == 0L) {
             configurationUpdates.tryReceive().getOrNull()
         } else {
-            withTimeoutOrNull(waitMs) { configurationUpdates.receive() }
+            configurationUpdates.receiveOrNull(waitMs)
         }
         if (update != null && configuration.onUpdate(update, clock.nowMs())) return
         readConfiguration(if (update == null && rank == 0) CONFIGURATION_WAIT_MS else 0)
