Reset the connection to an endpoint whose request is abandoned

Cause: Ktor's Socket.close() is graceful. It sends everything that was written to the socket's channel before it closes the connection, for as long as the endpoint takes to read it. A body of up to 1 MB is handed to the channel at once, so after the caller had left, the whole request still reached an endpoint that read late, which then ran it.

Change: ServerConnection.abort() sets SO_LINGER to 0 and closes the socket channel, which discards unsent bytes and resets the connection. EndpointExchange aborts each connection that is not kept, instead of closing it.

Result: callers that close while their request is sent no longer have it run afterwards.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -6,6 +6,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.ResponseHead
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
@@ -14,19 +15,39 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SocketChannel
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** An open TCP connection to an endpoint or to a server of the platform. */
-internal class ServerConnection(private val socket: Socket) {
+internal class ServerConnection(private val socket: Socket, private val selector: SelectorManager) {
     val source = ByteSource(socket.openReadChannel())
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     /** Number of completed requests on this connection. */
     var useCount = 0
 
+    /** Closes the connection after everything that was written has been sent. */
     fun close() = socket.close()
+
+    /**
+     * Resets the connection and discards what was written and not yet sent. [close] would go on
+     * sending a request that nobody waits for, and hold the connection until it is sent.
+     */
+    fun abort() {
+        val selectable = socket as Selectable
+        try {
+            (selectable.channel as SocketChannel).setOption(StandardSocketOptions.SO_LINGER, 0)
+        } catch (_: ClosedChannelException) {
+            return
+        }
+        selectable.channel.close()
+        selector.notifyClosed(selectable)
+        socket.close()
+    }
 }
 
 /**
@@ -41,7 +62,7 @@
     val socket = aSocket(this@connectTo).tcp().connect(InetSocketAddress(ip, port)) {
         noDelay = true
     }
-    ServerConnection(socket)
+    ServerConnection(socket, this@connectTo)
 }
 
 /**
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -80,7 +80,7 @@
         } catch (e: IOException) {
             return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
         } finally {
-            if (!isReusable) connection.close()
+            if (!isReusable) connection.abort()
         }
     }
 
@@ -124,9 +124,9 @@
                 )
                 connection.writer.send(head + request.body)
             } catch (_: IOException) {
-                connection.close()
+                connection.abort()
             } catch (_: ClosedByteChannelException) {
-                connection.close()
+                connection.abort()
             }
         }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -0,0 +1,63 @@
+package cowslipcart.daemon.gateway
+
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Tests on sockets of loopback what reaches an endpoint after a caller has closed. */
+class CallerLeavesTest {
+    private val resources = mutableListOf<AutoCloseable>()
+
+    private fun <T : AutoCloseable> T.closedAfterwards(): T = also { resources += it }
+
+    @AfterTest
+    fun closeAll() = resources.reversed().forEach { it.close() }
+
+    /** Waits for [condition] for at most [limitMs]; returns whether it came true. */
+    private fun await(limitMs: Long, condition: () -> Boolean): Boolean {
+        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs)
+        while (!condition()) {
+            if (System.nanoTime() > endNs) return false
+            Thread.sleep(POLL_MS)
+        }
+        return true
+    }
+
+    private fun msSince(startNs: Long, endNs: Long) = TimeUnit.NANOSECONDS.toMillis(endNs - startNs)
+
+    @Nested
+    inner class WhileSending {
+        /** Guards against a request that an endpoint gets and runs after its caller has left. */
+        @Test
+        fun `the rest of a body does not reach an endpoint that stopped reading`() {
+            val endpoint = RawEndpoint(silenceMs = 1_000).closedAfterwards()
+            val fixture = SessionFixture(endpoint.port).closedAfterwards()
+            val caller = fixture.sendRequest(BODY_BYTES)
+            assertTrue(await(SETUP_MS) { endpoint.connections.isNotEmpty() })
+            Thread.sleep(SENDING_MS)
+            val closedAtNs = System.nanoTime()
+            caller.close()
+
+            val received = endpoint.connections.single()
+            assertTrue(await(SETUP_MS) { received.endAtNs != null })
+            val endMs = msSince(closedAtNs, assertNotNull(received.endAtNs))
+            assertTrue(
+                received.byteCount <= RECEIVED_BEFORE_CLOSE_BYTES,
+                "${received.byteCount} bytes read after the close, end after $endMs ms"
+            )
+        }
+    }
+
+    private companion object {
+        const val POLL_MS = 5L
+        const val SETUP_MS = 5_000L
+        const val SENDING_MS = 200L
+        const val BODY_BYTES = 1_000_000
+
+        /** Bound on what the endpoint's receive buffer held when the caller closed. */
+        const val RECEIVED_BEFORE_CLOSE_BYTES = 65_536L
+    }
+}
