Close an abandoned endpoint connection from the reader of its caller

Cause: after the end of a caller's connection was read, the coroutine that watches the caller, the cancelled request and Ktor's own close each waited for their turn on the worker thread before the connection to the endpoint was closed. On a host of a quarter of a core with a queue of work, the endpoint went on for that long.

Change: CallerSocket exposes the completion of the job that reads the caller's socket. While an attempt runs, that completion aborts the connection to the endpoint on the thread that read the end. A failure of an attempt whose caller has closed is not counted against the endpoint.

Result: the endpoint sees its connection reset as soon as the close was read. In the new test the thread of the sessions is occupied for 2 s when the caller closes. It failed before with "closed 2122 ms after the caller"; its bound is 500 ms.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -6,7 +6,6 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.daemon.control.RuntimeClock
-import cowslipcart.daemon.http1.ByteSource
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -38,11 +37,11 @@
      * Serves the request until it is answered or its time is up. Reads from [caller] meanwhile, so
      * that a disconnect cancels the request; throws [CallerDisconnectedException] then.
      */
-    suspend fun serve(caller: ByteSource) {
+    suspend fun serve(caller: CallerSocket) {
         context.loop.submit(ForwardingInput.Arrived(call))
         try {
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
-            withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands() } }
+            withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands(caller) } }
                 ?: onTimeout()
         } catch (e: CallerDisconnectedException) {
             end = "caller-left"
@@ -55,21 +54,21 @@
         }
     }
 
-    private suspend fun cancelOnDisconnect(caller: ByteSource, block: suspend () -> Unit) =
+    private suspend fun cancelOnDisconnect(caller: CallerSocket, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
-                if (caller.awaitClose()) throw CallerDisconnectedException()
+                if (caller.source.awaitClose()) throw CallerDisconnectedException()
             }
             block()
             monitor.cancel()
         }
 
-    private suspend fun followCommands() {
+    private suspend fun followCommands(caller: CallerSocket) {
         while (true) {
             val command = commands.receive()
             decisionCount++
             when (command) {
-                is CallCommand.Dispatch -> if (attempt(command)) return
+                is CallCommand.Dispatch -> if (attempt(command, caller)) return
                 is CallCommand.Refuse -> return refuse(command)
                 is CallCommand.GiveUp -> return giveUp()
             }
@@ -77,10 +76,10 @@
     }
 
     /** Runs one attempt; returns whether the caller has its response. */
-    private suspend fun attempt(command: CallCommand.Dispatch): Boolean {
+    private suspend fun attempt(command: CallCommand.Dispatch, caller: CallerSocket): Boolean {
         val startMs = context.clock.nowMs()
         isAttemptRunning = true
-        val result = context.exchange.run(call, request, command, relay) {
+        val result = context.exchange.run(call, request, command, relay, caller) {
             context.loop.submit(ForwardingInput.ResponseStarted(call.id))
         }
         isAttemptRunning = false
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -9,8 +9,6 @@
 import cowslipcart.daemon.http1.TooLongException
 import cowslipcart.daemon.http1.send
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -23,17 +21,16 @@
 ) {
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val source = ByteSource(socket.openReadChannel())
-        val writer = socket.openWriteChannel(autoFlush = false)
+        val caller = CallerSocket(socket)
         try {
-            while (serveNext(source, writer)) Unit
+            while (serveNext(caller)) Unit
         } catch (_: CallerDisconnectedException) {
             return
         } catch (e: IOException) {
             context.eventLog.event("caller-connection-lost", "reason" to e.message)
         } finally {
-            closeQuietly(writer)
-            socket.close()
+            closeQuietly(caller.writer)
+            caller.close()
         }
     }
 
@@ -46,7 +43,9 @@
     }
 
     /** Serves one request; returns whether the connection can carry another one. */
-    private suspend fun serveNext(source: ByteSource, writer: ByteWriteChannel): Boolean {
+    private suspend fun serveNext(caller: CallerSocket): Boolean {
+        val source = caller.source
+        val writer = caller.writer
         val limits = state.routing?.limits ?: DEFAULT_LIMITS
         if (!awaitRequest(source, limits)) return false
         val response: CallerResponse
@@ -65,13 +64,13 @@
             }
             return rejectAndClose(writer, status, e.message.orEmpty())
         }
-        return respond(request, response, source)
+        return respond(request, response, caller)
     }
 
     private suspend fun respond(
         request: BufferedRequest,
         response: CallerResponse,
-        source: ByteSource
+        caller: CallerSocket
     ): Boolean {
         state.activeRequests.incrementAndGet()
         try {
@@ -88,7 +87,7 @@
                 }
 
                 is CallAdmission.Result.Admitted ->
-                    CallSession(context, admitted.call, request, response).serve(source)
+                    CallSession(context, admitted.call, request, response).serve(caller)
             }
         } finally {
             state.activeRequests.decrementAndGet()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -58,6 +58,7 @@
         request: BufferedRequest,
         dispatch: CallCommand.Dispatch,
         relay: StreamRelay,
+        caller: CallerSocket,
         onResponseStarted: () -> Unit
     ): ExchangeResult {
         val endpoint = dispatch.endpoint
@@ -65,12 +66,15 @@
         val connection = connections.acquire(endpoint, maxIdleMs)
             ?: return ExchangeResult(AttemptOutcome.NotSent("no connection"))
         var isReusable = false
+        val closing = caller.onClose { connection.abort() }
         try {
             val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
             val result = attempt.run()
-            attempt.reusableHead?.let { head ->
+            closing.dispose()
+            val reusableHead = attempt.reusableHead
+            if (reusableHead != null && !caller.isClosed) {
                 isReusable = true
-                connections.release(endpoint, connection, head)
+                connections.release(endpoint, connection, reusableHead)
             }
             return result
         } catch (e: CallerDisconnectedException) {
@@ -78,8 +82,10 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: IOException) {
+            if (caller.isClosed) throw CallerDisconnectedException()
             return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
         } finally {
+            closing.dispose()
             if (!isReusable) connection.abort()
         }
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -1,10 +1,12 @@
 package cowslipcart.daemon.gateway
 
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
+import kotlinx.coroutines.asCoroutineDispatcher
 import org.junit.jupiter.api.Nested
 
 /** Tests on sockets of loopback what reaches an endpoint after a caller has closed. */
@@ -51,10 +53,39 @@
         }
     }
 
+    @Nested
+    inner class WhileRunning {
+        private val sessionThread = Executors.newSingleThreadExecutor()
+
+        /** Guards against work for a caller that left while this host is behind with its own. */
+        @Test
+        fun `the endpoint sees its connection closed ahead of other work of this host`() {
+            resources += AutoCloseable { sessionThread.shutdownNow() }
+            val endpoint = RawEndpoint().closedAfterwards()
+            val dispatcher = sessionThread.asCoroutineDispatcher()
+            val fixture = SessionFixture(endpoint.port, sessionDispatcher = dispatcher)
+                .closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 10)
+            assertTrue(await(SETUP_MS) { endpoint.connections.any { it.byteCount > 0 } })
+            val received = endpoint.connections.single()
+            sessionThread.execute { Thread.sleep(BEHIND_MS) }
+            val closedAtNs = System.nanoTime()
+            caller.close()
+
+            assertTrue(await(SETUP_MS) { received.endAtNs != null })
+            val endMs = msSince(closedAtNs, assertNotNull(received.endAtNs))
+            assertTrue(endMs <= LIMIT_MS, "closed $endMs ms after the caller")
+        }
+    }
+
     private companion object {
         const val POLL_MS = 5L
         const val SETUP_MS = 5_000L
         const val SENDING_MS = 200L
+
+        /** Time after a caller's close within which its endpoint has to see its own. */
+        const val LIMIT_MS = 500L
+        const val BEHIND_MS = 2_000L
         const val BODY_BYTES = 1_000_000
 
         /** Bound on what the endpoint's receive buffer held when the caller closed. */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -33,6 +33,7 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -88,8 +89,12 @@
 }
 
 /** The caller-facing part of a gateway on loopback, with one endpoint at [endpointPort]. */
-internal class SessionFixture(endpointPort: Int, decisionMs: Long = 0) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+internal class SessionFixture(
+    endpointPort: Int,
+    decisionMs: Long = 0,
+    sessionDispatcher: CoroutineDispatcher = Dispatchers.IO
+) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + sessionDispatcher)
     private val selector = SelectorManager(Dispatchers.IO)
     private val clock = RuntimeClock()
     private val pool = PoolId("pool")
