Answer requests that arrive with the idle timeout

Callers on connections that were idle for long saw a request end with a closed connection.

Cause: the idle timeout closed the connection although bytes of a request had been received. The coroutine that waits for the first byte is resumed a little later than they arrive; if the timeout comes in between, the wait returns nothing and the bytes were dropped unread.

Change: after the timeout the connection serves a request whose bytes have been received. A connection that is closed for being idle is logged as caller-connection-idle.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -98,11 +98,12 @@
 
     /** Waits for the first byte of a request; returns false at the idle timeout or at the end. */
     private suspend fun awaitRequest(source: ByteSource, limits: CallerLimits): Boolean {
-        var isWaiting = true
-        val isOpen = withTimeoutOrNull(limits.idleTimeoutMs) {
-            source.awaitByte().also { isWaiting = false }
-        }
-        return !isWaiting && isOpen == true
+        val isOpen = withTimeoutOrNull(limits.idleTimeoutMs) { source.awaitByte() }
+        if (isOpen != null) return isOpen
+        // Bytes that arrive with the timeout are a request, whose caller waits for an answer.
+        if (source.hasBytes) return true
+        context.eventLog.event("caller-connection-idle", "idleMs" to limits.idleTimeoutMs)
+        return false
     }
 
     private suspend fun readHead(source: ByteSource, limits: CallerLimits): RequestHead {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -19,9 +19,11 @@
     private var start = 0
     private var end = 0
 
+    /** Whether received bytes wait to be read. */
+    val hasBytes: Boolean get() = start != end || channel.availableForRead > 0
+
     /** Whether the connection is open and no received bytes wait to be read. */
-    val isIdle: Boolean
-        get() = start == end && channel.availableForRead == 0 && !channel.isClosedForRead
+    val isIdle: Boolean get() = !hasBytes && !channel.isClosedForRead
 
     private val bufferedCount: Int get() = end - start
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -0,0 +1,90 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.core.model.Revision
+import cowslipcart.core.routing.CallerLimits
+import cowslipcart.core.routing.RoutingTable
+import cowslipcart.daemon.control.RuntimeClock
+import io.ktor.network.selector.SelectorManager
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Nested
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class CallerConnectionTest {
+    private val state = GatewayState().apply { areEndpointsLoaded = true }
+    private val selector = SelectorManager(Dispatchers.IO)
+
+    @AfterTest
+    fun stop() = selector.close()
+
+    /** Puts a configuration without routes in force. */
+    private fun configure(idleTimeoutMs: Long) {
+        state.routing = RoutingTable(
+            Revision((state.routing?.revision?.value ?: 0) + 1),
+            emptyList(),
+            emptyList(),
+            emptyMap(),
+            CallerLimits(16_384, 10, 1_000, idleTimeoutMs),
+            requiresKey = false
+        )
+    }
+
+    private fun TestScope.createConnection(): CallerConnection {
+        val clock = RuntimeClock(testTimeSource)
+        val metrics = GatewayMetrics()
+        val eventLog = GatewayEventLog(clock, metrics)
+        val loop = ForwardingLoop(IdleController(), clock, eventLog, metrics) { _, _ -> }
+        val connections = EndpointConnections(selector, clock) { 1 }
+        val exchange = EndpointExchange(connections, BareHeaderCodec, clock)
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock)
+        val admission = CallAdmission(BareHeaderCodec, state, clock, Random(1))
+        return CallerConnection(context, admission, state)
+    }
+
+    /** Returns the status line that a caller gets that does [actions] on a new connection. */
+    private fun statusLine(actions: suspend (CallerSocket) -> Unit): String {
+        var received = ""
+        runTest {
+            val socket = CallerSocket(backgroundScope)
+            launch { actions(socket) }
+            createConnection().serve(socket)
+            delay(1)
+            received = socket.received
+        }
+        return received.lines().first()
+    }
+
+    @Nested
+    inner class IdleTimeout {
+        /** Guards against a request that gets no answer, since it arrived with the idle timeout. */
+        @Test
+        fun `a request that was received at the moment of the idle timeout is answered`() {
+            configure(IDLE_MS)
+
+            assertEquals(
+                NOT_FOUND,
+                statusLine {
+                    delay(IDLE_MS)
+                    it.send(request())
+                }
+            )
+        }
+    }
+
+    private fun request() = "POST /x HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
+        "Content-Length: 0\r\n\r\n"
+
+    private companion object {
+        const val IDLE_MS = 1_000L
+        const val NOT_FOUND = "HTTP/1.1 404 Not Found"
+    }
+}
