Apply the limits in force when a request begins

Beside a change of the configuration, callers on idle connections got 413 (or 408 or 431) for requests that the new limits allow, and connections closed at the old idle timeout while callers went by a longer new one, which a request on its way meets as a connection closed without an answer.

Cause: the limits were read before the wait for the next request, which lasts up to the idle timeout, so a request on an idle connection was read by the limits of an older revision.

Change: the limits are read when the first byte of a request arrives. A longer idle timeout extends a wait that has begun; a shorter one applies from the next wait.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -21,6 +21,9 @@
     private val admission: CallAdmission,
     private val state: GatewayState
 ) {
+    /** Limits of the configuration in force. */
+    private val limits: CallerLimits get() = state.routing?.limits ?: DEFAULT_LIMITS
+
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
         val source = ByteSource(socket.openReadChannel())
@@ -47,8 +50,8 @@
 
     /** Serves one request; returns whether the connection can carry another one. */
     private suspend fun serveNext(source: ByteSource, writer: ByteWriteChannel): Boolean {
-        val limits = state.routing?.limits ?: DEFAULT_LIMITS
-        if (!awaitRequest(source, limits)) return false
+        if (!awaitRequest(source)) return false
+        val limits = limits
         val response: CallerResponse
         val request: BufferedRequest
         try {
@@ -96,13 +99,23 @@
         return response.isConnectionReusable
     }
 
-    /** Waits for the first byte of a request; returns false at the idle timeout or at the end. */
-    private suspend fun awaitRequest(source: ByteSource, limits: CallerLimits): Boolean {
-        val isOpen = withTimeoutOrNull(limits.idleTimeoutMs) { source.awaitByte() }
-        if (isOpen != null) return isOpen
-        // Bytes that arrive with the timeout are a request, whose caller waits for an answer.
-        if (source.hasBytes) return true
-        context.eventLog.event("caller-connection-idle", "idleMs" to limits.idleTimeoutMs)
+    /**
+     * Waits for the first byte of a request; returns false at the idle timeout or at the end. A
+     * longer timeout that comes into force meanwhile extends the wait, since callers reuse a
+     * connection within the timeout that they know; a shorter one applies to the next wait.
+     */
+    private suspend fun awaitRequest(source: ByteSource): Boolean {
+        val startMs = context.clock.nowMs()
+        var timeoutMs = limits.idleTimeoutMs
+        while (true) {
+            val leftMs = startMs + timeoutMs - context.clock.nowMs()
+            withTimeoutOrNull(leftMs) { source.awaitByte() }?.let { return it }
+            // Bytes that arrive with the timeout are a request, whose caller waits for an answer.
+            if (source.hasBytes) return true
+            if (limits.idleTimeoutMs <= timeoutMs) break
+            timeoutMs = limits.idleTimeoutMs
+        }
+        context.eventLog.event("caller-connection-idle", "idleMs" to timeoutMs)
         return false
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -27,13 +27,13 @@
     fun stop() = selector.close()
 
     /** Puts a configuration without routes in force. */
-    private fun configure(idleTimeoutMs: Long) {
+    private fun configure(idleTimeoutMs: Long, bodyBytes: Int = 10) {
         state.routing = RoutingTable(
             Revision((state.routing?.revision?.value ?: 0) + 1),
             emptyList(),
             emptyList(),
             emptyMap(),
-            CallerLimits(16_384, 10, 1_000, idleTimeoutMs),
+            CallerLimits(16_384, bodyBytes, 1_000, idleTimeoutMs),
             requiresKey = false
         )
     }
@@ -78,10 +78,59 @@
                 }
             )
         }
+
+        /** Guards against connections that close before the idle timeout that callers know. */
+        @Test
+        fun `a longer idle timeout applies to connections that are idle already`() {
+            configure(IDLE_MS)
+
+            assertEquals(
+                NOT_FOUND,
+                statusLine {
+                    delay(IDLE_MS / 2)
+                    configure(IDLE_MS * 4)
+                    delay(IDLE_MS * 2)
+                    it.send(request())
+                }
+            )
+        }
+
+        @Test
+        fun `a shorter idle timeout does not apply to connections that are idle already`() {
+            configure(IDLE_MS)
+
+            assertEquals(
+                NOT_FOUND,
+                statusLine {
+                    configure(IDLE_MS / 4)
+                    delay(IDLE_MS / 2)
+                    it.send(request())
+                }
+            )
+        }
+    }
+
+    @Nested
+    inner class ChangedLimits {
+        /** Guards against the rejection of a request that the configuration in force allows. */
+        @Test
+        fun `the limits in force when a request begins apply to it`() {
+            configure(IDLE_MS, bodyBytes = 10)
+
+            assertEquals(
+                NOT_FOUND,
+                statusLine {
+                    delay(IDLE_MS / 2)
+                    configure(IDLE_MS, bodyBytes = 20)
+                    it.send(request(bodyBytes = 20))
+                }
+            )
+        }
     }
 
-    private fun request() = "POST /x HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
-        "Content-Length: 0\r\n\r\n"
+    private fun request(bodyBytes: Int = 0) =
+        "POST /x HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n" +
+            "Content-Length: $bodyBytes\r\n\r\n" + "x".repeat(bodyBytes)
 
     private companion object {
         const val IDLE_MS = 1_000L
