Keep the control thread running after an exception

A request on which the controller fails, like every later one on its host, would wait for a command until its deadline, and then get 504 or nothing.

Cause: an exception from the controller, or from the report to the other hosts, ended the loop of the control thread, unlike in ControlLoop. Nothing was logged but the trace on standard error.

Change: each step of the loop is guarded; an exception is logged as control-failed. The request of an input that failed is ended at once: refused as not run if it is new, given up if its attempt was over, since no other command follows.

Result: ForwardingLoopTest was red before (IllegalStateException: unexpected, and no command) and is green. No exception of the controller has been seen in a log.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -108,6 +108,7 @@
     OUT_OF_TIME("out-of-time"),
     DECLINED("declined"),
     NOT_SENT("not-sent"),
+    CONTROL_FAILED("control-failed"),
     MAY_HAVE_RUN("may-have-run")
 }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.control.RuntimeClock
@@ -78,27 +79,64 @@
                         handle(message.input)
                     }
 
-                    is Message.HostsListed ->
+                    is Message.HostsListed -> guard("HostsListed") {
                         controller.onHostsListed(message.hosts, clock.nowMs())
+                    }
                 }
                 tick()
-                report()
+                guard("report") { report() }
             }
         }
     }
 
     private fun handle(input: ForwardingInput) {
-        for (effect in controller.handle(input, clock.nowMs())) {
-            eventLog.write(effect)
-            when (effect) {
-                is ForwardingEffect.Command ->
-                    commandsByCall[effect.call.id]?.trySend(effect.command)
+        val isHandled = guard(input.javaClass.simpleName) {
+            for (effect in controller.handle(input, clock.nowMs())) perform(effect)
+        }
+        if (!isHandled) endWaiting(input)
+    }
 
-                is ForwardingEffect.LogStateChange -> Unit
-            }
+    private fun perform(effect: ForwardingEffect) {
+        eventLog.write(effect)
+        when (effect) {
+            is ForwardingEffect.Command ->
+                commandsByCall[effect.call.id]?.trySend(effect.command)
+
+            is ForwardingEffect.LogStateChange -> Unit
         }
     }
 
+    /** Ends the request that waits for a command in reply to [input], which was not handled. */
+    private fun endWaiting(input: ForwardingInput) {
+        val reason = RefusalReason.CONTROL_FAILED
+        when (input) {
+            is ForwardingInput.Arrived ->
+                commandsByCall[input.call.id]?.trySend(CallCommand.Refuse(reason, null))
+
+            is ForwardingInput.AttemptEnded ->
+                commandsByCall[input.call]?.trySend(CallCommand.GiveUp(reason))
+
+            is ForwardingInput.ResponseStarted,
+            is ForwardingInput.CallClosed,
+            is ForwardingInput.RoutingChanged,
+            is ForwardingInput.EndpointsChanged,
+            is ForwardingInput.PeerReported,
+            is ForwardingInput.PeerLeft,
+            ForwardingInput.Tick -> Unit
+        }
+    }
+
+    /** Runs [step]; logs its exception, so that the loop goes on, and returns false then. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun guard(name: String, step: () -> Unit): Boolean = try {
+        step()
+        true
+    } catch (e: RuntimeException) {
+        val origin = e.stackTrace.firstOrNull()
+        eventLog.event("control-failed", "step" to name, "reason" to "$e", "at" to "$origin")
+        false
+    }
+
     private fun tick() {
         val nowMs = clock.nowMs()
         if (nowMs < nextTickAtMs) return
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
@@ -1,13 +1,13 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.forwarding.AttemptOutcome
+import cowslipcart.core.forwarding.CallCommand
 import cowslipcart.core.forwarding.CallId
 import cowslipcart.core.forwarding.ForwardingController
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
-import cowslipcart.core.forwarding.HostLoadReport
-import cowslipcart.core.forwarding.HostProfile
-import cowslipcart.core.forwarding.ReportPlan
-import cowslipcart.core.model.HostId
+import cowslipcart.core.forwarding.RefusalReason
+import cowslipcart.core.routing.WorkKind
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -22,26 +22,27 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class ForwardingLoopTest {
-    private class RecordingController : ForwardingController {
+    private class RecordingController : IdleController() {
         val handled = mutableListOf<ForwardingInput>()
 
         override fun handle(input: ForwardingInput, nowMs: Long): List<ForwardingEffect> {
             if (input != ForwardingInput.Tick) handled += input
             return emptyList()
         }
+    }
 
-        override fun nextTickMs(): Long = TICK_MS
-
-        override fun loadReport(nowMs: Long): HostLoadReport? = null
-
-        override fun reportPlan(nowMs: Long): ReportPlan = ReportPlan.ALONE
-
-        override fun onHostsListed(hosts: Map<HostId, HostProfile>, nowMs: Long) = Unit
+    /** Fails for each request and for each end of an attempt. */
+    private class FailingController : IdleController() {
+        override fun handle(input: ForwardingInput, nowMs: Long): List<ForwardingEffect> =
+            when (input) {
+                is ForwardingInput.Arrived, is ForwardingInput.AttemptEnded -> error("unexpected")
+                else -> emptyList()
+            }
     }
 
     private val controller = RecordingController()
 
-    private fun TestScope.createLoop(): ForwardingLoop {
+    private fun TestScope.createLoop(controller: ForwardingController): ForwardingLoop {
         val clock = RuntimeClock(testTimeSource)
         val dispatcher = StandardTestDispatcher(testScheduler)
         val metrics = GatewayMetrics()
@@ -54,7 +55,7 @@
         /** Guards against requests that get no answer, since the control thread never saw them. */
         @Test
         fun `inputs that arrive at the moment of a tick are handled`() = runTest {
-            val loop = createLoop()
+            val loop = createLoop(controller)
             val inputs = (1L..5L).map { ForwardingInput.CallClosed(CallId(it)) }
             launch {
                 for (input in inputs) {
@@ -69,7 +70,43 @@
         }
     }
 
+    /** Guards against requests that all get no answer, since the control thread has ended. */
+    @Nested
+    inner class FailingInputs {
+        private val call = sampleCall(WorkKind.Idempotent)
+
+        private fun commandAfter(input: ForwardingInput): CallCommand? {
+            var command: CallCommand? = null
+            runTest {
+                val loop = createLoop(FailingController())
+                val commands = loop.register(call.id)
+                loop.start(backgroundScope)
+                loop.submit(input)
+                delay(TICK_MS)
+                command = commands.tryReceive().getOrNull()
+            }
+            return command
+        }
+
+        @Test
+        fun `a request that the controller fails on is refused as not run`() {
+            val refusal = CallCommand.Refuse(RefusalReason.CONTROL_FAILED, null)
+
+            assertEquals<CallCommand?>(refusal, commandAfter(ForwardingInput.Arrived(call)))
+        }
+
+        @Test
+        fun `a request is given up if the controller fails on the end of its attempt`() {
+            val outcome = AttemptOutcome.Broken("reset")
+
+            assertEquals<CallCommand?>(
+                CallCommand.GiveUp(RefusalReason.CONTROL_FAILED),
+                commandAfter(ForwardingInput.AttemptEnded(call.id, outcome))
+            )
+        }
+    }
+
     private companion object {
-        const val TICK_MS = 20L
+        const val TICK_MS = IdleController.TICK_MS
     }
 }
