Close connections in order before a stopped gateway ends

Cause: a gateway without requests left after its notice of 2.8 s cancelled its coroutines and ended its process with exit hooks. Result: the new test in GatewayTest (LateRequests) was red before: "expected: <HTTP/1.1 503> but was: <>". It is green, as are the other specs of GatewayTest.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -25,6 +25,7 @@
     suspend fun serve(socket: Socket) {
         val source = ByteSource(socket.openReadChannel())
         val writer = socket.openWriteChannel(autoFlush = false)
+        state.openConnections.incrementAndGet()
         try {
             while (serveNext(source, writer)) Unit
         } catch (_: CallerDisconnectedException) {
@@ -34,6 +35,7 @@
         } finally {
             closeQuietly(writer)
             socket.close()
+            state.openConnections.decrementAndGet()
         }
     }
 
@@ -96,11 +98,14 @@
         return response.isConnectionReusable
     }
 
-    /** Waits for the first byte of a request; returns false at the idle timeout or at the end. */
+    /**
+     * Waits for the first byte of a request; returns false at the idle timeout, at the end or when
+     * idle connections are closed.
+     */
     private suspend fun awaitRequest(source: ByteSource, limits: CallerLimits): Boolean {
         var isWaiting = true
         val isOpen = withTimeoutOrNull(limits.idleTimeoutMs) {
-            source.awaitByte().also { isWaiting = false }
+            state.readUnlessClosing { source.awaitByte().also { isWaiting = false } }
         }
         return !isWaiting && isOpen == true
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -20,8 +20,10 @@
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
@@ -75,6 +77,7 @@
     )
 
     private var follower: StoreFollower? = null
+    private var frontListener: Job? = null
 
     @Volatile
     private var listedEndpoints = emptySet<EndpointId>()
@@ -87,7 +90,8 @@
         eventLog.event("start", "host" to self.value, "front" to settings.front.toString())
         loop.start(scope)
         peers.start(scope, selector, settings.peer)
-        accept(settings.front) { CallerConnection(context, admission, state).serve(it) }
+        frontListener =
+            accept(settings.front) { CallerConnection(context, admission, state).serve(it) }
         accept(settings.ready) { StatusConnection(state, metrics, eventLog).serve(it) }
         settings.metricsPort?.let { port ->
             accept(settings.front.copy(port = port)) {
@@ -101,8 +105,9 @@
     }
 
     /**
-     * Shuts down gracefully: waits until the load balancer has taken this host out and requests in
-     * flight have ended, or until little of the shutdown time is left.
+     * Shuts down gracefully: waits until the load balancer has taken this host out, requests in
+     * flight have ended and the connections of callers are closed, or until little of the shutdown
+     * time is left.
      */
     public suspend fun stop() {
         val startMs = clock.nowMs()
@@ -113,10 +118,25 @@
         state.isRefusing = true
         while (state.activeRequests.get() > 0 && clock.nowMs() < endMs) delay(STOP_POLL_MS)
         peers.sendLeaving()
-        eventLog.event("stopped", "active" to state.activeRequests.get())
+        closeCallerConnections(endMs)
+        eventLog.event(
+            "stopped",
+            "active" to state.activeRequests.get(),
+            "connections" to state.openConnections.get()
+        )
         scope.cancel()
     }
 
+    /**
+     * Closes the listener and the idle connections of callers, so that a request that crosses the
+     * close ends at once. Requests that are being read are refused until all connections are closed.
+     */
+    private suspend fun closeCallerConnections(endMs: Long) {
+        frontListener?.cancelAndJoin()
+        state.closeIdleConnections()
+        while (state.openConnections.get() > 0 && clock.nowMs() < endMs) delay(CLOSE_POLL_MS)
+    }
+
     /** Logs that the settings were reloaded, with [outcome]. */
     public fun onReload(outcome: String) {
         eventLog.event("reload", "outcome" to outcome)
@@ -165,10 +185,11 @@
         }
     }
 
-    private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit) {
+    /** Serves connections to [listen] until the returned job is cancelled. */
+    private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit): Job {
         val server = aSocket(selector).tcp()
             .bind(InetSocketAddress(listen.ip, listen.port)) { backlogSize = BACKLOG }
-        scope.launch { acceptAll(server, serve) }
+        return scope.launch { server.use { acceptAll(it, serve) } }
     }
 
     private suspend fun acceptAll(server: ServerSocket, serve: suspend (Socket) -> Unit) {
@@ -206,6 +227,7 @@
          */
         const val EXIT_RESERVE_MS = 900L
         const val STOP_POLL_MS = 50L
+        const val CLOSE_POLL_MS = 10L
         const val MAX_IDLE_PER_ENDPOINT = 8
 
         /** Leaves half of the connections that an endpoint accepts to those in use. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayLog.kt
@@ -35,6 +35,7 @@
         setContext(context)
         isNeverBlock = true
         queueSize = QUEUE_CAPACITY
+        maxFlushTime = LOG_FLUSH_MS
         addAppender(console)
         start()
     }
@@ -44,5 +45,13 @@
     }
 }
 
+/** Writes the lines that wait, for [LOG_FLUSH_MS] at most, and stops logging. */
+public fun stopGatewayLog() {
+    (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+}
+
+/** Leaves most of the time reserved for the exit when the output does not keep up. */
+private const val LOG_FLUSH_MS = 200
+
 /** Log lines that wait for the output. */
 private const val QUEUE_CAPACITY = 1_024
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
@@ -3,11 +3,16 @@
 import cowslipcart.core.routing.RoutingTable
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** State shared by all connections of a gateway. */
 internal class GatewayState {
     private val synced = CompletableDeferred<Unit>()
+    private val idleClose = CompletableDeferred<Unit>()
 
     /** Configuration in force; null until the first one is loaded. */
     @Volatile
@@ -36,6 +41,9 @@
     /** Number of requests in flight. */
     val activeRequests = AtomicInteger()
 
+    /** Number of open connections of callers. */
+    val openConnections = AtomicInteger()
+
     /** Whether configuration and endpoints are loaded, so that requests can be routed. */
     val isSynced: Boolean get() = routing != null && areEndpointsLoaded
 
@@ -47,6 +55,24 @@
         if (!isSynced) withTimeoutOrNull(SYNC_WAIT_MS) { synced.await() }
     }
 
+    /** Closes connections of callers on which no byte of a request has arrived, now and later. */
+    fun closeIdleConnections() {
+        idleClose.complete(Unit)
+    }
+
+    /** Returns the result of [read], or false once idle connections are to be closed. */
+    suspend fun readUnlessClosing(read: suspend () -> Boolean): Boolean = coroutineScope {
+        // Starts undispatched, so that bytes which have arrived are read although it is closing.
+        val reading = async(start = CoroutineStart.UNDISPATCHED) { read() }
+        select {
+            reading.onAwait { it }
+            idleClose.onAwait {
+                reading.cancel()
+                false
+            }
+        }
+    }
+
     private fun completeIfSynced() {
         if (isSynced) synced.complete(Unit)
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -7,6 +7,9 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.writeText
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
 
 /** Gateway processes with stand-ins for the store and the runners of the platform. */
 internal class GatewayCluster : AutoCloseable {
@@ -38,17 +41,20 @@
     }
 
     /** Writes the next revision of the configuration to the store. */
+    @Synchronized
     fun publish(
         routes: String = ROUTES,
         keys: List<String> = listOf(KEY),
-        ratePerS: Int = 1_000_000
+        ratePerS: Int = 1_000_000,
+        idleTimeoutMs: Long = 5_000
     ) {
         revision += 3
         val quoted = keys.joinToString(",") { "\"$it\"" }
         val config = """{"version":$revision,"routes":[$routes],"services":[""" +
             """{"name":"model","maxConns":50,"engine":{"slots":4,"stride":6}},""" +
-            """{"name":"desk","maxConns":50}],"limits":{"maxHeaderBytes":16384,""" +
-            """"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000},""" +
+            """{"name":"desk","maxConns":50},{"name":"counter","maxConns":50}],""" +
+            """"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,""" +
+            """"headerTimeoutMs":1000,"idleTimeoutMs":$idleTimeoutMs},""" +
             """"tenants":[{"name":"org","apiKeys":[$quoted],"unit":"tokens",""" +
             """"plainTokens":200,"ratePerS":$ratePerS,"burst":$ratePerS}]}"""
         store.log.append("keyed.op", "config", config.toByteArray())
@@ -140,4 +146,18 @@
         socket.getOutputStream().write(text.toByteArray())
         socket.getInputStream().readAllBytes().decodeToString()
     }
+
+    /**
+     * Sends [head] and, [pauseMs] later, [body] on a new connection; returns all bytes received
+     * until it closes.
+     */
+    suspend fun sendInParts(head: String, body: String, pauseMs: Long): String =
+        withContext(Dispatchers.IO) {
+            java.net.Socket("127.0.0.1", frontPort).use { socket ->
+                socket.getOutputStream().write(head.toByteArray())
+                delay(pauseMs)
+                socket.getOutputStream().write(body.toByteArray())
+                socket.getInputStream().readAllBytes().decodeToString()
+            }
+        }
 }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -289,6 +289,23 @@
                 assertEquals(200, running.await().status)
             }
 
+        /** Guards against a process that ends while it still reads a request. */
+        @Test
+        fun `a request that is being read when nothing else is left is refused`(): Unit =
+            runBlocking {
+                val gateway = startReadyGateway()
+                gateway.process.terminate()
+                delay(LATE_MS - SETTLE_MS)
+                val answer = gateway.sendInParts(
+                    "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: late\r\n" +
+                        "Api-Key: ${GatewayCluster.KEY}\r\nContent-Length: 2\r\n\r\n",
+                    "{}",
+                    pauseMs = 4 * SETTLE_MS
+                )
+                assertEquals("HTTP/1.1 503", answer.take(12))
+                assertEquals(0, gateway.process.awaitExit())
+            }
+
         @Test
         fun `an order whose only runner hangs gets 504`(): Unit = runBlocking {
             val desk = cluster.startRunner("desk-1", "desk")
