Extend the gateway soak to configuration changes, departures or silent runners

Cause: the soak missed two incidents. Beside a change of the configuration, requests got neither an answer nor a refusal; requests were sent on to endpoints more than half a second after their callers had closed their connections. It neither changed the configuration beyond one key nor had callers that leave. New checks: a request ends before its deadline plus 0.5 s, gets 504 only if a runner had it, gets the whole answer of its runner; a request whose caller left neither starts nor runs on half a second later. A connection that closes after its request was passed on is a cut at any age. The drain check passes over a runner that is silent meanwhile, as it reads late what was sent in time; a stream may be cut at its time limit, which runs of 15 ms an event never reached.

--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -1,6 +1,5 @@
 package cowslipcart.standins.platform
 
-import java.io.BufferedInputStream
 import java.io.IOException
 import java.io.InputStream
 import java.io.OutputStream
@@ -8,7 +7,6 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.Collections
-import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.time.TimeSource
 
@@ -33,6 +31,21 @@
 
     /** Runs the request and answers with status 500. */
     public data object Fails : RunnerFault
+
+    /** Sends a complete answer without a length, which ends with its connection. */
+    public data object NoLength : RunnerFault
+}
+
+/** How the run of a request ended. */
+public sealed interface RunEnd {
+    /** The whole answer was sent, with [status]. */
+    public data class Answered(public val status: Int) : RunEnd
+
+    /** The caller closed the connection before the answer was sent. */
+    public data object CallerLeft : RunEnd
+
+    /** A fault of the runner broke off the answer. */
+    public data object Broken : RunEnd
 }
 
 /** Request that a runner executes; [id] is its `Attempt-Id`. Names of [headers] are lower case. */
@@ -44,12 +57,27 @@
 ) {
     /** When the runner had read the whole request. */
     public val startedAt: TimeSource.Monotonic.ValueTimeMark = TimeSource.Monotonic.markNow()
+
+    /** When the run ended; null while it goes on. */
+    @Volatile
+    public var endedAt: TimeSource.Monotonic.ValueTimeMark? = null
+        private set
+
+    /** How the run ended; null while it goes on. */
+    @Volatile
+    public var end: RunEnd? = null
+        private set
+
+    internal fun end(how: RunEnd) {
+        endedAt = TimeSource.Monotonic.markNow()
+        end = how
+    }
 }
 
 /**
  * Stand-in for a runner of the platform, on a free loopback port. Requests with a `Token-Count`
- * header get a stream of events, other requests a plain answer. Requests whose `Expect-Instance`
- * is not [id] are refused with status 421.
+ * header get a stream of events, other requests a plain answer. `Work-Ms` states how long a run
+ * takes. Requests whose `Expect-Instance` is not [id] are refused with status 421.
  */
 public class RunnerServer(private val id: String, private val eventGapMs: Long = 0) :
     AutoCloseable {
@@ -82,74 +110,98 @@
     }
 
     private fun serve(socket: Socket) {
-        val input = BufferedInputStream(socket.getInputStream())
+        val connection = RunnerConnection(socket)
         try {
-            while (answerNext(input, socket.getOutputStream())) Unit
+            while (answerNext(connection)) Unit
         } catch (_: IOException) {
             return
         }
     }
 
     /** Returns whether the connection stays open for another request. */
-    private fun answerNext(input: InputStream, output: OutputStream): Boolean {
-        val request = readRequest(input) ?: return false
+    private fun answerNext(connection: RunnerConnection): Boolean {
+        val request = readRequest(connection.input) ?: return false
         val fault = synchronized(faults) { faults.removeFirstOrNull() } ?: RunnerFault.None
-        val expected = request.headers["expect-instance"]
-        if (expected != id) {
-            output.answer(421, "Instance-Id: $id\r\n", "")
+        if (request.headers["expect-instance"] != id) {
+            connection.output.answer(WRONG_INSTANCE, "Instance-Id: $id\r\n", "")
             return true
         }
         if (fault == RunnerFault.Full) {
-            output.answer(503, "Not-Executed: 1\r\n", "")
+            connection.output.answer(UNAVAILABLE, "Not-Executed: 1\r\n", "")
             return true
         }
         runs += request
+        val end = try {
+            run(request, fault, connection)
+        } catch (e: IOException) {
+            request.end(RunEnd.CallerLeft)
+            throw e
+        }
+        request.end(end)
+        return end is RunEnd.Answered && fault != RunnerFault.NoLength
+    }
+
+    private fun run(request: RunRequest, fault: RunnerFault, connection: RunnerConnection): RunEnd {
         val sealHeaders = "Attempt-Id: ${request.id}\r\nResponse-Seal: seal-$id-${request.id}\r\n"
-        if (fault == RunnerFault.AnswerLost) return false
+        if (fault == RunnerFault.AnswerLost) return RunEnd.Broken
         if (fault == RunnerFault.Hang) {
-            input.read()
-            return false
+            connection.input.read()
+            return RunEnd.CallerLeft
         }
         if (fault == RunnerFault.Fails) {
-            output.answer(500, sealHeaders, "failed")
-            return true
+            connection.output.answer(FAILURE, sealHeaders, "failed")
+            return RunEnd.Answered(FAILURE)
+        }
+        if ("token-count" in request.headers) {
+            return stream(request, sealHeaders, fault, connection)
+        }
+        connection.work(request.workMs)
+        val body = "answer of $id to ${request.id}"
+        if (fault == RunnerFault.NoLength) {
+            connection.output.write("HTTP/1.1 200 OK\r\n$sealHeaders\r\n$body".toByteArray())
+        } else {
+            connection.output.answer(OK, sealHeaders, body)
         }
-        if ("token-count" in request.headers) return stream(request, sealHeaders, fault, output)
-        output.answer(200, sealHeaders, "answer of $id to ${request.id}")
         if (fault == RunnerFault.ExtraAnswer) {
-            output.answer(200, "Attempt-Id: other\r\nResponse-Seal: seal-other\r\n", "other")
+            val otherHeaders = "Attempt-Id: other\r\nResponse-Seal: seal-other\r\n"
+            connection.output.answer(OK, otherHeaders, "other")
         }
-        return true
+        return RunEnd.Answered(OK)
     }
 
-    /** Sends the events after `Last-Event-Id`; returns whether the stream is complete. */
+    /** Sends the events after `Last-Event-Id`. */
     private fun stream(
         request: RunRequest,
         sealHeaders: String,
         fault: RunnerFault,
-        output: OutputStream
-    ): Boolean {
+        connection: RunnerConnection
+    ): RunEnd {
+        val output = connection.output
         val first = (request.headers["last-event-id"]?.toInt() ?: 0) + 1
+        val isChunked = fault != RunnerFault.NoLength
+        val framing = if (isChunked) "Transfer-Encoding: chunked\r\n" else ""
         output.write(
             (
                 "HTTP/1.1 200 OK\r\n${sealHeaders}Content-Type: text/event-stream\r\n" +
-                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "$framing\r\n"
                 ).toByteArray()
         )
         for (event in first..EVENT_COUNT) {
             val text = "id: $event\ndata: $event of ${request.id}\n\n"
             if (fault is RunnerFault.BreakAt && fault.event == event) {
                 output.chunk(text.take(text.length / 2))
-                return false
+                return RunEnd.Broken
             }
-            output.chunk(text)
-            if (eventGapMs > 0) TimeUnit.MILLISECONDS.sleep(eventGapMs)
+            if (isChunked) output.chunk(text) else output.write(text.toByteArray())
+            connection.work(maxOf(eventGapMs, request.workMs / EVENT_COUNT))
         }
-        output.write("0\r\n\r\n".toByteArray())
+        if (isChunked) output.write("0\r\n\r\n".toByteArray())
         output.flush()
-        return true
+        return RunEnd.Answered(OK)
     }
 
+    private val RunRequest.workMs: Long get() = headers["work-ms"]?.toLong() ?: 0
+
     private fun readRequest(input: InputStream): RunRequest? {
         val firstLine = input.line() ?: return null
         val headers = generateSequence { input.line()?.takeIf { it.isNotEmpty() } }
@@ -185,6 +237,10 @@
     public companion object {
         /** Number of events in a complete stream. */
         public const val EVENT_COUNT: Int = 12
+        private const val OK = 200
+        private const val WRONG_INSTANCE = 421
+        private const val FAILURE = 500
+        private const val UNAVAILABLE = 503
         private const val BACKLOG = 64
         private const val HEX_RADIX = 16
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -39,6 +39,9 @@
 
     fun terminate() = signal("TERM")
 
+    /** Asks the process to read its settings again. */
+    fun reload() = signal("HUP")
+
     /** Kills the process without a shutdown, as a crash of its host would. */
     fun kill() {
         process.destroyForcibly()
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
@@ -9,7 +9,9 @@
 import java.net.SocketException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
+import kotlin.concurrent.withLock
 
 /** Fault that a [FaultProxy] applies to its connections. */
 internal sealed interface LinkFault {
@@ -24,6 +26,9 @@
     /** Drops all bytes in both directions; connections stay open. */
     data object Silent : LinkFault
 
+    /** Holds all bytes in both directions, and passes them on when the fault ends. */
+    data object Hold : LinkFault
+
     /** Closes each new connection at once, and an open one when bytes arrive on it. */
     data object Refuse : LinkFault
 }
@@ -34,8 +39,15 @@
     private val listener = ServerSocket(0, BACKLOG, loopback)
     private val openSockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
 
+    private val lock = ReentrantLock()
+    private val faultChanged = lock.newCondition()
+
     @Volatile
     var fault: LinkFault = LinkFault.None
+        set(value) = lock.withLock {
+            field = value
+            faultChanged.signalAll()
+        }
 
     val port: Int get() = listener.localPort
 
@@ -106,6 +118,7 @@
                 is LinkFault.Delay -> TimeUnit.MILLISECONDS.sleep(current.delayMs)
                 LinkFault.CutOneWay -> if (isToServer) continue
                 LinkFault.Silent -> continue
+                LinkFault.Hold -> awaitOtherFault()
                 LinkFault.Refuse -> return
             }
             output.write(buffer, 0, count)
@@ -113,6 +126,10 @@
         }
     }
 
+    private fun awaitOtherFault() = lock.withLock {
+        while (fault == LinkFault.Hold) faultChanged.await()
+    }
+
     private fun close(socket: Socket) {
         try {
             socket.close()
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/KeepAliveConnection.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/KeepAliveConnection.kt
@@ -7,6 +7,8 @@
 import java.net.InetAddress
 import java.net.Socket
 import java.net.SocketTimeoutException
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Result of one request as the caller sees it. */
 internal sealed interface CallerOutcome {
@@ -26,35 +28,48 @@
 
     /** No bytes arrived within the timeout of the connection. */
     data object TimedOut : CallerOutcome
+
+    /** The caller closed its connection; [isRequestSent] if the whole request was written. */
+    data class Left(val isRequestSent: Boolean) : CallerOutcome
 }
 
 /** A client connection with HTTP keep-alive; reads time out after [timeoutMs]. */
-internal class KeepAliveConnection(port: Int, timeoutMs: Int) : AutoCloseable {
-    private val socket = Socket(InetAddress.getLoopbackAddress(), port).apply {
-        soTimeout = timeoutMs
+internal class KeepAliveConnection(port: Int, private val timeoutMs: Long) : AutoCloseable {
+    private val socket = Socket(InetAddress.getLoopbackAddress(), port)
+    private var leaveAt: TimeSource.Monotonic.ValueTimeMark? = null
+    private val input = BufferedInputStream(TimedInput(socket.getInputStream()))
+
+    /** Sends [bytes]; returns false if the connection is closed. */
+    fun send(bytes: ByteArray): Boolean = try {
+        socket.getOutputStream().write(bytes)
+        socket.getOutputStream().flush()
+        true
+    } catch (_: IOException) {
+        false
     }
-    private val input = BufferedInputStream(socket.getInputStream())
 
-    /** Sends an encoded request and waits for its answer. */
-    fun exchange(request: ByteArray): CallerOutcome {
-        try {
-            socket.getOutputStream().write(request)
-            socket.getOutputStream().flush()
-        } catch (_: IOException) {
-            return CallerOutcome.ConnectionLost(isRequestSent = false, hasStatus = false)
-        }
+    /** Waits for the answer, but for [leaveAfterMs] at most if that is not null. */
+    fun receive(leaveAfterMs: Long?): CallerOutcome {
+        leaveAt = leaveAfterMs?.let { TimeSource.Monotonic.markNow() + it.milliseconds }
         var hasStatus = false
         return try {
             val status = readLine().split(' ')[1].toInt()
             hasStatus = true
             readAnswer(status)
         } catch (_: SocketTimeoutException) {
-            CallerOutcome.TimedOut
+            val isLeaving = leaveAt?.hasPassedNow() == true
+            if (isLeaving) CallerOutcome.Left(isRequestSent = true) else CallerOutcome.TimedOut
         } catch (_: IOException) {
             CallerOutcome.ConnectionLost(isRequestSent = true, hasStatus)
         }
     }
 
+    /** Closes the connection with a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        close()
+    }
+
     override fun close() = socket.close()
 
     private fun readAnswer(status: Int): CallerOutcome.Complete {
@@ -97,6 +112,18 @@
         }
     }
 
+    /** Input of the socket whose reads end at [leaveAt]. */
+    private inner class TimedInput(private val source: InputStream) : InputStream() {
+        override fun read(): Int = throw UnsupportedOperationException("reads are buffered")
+
+        override fun read(bytes: ByteArray, offset: Int, length: Int): Int {
+            val leftMs = leaveAt?.let { -it.elapsedNow().inWholeMilliseconds }
+            if (leftMs != null && leftMs <= 0) throw SocketTimeoutException("time to leave")
+            socket.soTimeout = minOf(timeoutMs, leftMs ?: timeoutMs).toInt()
+            return source.read(bytes, offset, length)
+        }
+    }
+
     private companion object {
         const val HEX_RADIX = 16
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
@@ -1,5 +1,6 @@
 package cowslipcart.systemtest.soak
 
+import cowslipcart.standins.platform.RunEnd
 import cowslipcart.standins.platform.RunnerServer
 
 /**
@@ -22,25 +23,33 @@
             checkAnswer(request),
             checkKey(request, ran),
             checkDrain(request, ran),
-            checkGracefulStop(request)
+            checkGracefulStop(request, ran),
+            checkTime(request, ran),
+            checkPassedOn(request, ran),
+            checkDeparture(request, ran)
         ).map { "${request.kind} ${request.id} at ${request.gateway} ${request.sentAtMs}: $it" }
     }
 
     private fun checkRuns(request: SoakRequest, ran: List<SoakRun>): String? = when (request.kind) {
         RequestKind.ORDER -> "ran ${ran.size} times".takeIf { ran.size > 1 }
-        RequestKind.READ, RequestKind.CHAT -> "ran ${ran.size} times".takeIf { ran.size > MAX_RUNS }
+
+        RequestKind.READ, RequestKind.EXTRA, RequestKind.CHAT ->
+            "ran ${ran.size} times".takeIf { ran.size > MAX_RUNS }
     }
 
     private fun checkRefusal(request: SoakRequest, ran: List<SoakRun>): String? {
         val status = (request.outcome as? CallerOutcome.Complete)?.status
         val isViolated =
-            request.kind != RequestKind.READ && status in NOT_RUN_STATUSES && ran.isNotEmpty()
+            !request.kind.isIdempotent && status in NOT_RUN_STATUSES && ran.isNotEmpty()
         return "refused with $status, but ran".takeIf { isViolated }
     }
 
     private fun checkAnswer(request: SoakRequest): String? {
         val answer = request.outcome as? CallerOutcome.Complete ?: return null
-        if (answer.status in REJECTION_STATUSES && !request.usesRemovedKey) {
+        val isOnlyListedAtTimes = request.kind == RequestKind.EXTRA && answer.status == NOT_FOUND
+        if (
+            answer.status in REJECTION_STATUSES && !request.usesRemovedKey && !isOnlyListedAtTimes
+        ) {
             return "proper request got ${answer.status}"
         }
         if (answer.status != OK) return null
@@ -50,7 +59,8 @@
                 "id: $it\ndata: $it of ${request.id}\n\n"
             }
 
-            RequestKind.ORDER, RequestKind.READ -> "answer of $runner to ${request.id}"
+            RequestKind.ORDER, RequestKind.READ, RequestKind.EXTRA ->
+                "answer of $runner to ${request.id}"
         }
         return "expected '$expected', found '${answer.body}'".takeIf { answer.body != expected }
     }
@@ -72,22 +82,79 @@
             val drainingSinceMs = log.drainingSinceMs[it.runner]
             drainingSinceMs != null && it.startedAtMs > drainingSinceMs + DRAIN_PROPAGATION_MS
         } ?: return null
-        val isBound = isUndisturbed(request)
+        // A silent runner reads what was sent to it only when it goes on.
+        val wasSilent = log.isDisturbed(SILENCE, request.sentAtMs, late.startedAtMs)
+        val isBound = isUndisturbed(request) && !wasSilent
         return "reached ${late.runner} at ${late.startedAtMs} after it drained".takeIf { isBound }
     }
 
-    /** A gateway that stops gracefully must complete each request that it has read. */
-    private fun checkGracefulStop(request: SoakRequest): String? {
+    /**
+     * A gateway that stops gracefully, or whose configuration changes, must complete each request
+     * that it has read. A stream may be cut off at its time limit.
+     */
+    private fun checkGracefulStop(request: SoakRequest, ran: List<SoakRun>): String? {
         val lost = request.outcome as? CallerOutcome.ConnectionLost ?: return null
-        val tookMs = request.endedAtMs - request.sentAtMs
-        val isCut = lost.hasStatus || (lost.isRequestSent && tookMs > CLOSE_RACE_MS)
-        val isBound = isUndisturbed(request) && !isDisturbed("runners", request)
+        val tookMs = request.endedAtMs - request.lastByteAtMs
+        val wasPassedOn = lost.hasStatus || ran.isNotEmpty()
+        val isCut = wasPassedOn || (lost.isRequestSent && tookMs > CLOSE_RACE_MS)
+        val isTimeUp = request.endedAtMs - request.sentAtMs >= log.shortestTimeoutMs
+        val isBound = isUndisturbed(request) && !isDisturbed(RUNNERS, request) && !isTimeUp
         return "cut without a whole answer after $tookMs ms".takeIf { isCut && isBound }
     }
 
+    /** A request ends in time, and with a timeout only if a runner had it. */
+    private fun checkTime(request: SoakRequest, ran: List<SoakRun>): String? {
+        if (!isUndisturbed(request)) return null
+        val tookMs = request.endedAtMs - request.lastByteAtMs
+        val status = (request.outcome as? CallerOutcome.Complete)?.status
+        val wasStranded = status == GATEWAY_TIMEOUT && ran.isEmpty() &&
+            !isDisturbed(RUNNERS, request) && !isDisturbed(SILENCE, request)
+        return when {
+            tookMs > DEADLINE_MS + ANSWER_SLACK_MS -> "unanswered for $tookMs ms"
+            wasStranded -> "timed out after $tookMs ms though no runner had it"
+            else -> null
+        }
+    }
+
+    /** A whole answer of a runner is passed on; silence of the runner before it is no reason not to. */
+    private fun checkPassedOn(request: SoakRequest, ran: List<SoakRun>): String? {
+        val status = (request.outcome as? CallerOutcome.Complete)?.status ?: return null
+        val answered = ran.firstOrNull {
+            it.end == RunEnd.Answered(OK) && checkNotNull(it.endedAtMs) < request.endedAtMs
+        } ?: return null
+        val isTimeUp = request.endedAtMs - request.sentAtMs >= log.shortestTimeoutMs
+        val isBound = isUndisturbed(request) && !isDisturbed(RUNNERS, request) && !isTimeUp
+        return "$status though ${answered.runner} answered".takeIf { status != OK && isBound }
+    }
+
+    /** A request whose caller has left is neither sent to a runner nor kept running. */
+    private fun checkDeparture(request: SoakRequest, ran: List<SoakRun>): String? {
+        val left = request.outcome as? CallerOutcome.Left ?: return null
+        if (!left.isRequestSent) return "ran without its body".takeIf { ran.isNotEmpty() }
+        val latestMs = request.endedAtMs + DEPARTURE_SLACK_MS
+        val fromMs = request.sentAtMs - UNDISTURBED_MS
+        val isBound = listOf(request.gateway, RUNNERS, SILENCE).none { subject ->
+            val untilMs = ran.maxOfOrNull { it.endedAtMs ?: log.nowMs() } ?: latestMs
+            log.isDisturbed(subject, fromMs, untilMs)
+        }
+        val late = ran.firstOrNull { it.startedAtMs > latestMs }
+        val isKeptRunning = request.kind != RequestKind.ORDER &&
+            ran.any { (it.endedAtMs ?: Long.MAX_VALUE) > latestMs }
+        val runs = ran.joinToString { "${it.runner} ${it.startedAtMs}-${it.endedAtMs} ${it.end}" }
+        return when {
+            !isBound -> null
+            late != null -> "started after its caller left at ${request.endedAtMs}: $runs"
+            isKeptRunning -> "ran on after its caller left at ${request.endedAtMs}: $runs"
+            else -> null
+        }
+    }
+
     private fun checkRecovery(): List<String> {
         val fromMs = log.lastFaultEndMs + RECOVERY_MS
-        val late = log.requests.toList().filter { it.sentAtMs > fromMs && !it.usesRemovedKey }
+        val late = log.requests.toList().filter {
+            it.sentAtMs > fromMs && !it.usesRemovedKey && it.kind != RequestKind.EXTRA &&
+                it.outcome !is CallerOutcome.Left
+        }
         val served = late.count { (it.outcome as? CallerOutcome.Complete)?.status == OK }
         val fails = late.isEmpty() || served < late.size * MIN_SERVED_SHARE
         return if (fails) listOf("served $served of ${late.size} after the faults") else emptyList()
@@ -99,8 +166,20 @@
     private fun isDisturbed(subject: String, request: SoakRequest): Boolean =
         log.isDisturbed(subject, request.sentAtMs - UNDISTURBED_MS, request.endedAtMs)
 
+    private val RequestKind.isIdempotent: Boolean
+        get() = this == RequestKind.READ || this == RequestKind.EXTRA
+
     companion object {
+        /** Subjects of disturbances: faults of runners, and their silence, which is none. */
+        const val RUNNERS = "runners"
+        const val SILENCE = "silence"
+
+        /** Time within which callers want their answer. */
+        const val DEADLINE_MS = 3_000L
+
         private const val OK = 200
+        private const val NOT_FOUND = 404
+        private const val GATEWAY_TIMEOUT = 504
         private const val UNAUTHORIZED = 401
 
         /** Statuses that guarantee that an order or a chat did not run. */
@@ -116,7 +195,7 @@
         const val UNDISTURBED_MS = 3_000L
 
         /** Time within which a changed configuration must take effect. */
-        private const val CONFIG_PROPAGATION_MS = 2_000L
+        const val CONFIG_PROPAGATION_MS = 2_000L
 
         /** Time within which a draining runner must stop receiving requests. */
         private const val DRAIN_PROPAGATION_MS = 2_000L
@@ -124,6 +203,12 @@
         /** A connection lost this soon may have been closed before the request was read. */
         private const val CLOSE_RACE_MS = 200L
 
+        /** Time after its deadline within which an answer must have ended. */
+        private const val ANSWER_SLACK_MS = 500L
+
+        /** Time within which a gateway must give up the request of a caller that left. */
+        private const val DEPARTURE_SLACK_MS = 500L
+
         /** Time after the last fault from which requests must be served again. */
         const val RECOVERY_MS = 3_000L
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
@@ -1,25 +1,47 @@
 package cowslipcart.systemtest.soak
 
+import cowslipcart.standins.platform.RunEnd
 import java.util.Collections
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.TimeSource
 
 /** Kinds of request that the soak sends. */
-internal enum class RequestKind { ORDER, READ, CHAT }
+internal enum class RequestKind(val method: String, val path: String, val headers: String = "") {
+    ORDER("POST", "/order/"),
+    READ("GET", "/read/"),
 
-/** One request of a caller and its outcome; times are ms since the start of the soak. */
+    /** A read on a route that the configuration does not always have. */
+    EXTRA("GET", "/extra/"),
+    CHAT("POST", "/chat/", "Token-Count: 60,80\r\nModel: m\r\n")
+}
+
+/**
+ * One request of a caller and its outcome; times are ms since the start of the soak. The caller
+ * sent the first byte at [sentAtMs] and the last one at [lastByteAtMs].
+ */
 internal class SoakRequest(
     val id: String,
     val kind: RequestKind,
     val gateway: String,
     val usesRemovedKey: Boolean,
     val sentAtMs: Long,
+    val lastByteAtMs: Long,
     val endedAtMs: Long,
     val outcome: CallerOutcome
 )
 
-/** One run of a request at a runner; [startedAtMs] is ms since the start of the soak. */
-internal class SoakRun(val id: String, val runner: String, val startedAtMs: Long)
+/**
+ * One run of a request at a runner; times are ms since the start of the soak. [endedAtMs] and [end]
+ * are null if the run has not ended.
+ */
+internal class SoakRun(
+    val id: String,
+    val runner: String,
+    val startedAtMs: Long,
+    val endedAtMs: Long?,
+    val end: RunEnd?
+)
 
 /** Requests, faults and changes of a soak, recorded by several threads. */
 internal class SoakLog {
@@ -43,9 +65,31 @@
     @Volatile
     var lastFaultEndMs: Long = 0
 
+    /** Shortest time limit of a request so far: the deadline of callers or a timeout of a route. */
+    @Volatile
+    var shortestTimeoutMs: Long = SoakChecks.DEADLINE_MS
+
+    /** Publication times and values of the idle limit, oldest first. */
+    private val idleLimits: MutableList<Pair<Long, Long>> = CopyOnWriteArrayList()
+
+    /** Records that the idle limit [limitMs] is published now. */
+    fun onIdleLimit(limitMs: Long) {
+        idleLimits += nowMs() to limitMs
+    }
+
+    /** Shortest idle limit that a gateway may have in force. */
+    fun idleLimitMs(): Long {
+        val settledAtMs = nowMs() - SoakChecks.CONFIG_PROPAGATION_MS
+        val settled = idleLimits.indexOfLast { it.first <= settledAtMs }.coerceAtLeast(0)
+        return idleLimits.drop(settled).minOf { it.second }
+    }
+
     /** Milliseconds since the start of the soak. */
     fun nowMs(): Long = start.elapsedNow().inWholeMilliseconds
 
+    /** Milliseconds since the start of the soak at [mark]. */
+    fun timeOf(mark: TimeSource.Monotonic.ValueTimeMark): Long = (mark - start).inWholeMilliseconds
+
     /** Adds [text] with the current time to [events]. */
     fun note(text: String) {
         events += "${nowMs()} $text"
