--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -25,6 +25,7 @@
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
         val caller = CallerSocket(socket)
+        state.openConnections.incrementAndGet()
         try {
             while (serveNext(caller)) Unit
         } catch (_: CallerDisconnectedException) {
@@ -34,6 +35,7 @@
         } finally {
             closeQuietly(caller.writer)
             caller.close()
+            state.openConnections.decrementAndGet()
         }
     }
 
@@ -99,18 +101,22 @@
     }
 
     /**
-     * Waits for the first byte of a request; returns false at the idle timeout or at the end. A
-     * longer timeout that comes into force meanwhile extends the wait, since callers reuse a
-     * connection within the timeout that they know; a shorter one applies to the next wait.
+     * Waits for the first byte of a request; returns false at the idle timeout, at the end or when
+     * idle connections are closed. A longer timeout that comes into force meanwhile extends the
+     * wait, since callers reuse a connection within the timeout that they know; a shorter one
+     * applies to the next wait.
      */
     private suspend fun awaitRequest(source: ByteSource): Boolean {
         val startMs = context.clock.nowMs()
         var timeoutMs = limits.idleTimeoutMs
         while (true) {
             val leftMs = startMs + timeoutMs - context.clock.nowMs()
-            withTimeoutOrNull(leftMs) { source.awaitByte() }?.let { return it }
-            // Bytes that arrive with the timeout are a request, whose caller waits for an answer.
+            val isOpen = withTimeoutOrNull(leftMs) {
+                state.readUnlessClosing { source.awaitByte() }
+            }
+            // Bytes that arrive with the timeout or the close are a request, whose caller waits.
             if (source.hasBytes) return true
+            if (isOpen != null) return isOpen
             if (limits.idleTimeoutMs <= timeoutMs) break
             timeoutMs = limits.idleTimeoutMs
         }
