Answer requests whose endpoint closes while they are sent

Callers saw their connection close without an answer, and the log had no attempt line, only an answer line with status=0 and end=answered.

Cause: when sending to an endpoint fails, the sender closes the connection so that the receiver ends too. The receiver then gets either the end of the stream or, depending on which thread is first, the CancellationException of the socket's channel. The latter was taken for the cancellation of the request itself and ended its coroutine. A CancellationException in the sender was lost, and its request waited until its deadline (504).

Change: a CancellationException counts as a broken connection unless the coroutine itself is cancelled; so the attempt is reported, and the request retried or given up by the control thread. The same holds for writes to the caller, where it counts as a disconnect.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
@@ -8,6 +8,9 @@
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import java.util.Locale
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 
 /** Returns a `Retry-After` header for [afterMs], in seconds with three decimals. */
 internal fun retryAfterHeader(afterMs: Long): Header =
@@ -99,6 +102,10 @@
             writer.send(message)
         } catch (_: IOException) {
             throw CallerDisconnectedException()
+        } catch (_: CancellationException) {
+            // A closed channel can throw this too, while the request itself is not cancelled.
+            currentCoroutineContext().ensureActive()
+            throw CallerDisconnectedException()
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -15,12 +15,13 @@
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
 import cowslipcart.daemon.http1.send
-import io.ktor.utils.io.ClosedByteChannelException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -75,8 +76,10 @@
             return result
         } catch (e: CallerDisconnectedException) {
             throw e
-        } catch (e: CancellationException) {
-            throw e
+        } catch (_: CancellationException) {
+            // A closed channel can throw this too, while the attempt itself is not cancelled.
+            currentCoroutineContext().ensureActive()
+            return ExchangeResult(AttemptOutcome.Broken("connection cancelled"))
         } catch (e: IOException) {
             return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
         } finally {
@@ -125,7 +128,8 @@
                 connection.writer.send(head + request.body)
             } catch (_: IOException) {
                 connection.close()
-            } catch (_: ClosedByteChannelException) {
+            } catch (_: CancellationException) {
+                currentCoroutineContext().ensureActive()
                 connection.close()
             }
         }
