Answer requests that an unexpected exception ends

Callers saw their connection close without an answer; the answer line had status=0 and end=answered.

Cause: an exception other than an IOException in the session of a request, for example while its headers are encoded, ended the coroutine of the caller's connection.

Change: the session logs the exception as request-failed, ends with end=exception and answers 502, which promises nothing about the request, unless the response has begun.

Result: CallSessionTest was red before (IllegalStateException: unexpected, no response) and is green. No such exception has been seen in a log.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -8,6 +8,8 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -38,6 +40,7 @@
      * Serves the request until it is answered or its time is up. Reads from [caller] meanwhile, so
      * that a disconnect cancels the request; throws [CallerDisconnectedException] then.
      */
+    @Suppress("TooGenericExceptionCaught")
     suspend fun serve(caller: ByteSource) {
         context.loop.submit(ForwardingInput.Arrived(call))
         try {
@@ -47,6 +50,9 @@
         } catch (e: CallerDisconnectedException) {
             end = "caller-left"
             throw e
+        } catch (e: RuntimeException) {
+            currentCoroutineContext().ensureActive()
+            onException(e)
         } finally {
             context.loop.unregister(call.id)
             context.loop.submit(ForwardingInput.CallClosed(call.id))
@@ -55,6 +61,18 @@
         }
     }
 
+    /** Ends a request that a fault of this program has interrupted; it may have run. */
+    private suspend fun onException(exception: RuntimeException) {
+        end = "exception"
+        context.eventLog.event(
+            "request-failed",
+            "request" to call.requestId.value,
+            "reason" to "$exception",
+            "at" to "${exception.stackTrace.firstOrNull()}"
+        )
+        if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
+    }
+
     private suspend fun cancelOnDisconnect(caller: ByteSource, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
@@ -106,6 +106,13 @@
     /** Guards against requests whose connection closes without an answer or a log line. */
     @Nested
     inner class UnexpectedExceptions {
+        @Test
+        fun `a request that a fault of the program ends gets 502`() {
+            val response = responseAfter(IllegalStateException("unexpected"))
+
+            assertEquals("HTTP/1.1 502 Bad Gateway", response.lines().first())
+        }
+
         @Test
         fun `a request whose connection to the endpoint is cancelled gets 502`() {
             val response = responseAfter(CancellationException("channel cancelled"))
