--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -15,12 +15,13 @@
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
 import cowslipcart.daemon.http1.send
-import io.ktor.utils.io.ClosedByteChannelException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -79,8 +80,11 @@
             return result
         } catch (e: CallerDisconnectedException) {
             throw e
-        } catch (e: CancellationException) {
-            throw e
+        } catch (_: CancellationException) {
+            // A closed channel can throw this too, while the attempt itself is not cancelled.
+            currentCoroutineContext().ensureActive()
+            if (caller.isClosed) throw CallerDisconnectedException()
+            return ExchangeResult(AttemptOutcome.Broken("connection cancelled"))
         } catch (e: IOException) {
             if (caller.isClosed) throw CallerDisconnectedException()
             return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
@@ -131,7 +135,8 @@
                 connection.writer.send(head + request.body)
             } catch (_: IOException) {
                 connection.abort()
-            } catch (_: ClosedByteChannelException) {
+            } catch (_: CancellationException) {
+                currentCoroutineContext().ensureActive()
                 connection.abort()
             }
         }
