Ask the kernel for the caller's close before sending its request

Cause: a request was sent as soon as it was decided. Its caller's close may have reached the host long before and still wait in the kernel, since the selector and the coroutine that reads the socket come in their turn. On a host that is behind by more than half a second the request then reaches the endpoint later than half a second after the close. The bytes also waited for a turn of Ktor's writer between the decision and the system call.

Change: CallerSocket.confirmOpen() asks the kernel whether something waits on the caller's socket, by a selector of its own that returns at once (ReadProbe). If so, the request waits until those bytes or the end were read. EndpointExchange calls it on the open connection to the endpoint, and ServerConnection.send() hands the bytes to the kernel in the same step. A session whose caller's close was read with the request is not submitted to the control thread.

Result: a request is not sent once its caller's close has reached the host. In the new test the sockets of callers are not read from the moment of the decision on and the caller closes 300 ms before it is sent. It failed before with "bytes that reached the endpoint after the close ==> expected: <0> but was: <66>" and passes now. A caller that has sent its next request already is served as before, which the second test guards; it passes with and without the change.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -16,7 +16,8 @@
     val exchange: EndpointExchange,
     val eventLog: GatewayEventLog,
     val metrics: GatewayMetrics,
-    val clock: RuntimeClock
+    val clock: RuntimeClock,
+    val probe: ReadProbe
 )
 
 /** Executes the commands of the control thread for one request, and responds to its caller. */
@@ -38,8 +39,9 @@
      * that a disconnect cancels the request; throws [CallerDisconnectedException] then.
      */
     suspend fun serve(caller: CallerSocket) {
-        context.loop.submit(ForwardingInput.Arrived(call))
         try {
+            if (caller.isClosed) throw CallerDisconnectedException()
+            context.loop.submit(ForwardingInput.Arrived(call))
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
             withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands(caller) } }
                 ?: onTimeout()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -21,7 +21,7 @@
 ) {
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val caller = CallerSocket(socket)
+        val caller = CallerSocket(socket, context.probe)
         try {
             while (serveNext(caller)) Unit
         } catch (_: CallerDisconnectedException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -1,18 +1,22 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.daemon.http1.ByteSource
+import io.ktor.network.selector.Selectable
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.invokeOnCompletion
 import io.ktor.utils.io.isCompleted
+import java.nio.channels.SocketChannel
 import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.delay
 
 /** The connection of a caller, with what is known of its end. */
-internal class CallerSocket(private val socket: Socket) {
+internal class CallerSocket(private val socket: Socket, private val probe: ReadProbe) {
     private val channel = ByteChannel()
     private val reading = socket.attachForReading(channel)
+    private val socketChannel = (socket as Selectable).channel as SocketChannel
 
     val source = ByteSource(channel)
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
@@ -26,5 +30,29 @@
      */
     fun onClose(action: () -> Unit): DisposableHandle = reading.invokeOnCompletion { _ -> action() }
 
+    /**
+     * Returns if the caller has not closed the connection, as far as the kernel of this host knows;
+     * throws [CallerDisconnectedException] otherwise. A host that is behind with its work may not
+     * have read the end of the connection yet, so the kernel is asked. Bytes that wait there are
+     * read first, since an end is found only behind them.
+     */
+    suspend fun confirmOpen() {
+        val knownBytes = source.receivedBytes
+        var pauseMs = FIRST_PAUSE_MS
+        while (!isClosed && source.receivedBytes == knownBytes && probe.isReadable(socketChannel)) {
+            delay(pauseMs)
+            pauseMs = minOf(2 * pauseMs, MAX_PAUSE_MS)
+        }
+        if (isClosed) throw CallerDisconnectedException()
+    }
+
     fun close() = socket.close()
+
+    private companion object {
+        /** Time in which waiting bytes are read on a host that is not behind, in ms. */
+        const val FIRST_PAUSE_MS = 2L
+
+        /** Bounds the delay of a request after the bytes behind it were read, in ms. */
+        const val MAX_PAUSE_MS = 32L
+    }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -14,8 +14,10 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
 import java.io.IOException
 import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.SocketChannel
 import kotlinx.coroutines.sync.Mutex
@@ -24,12 +26,26 @@
 
 /** An open TCP connection to an endpoint or to a server of the platform. */
 internal class ServerConnection(private val socket: Socket, private val selector: SelectorManager) {
+    private val channel = (socket as Selectable).channel as SocketChannel
+    private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+    private var isWriterUsed = false
     val source = ByteSource(socket.openReadChannel())
-    val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     /** Number of completed requests on this connection. */
     var useCount = 0
 
+    /**
+     * Sends [bytes]. What the kernel accepts at once is sent before this function suspends, so that
+     * a check that was made right before holds for it.
+     */
+    suspend fun send(bytes: ByteArray) {
+        val sentCount = if (isWriterUsed) 0 else channel.write(ByteBuffer.wrap(bytes))
+        if (sentCount == bytes.size) return
+        isWriterUsed = true
+        writer.writeFully(bytes, sentCount, bytes.size)
+        writer.flush()
+    }
+
     /** Closes the connection after everything that was written has been sent. */
     fun close() = socket.close()
 
@@ -38,14 +54,13 @@
      * sending a request that nobody waits for, and hold the connection until it is sent.
      */
     fun abort() {
-        val selectable = socket as Selectable
         try {
-            (selectable.channel as SocketChannel).setOption(StandardSocketOptions.SO_LINGER, 0)
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0)
         } catch (_: ClosedChannelException) {
             return
         }
-        selectable.channel.close()
-        selector.notifyClosed(selectable)
+        channel.close()
+        selector.notifyClosed(socket as Selectable)
         socket.close()
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -14,10 +14,10 @@
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
-import cowslipcart.daemon.http1.send
 import io.ktor.utils.io.ClosedByteChannelException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -68,6 +68,7 @@
         var isReusable = false
         val closing = caller.onClose { connection.abort() }
         try {
+            caller.confirmOpen()
             val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
             val result = attempt.run()
             closing.dispose()
@@ -105,7 +106,7 @@
             private set
 
         suspend fun run(): ExchangeResult = coroutineScope {
-            val sending = launch { send() }
+            val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
             try {
                 receive(sending)
             } finally {
@@ -128,7 +129,7 @@
                     request.head.target,
                     headers
                 )
-                connection.writer.send(head + request.body)
+                connection.send(head + request.body)
             } catch (_: IOException) {
                 connection.abort()
             } catch (_: ClosedByteChannelException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -71,7 +71,8 @@
         EndpointExchange(connections, headerCodec, clock),
         eventLog,
         metrics,
-        clock
+        clock,
+        ReadProbe()
     )
 
     private var follower: StoreFollower? = null
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -19,6 +19,11 @@
     private var start = 0
     private var end = 0
 
+    /** Number of bytes received so far. */
+    @Volatile
+    var receivedBytes = 0L
+        private set
+
     /** Whether the connection is open and no received bytes wait to be read. */
     val isIdle: Boolean
         get() = start == end && channel.availableForRead == 0 && !channel.isClosedForRead
@@ -38,6 +43,7 @@
             return false
         }
         end += count
+        receivedBytes += count
         return true
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
@@ -81,7 +81,7 @@
             request.headers.map { Header(it.first, it.second) } +
             listOf(Header("Content-Length", "${body.size}"))
         val head = MessageWriter.requestHead(request.method, request.target, headers)
-        connection.writer.send(head + body)
+        connection.send(head + body)
         val headBytes = connection.source.readHead(MAX_HEAD_BYTES) ?: return null
         val responseHead = HeadParser.parseResponse(headBytes)
         val framing = HeadParser.responseFraming(responseHead, request.method)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -1,9 +1,11 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.forwarding.ForwardingInput
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -30,6 +32,43 @@
 
     private fun msSince(startNs: Long, endNs: Long) = TimeUnit.NANOSECONDS.toMillis(endNs - startNs)
 
+    @Nested
+    inner class BeforeSending {
+        /** Guards against a request that is sent because the host has not read its close yet. */
+        @Test
+        fun `a request is not sent once its close waits in the kernel`() {
+            val endpoint = RawEndpoint().closedAfterwards()
+            val fixture = SessionFixture(endpoint.port, DECISION_MS).closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 10)
+            assertTrue(await(SETUP_MS) { fixture.controller.inputs.isNotEmpty() })
+            fixture.isReading = false
+            caller.close()
+            Thread.sleep(2 * DECISION_MS)
+            val sentBytes = endpoint.connections.sumOf { it.byteCount }
+            fixture.isReading = true
+
+            assertTrue(await(LIMIT_MS) { fixture.controller.inputs.any(::isCallClosed) })
+            assertEquals(0L, sentBytes, "bytes that reached the endpoint after the close")
+        }
+
+        /** Guards against a request that waits for its caller to be silent. */
+        @Test
+        fun `a request is sent although its caller has sent the next one`() {
+            val endpoint = RawEndpoint().closedAfterwards()
+            val fixture = SessionFixture(endpoint.port, DECISION_MS).closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 10).closedAfterwards()
+            assertTrue(await(SETUP_MS) { fixture.controller.inputs.isNotEmpty() })
+            fixture.isReading = false
+            caller.getOutputStream().write(ByteArray(10))
+            Thread.sleep(2 * DECISION_MS)
+            fixture.isReading = true
+
+            assertTrue(await(LIMIT_MS) { endpoint.connections.any { it.byteCount > 0 } })
+        }
+
+        private fun isCallClosed(input: ForwardingInput) = input is ForwardingInput.CallClosed
+    }
+
     @Nested
     inner class WhileSending {
         /** Guards against a request that an endpoint gets and runs after its caller has left. */
@@ -81,6 +120,7 @@
     private companion object {
         const val POLL_MS = 5L
         const val SETUP_MS = 5_000L
+        const val DECISION_MS = 300L
         const val SENDING_MS = 200L
 
         /** Time after a caller's close within which its endpoint has to see its own. */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -26,6 +26,8 @@
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
+import io.ktor.network.selector.SelectInterest
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.aSocket
@@ -38,6 +40,8 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 
@@ -94,8 +98,19 @@
     decisionMs: Long = 0,
     sessionDispatcher: CoroutineDispatcher = Dispatchers.IO
 ) : AutoCloseable {
+    /** Holds back what the sockets of callers have to read, as on a host that is behind. */
+    private class GatedSelector(private val inner: SelectorManager) : SelectorManager by inner {
+        val isOpen = MutableStateFlow(true)
+
+        override suspend fun select(selectable: Selectable, interest: SelectInterest) {
+            inner.select(selectable, interest)
+            if (interest == SelectInterest.READ) isOpen.first { it }
+        }
+    }
+
     private val scope = CoroutineScope(SupervisorJob() + sessionDispatcher)
     private val selector = SelectorManager(Dispatchers.IO)
+    private val callerSelector = GatedSelector(selector)
     private val clock = RuntimeClock()
     private val pool = PoolId("pool")
     private val endpoint =
@@ -115,9 +130,10 @@
         val loop = ForwardingLoop(controller, clock, eventLog, metrics) { _, _ -> }
         loop.start(scope)
         val exchange = EndpointExchange(connections, PlainHeaderCodec, clock)
-        val context = SessionContext(loop, exchange, eventLog, metrics, clock)
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock, ReadProbe())
         val admission = CallAdmission(PlainHeaderCodec, state, clock, Random(1))
-        val server = runBlocking { aSocket(selector).tcp().bind(InetSocketAddress(LOOPBACK, 0)) }
+        val server =
+            runBlocking { aSocket(callerSelector).tcp().bind(InetSocketAddress(LOOPBACK, 0)) }
         port = server.localAddress.port()
         scope.launch {
             while (true) {
@@ -149,6 +165,9 @@
         requiresKey = false
     )
 
+    /** Whether sockets of callers are read. */
+    var isReading: Boolean by callerSelector.isOpen::value
+
     /** Connects a caller and sends a request with a body of [bodyBytes]. */
     fun sendRequest(bodyBytes: Int): Socket = Socket(LOOPBACK, port).also { socket ->
         val head = "POST /x HTTP/1.1\r\nHost: gateway\r\nContent-Length: $bodyBytes\r\n\r\n"
