--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -18,7 +18,8 @@
     val exchange: EndpointExchange,
     val eventLog: GatewayEventLog,
     val metrics: GatewayMetrics,
-    val clock: RuntimeClock
+    val clock: RuntimeClock,
+    val probe: ReadProbe
 )
 
 /** Executes the commands of the control thread for one request, and responds to its caller. */
@@ -40,9 +41,10 @@
      * that a disconnect cancels the request; throws [CallerDisconnectedException] then.
      */
     @Suppress("TooGenericExceptionCaught")
-    suspend fun serve(caller: CallerSocket) {
-        context.loop.submit(ForwardingInput.Arrived(call))
+    suspend fun serve(caller: CallerMonitor) {
         try {
+            if (caller.isClosed) throw CallerDisconnectedException()
+            context.loop.submit(ForwardingInput.Arrived(call))
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
             withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands(caller) } }
                 ?: onTimeout()
@@ -72,16 +74,16 @@
         if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
     }
 
-    private suspend fun cancelOnDisconnect(caller: CallerSocket, block: suspend () -> Unit) =
+    private suspend fun cancelOnDisconnect(caller: CallerMonitor, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
-                if (caller.source.awaitClose()) throw CallerDisconnectedException()
+                if (caller.awaitClose()) throw CallerDisconnectedException()
             }
             block()
             monitor.cancel()
         }
 
-    private suspend fun followCommands(caller: CallerSocket) {
+    private suspend fun followCommands(caller: CallerMonitor) {
         while (true) {
             val command = commands.receive()
             decisionCount++
@@ -94,7 +96,7 @@
     }
 
     /** Runs one attempt; returns whether the caller has its response. */
-    private suspend fun attempt(command: CallCommand.Dispatch, caller: CallerSocket): Boolean {
+    private suspend fun attempt(command: CallCommand.Dispatch, caller: CallerMonitor): Boolean {
         val startMs = context.clock.nowMs()
         isAttemptRunning = true
         val result = context.exchange.run(call, request, command, relay, caller) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -24,7 +24,7 @@
 
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val caller = CallerSocket(socket)
+        val caller = CallerSocket(socket, context.probe)
         state.openConnections.incrementAndGet()
         try {
             while (serveNext(caller)) Unit
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -8,23 +8,55 @@
 import io.ktor.utils.io.invokeOnCompletion
 import io.ktor.utils.io.isCompleted
 import kotlinx.coroutines.DisposableHandle
+import kotlinx.coroutines.delay
 
-/** The connection of a caller, with what is known of its end. */
-internal class CallerSocket(private val socket: Socket) {
+/** The connection of a caller. */
+internal class CallerSocket(private val socket: Socket, private val probe: ReadProbe) :
+    CallerMonitor {
     private val channel = ByteChannel()
     private val reading = socket.attachForReading(channel)
 
     val source = ByteSource(channel)
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
-    /** Whether the end of the connection was read from the socket, or a reset. */
-    val isClosed: Boolean get() = reading.isCompleted
+    /** Whether pipelined bytes have filled the buffer, so that nothing more is read for now. */
+    @Volatile
+    private var isReadingPaused = false
+
+    override val isClosed: Boolean get() = reading.isCompleted
+
+    override fun onClose(action: () -> Unit): DisposableHandle =
+        reading.invokeOnCompletion { _ -> action() }
+
+    override suspend fun awaitClose(): Boolean {
+        isReadingPaused = false
+        return source.awaitClose().also { isReadingPaused = !it }
+    }
 
     /**
-     * Calls [action] as soon as the end of the connection is read, or at once if it was. [action]
-     * runs on the thread that reads, ahead of the coroutines that wait for their turn.
+     * A host that is behind with its work may not have read the end of the connection yet, so the
+     * kernel is asked. Bytes that wait there are read first, since an end is found only behind them.
      */
-    fun onClose(action: () -> Unit): DisposableHandle = reading.invokeOnCompletion { _ -> action() }
+    override suspend fun confirmOpen() {
+        val knownBytes = source.receivedBytes
+        var pauseMs = FIRST_PAUSE_MS
+        while (isReadPending(knownBytes) && probe.isReadable(socket)) {
+            delay(pauseMs)
+            pauseMs = minOf(2 * pauseMs, MAX_PAUSE_MS)
+        }
+        if (isClosed) throw CallerDisconnectedException()
+    }
+
+    private fun isReadPending(knownBytes: Long): Boolean =
+        !isClosed && !isReadingPaused && source.receivedBytes == knownBytes
 
     fun close() = socket.close()
+
+    private companion object {
+        /** Time in which waiting bytes are read on a host that is not behind, in ms. */
+        const val FIRST_PAUSE_MS = 2L
+
+        /** Bounds the delay of a request after the bytes behind it were read, in ms. */
+        const val MAX_PAUSE_MS = 32L
+    }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -14,9 +14,9 @@
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
-import cowslipcart.daemon.http1.send
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -59,7 +59,7 @@
         request: BufferedRequest,
         dispatch: CallCommand.Dispatch,
         relay: StreamRelay,
-        caller: CallerSocket,
+        caller: CallerMonitor,
         onResponseStarted: () -> Unit
     ): ExchangeResult {
         val endpoint = dispatch.endpoint
@@ -69,6 +69,7 @@
         var isReusable = false
         val closing = caller.onClose { connection.abort() }
         try {
+            caller.confirmOpen()
             val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
             val result = attempt.run()
             closing.dispose()
@@ -109,7 +110,7 @@
             private set
 
         suspend fun run(): ExchangeResult = coroutineScope {
-            val sending = launch { send() }
+            val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
             try {
                 receive(sending)
             } finally {
@@ -132,7 +133,7 @@
                     request.head.target,
                     headers
                 )
-                connection.writer.send(head + request.body)
+                connection.send(head + request.body)
             } catch (_: IOException) {
                 connection.abort()
             } catch (_: CancellationException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -22,6 +22,11 @@
     /** Whether received bytes wait to be read. */
     val hasBytes: Boolean get() = start != end || channel.availableForRead > 0
 
+    /** Number of bytes received so far. */
+    @Volatile
+    var receivedBytes = 0L
+        private set
+
     /** Whether the connection is open and no received bytes wait to be read. */
     val isIdle: Boolean get() = !hasBytes && !channel.isClosedForRead
 
@@ -40,6 +45,7 @@
             return false
         }
         end += count
+        receivedBytes += count
         return true
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
@@ -12,7 +12,6 @@
 import cowslipcart.core.routing.WorkKind
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.readRequest
-import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.Headers
 import cowslipcart.daemon.http1.RequestHead
@@ -88,7 +87,7 @@
             loop.start(loopScope)
             val connections = EndpointConnections(selector, clock) { 1 }
             val exchange = EndpointExchange(connections, FailingHeaderCodec(failure), clock)
-            serve(SessionContext(loop, exchange, eventLog, metrics, clock))
+            serve(SessionContext(loop, exchange, eventLog, metrics, clock) { false })
         }
 
     private fun serve(context: SessionContext): String = runBlocking(Dispatchers.IO) {
@@ -98,7 +97,7 @@
             BufferedRequest(RequestHead("POST", "/a/", Headers(emptyList())), ByteArray(0))
         val call = sampleCall(WorkKind.AtMostOnce, clock.nowMs())
         val received = async { written.readRemaining().readByteArray().decodeToString() }
-        CallSession(context, call, request, response).serve(ByteSource(ByteChannel()))
+        CallSession(context, call, request, response).serve(OpenCaller)
         written.flushAndClose()
         received.await()
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -45,7 +45,7 @@
         val loop = ForwardingLoop(IdleController(), clock, eventLog, metrics) { _, _ -> }
         val connections = EndpointConnections(selector, clock) { 1 }
         val exchange = EndpointExchange(connections, BareHeaderCodec, clock)
-        val context = SessionContext(loop, exchange, eventLog, metrics, clock)
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock) { false }
         val admission = CallAdmission(BareHeaderCodec, state, clock, Random(1))
         return CallerConnection(context, admission, state)
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
@@ -43,10 +43,12 @@
             val head = RequestHead("POST", "/a/", Headers(emptyList()))
             val request = BufferedRequest(head, ByteArray(bodyBytes))
             val response = CallerResponse(ByteChannel(), isHeadRequest = false) { false }
-            val entry = EndpointEntry(ENDPOINT, PoolId("pool"), "127.0.0.1", endpoint.port, "a", 1, false)
+            val entry =
+                EndpointEntry(ENDPOINT, PoolId("pool"), "127.0.0.1", endpoint.port, "a", 1, false)
             val dispatch = CallCommand.Dispatch(entry, 1)
             val relay = StreamRelay(response, clock)
-            exchange.run(sampleCall(kind, clock.nowMs()), request, dispatch, relay) {}.outcome
+            exchange.run(sampleCall(kind, clock.nowMs()), request, dispatch, relay, OpenCaller) {
+            }.outcome
         }
     }
 
