Replace a silent attempt only if another endpoint takes over

Callers saw streams cut off after a silence of 1.3 s of their endpoint, and idempotent requests given up after half of their time, with the outcome "broken: stream stalled for 1300 ms" followed by give-up.

Cause: the traffic side ended the attempt and only then asked the control thread, which found that no other endpoint may be asked: the retry budget is spent, the pool is full, all endpoints are tried or too little time is left. The endpoint that was merely silent was lost.

Change: a silent endpoint is reported to the control thread as AttemptStalled, again every 200 ms, and the attempt goes on. If another endpoint takes the request at once, the control thread reserves its slot and the retry, and dispatches to it; the session closes the connection of the first attempt before it follows. Inputs carry the number of their attempt, so that the end of a replaced one changes nothing. Commands are received in a select under a supervisor, so that a read that fails at the same time does not lose one.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -23,15 +23,24 @@
 
     /** Time until the caller gives up, in ms. */
     fun remainingMs(nowMs: Long): Long = call.deadlineAtMs - nowMs
+
+    fun hasTimeForAttempt(nowMs: Long): Boolean = remainingMs(nowMs) >= MIN_ATTEMPT_MS
+
+    private companion object {
+        /** An attempt is not worthwhile with less time left, in ms. */
+        const val MIN_ATTEMPT_MS = 15L
+    }
 }
 
 /**
  * An attempt in flight.
  *
+ * @property number number of the attempt, as in [CallCommand.Dispatch]
  * @property prefillTokens its share of [HostLoad.pendingPrefillTokens]; 0 once the first token
  * arrived
  */
 internal class CurrentAttempt(
+    val number: Int,
     val endpoint: TrackedEndpoint,
     var prefillTokens: Int,
     val expectedFirstTokenMs: Double,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -115,7 +115,8 @@
 /** Decision of the control thread for a waiting request. */
 public sealed interface CallCommand {
     /**
-     * Send the request to [endpoint].
+     * Send the request to [endpoint]. During an attempt, which has stalled, this replaces it: its
+     * connection is closed first.
      *
      * @property attempt number of the attempt, from 1
      */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -1,30 +1,10 @@
 package cowslipcart.core.forwarding
 
-import cowslipcart.core.limits.RetryBudget
 import cowslipcart.core.model.HostId
-import cowslipcart.core.model.IncarnationId
-import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.routing.isRetryable
 import kotlin.random.Random
 
-/**
- * Settings of a [ForwardingController].
- *
- * @property isFirstStart whether the whole system starts for the first time, so that no host has
- * used the limits of organisations yet
- * @property retryBudgetShare retries allowed to all hosts together, as a share of the requests
- * @property retryBudgetSlack retries allowed to all hosts together while requests are few
- */
-public data class ForwardingSettings(
-    public val host: HostId,
-    public val incarnation: IncarnationId,
-    public val profile: HostProfile,
-    public val isFirstStart: Boolean,
-    public val retryBudgetShare: Double,
-    public val retryBudgetSlack: Int
-)
-
 /** Decides what happens to each request of this host. Confined to the control thread. */
 public interface ForwardingController {
     /** Handles [input] at [nowMs] of the monotonic clock and returns the decisions. */
@@ -60,7 +40,7 @@
     private val quotas = QuotaRegistry(if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE)
     private val quarantine = QuarantineTracker()
     private val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
-    private val retryBudgets = mutableMapOf<PoolId, RetryBudget>()
+    private val retries = RetryRule(settings, quarantine) { hostRegistry.knownCount }
     private val calls = mutableMapOf<CallId, CallState>()
     private val waiting = mutableListOf<CallState>()
     private val effects = mutableListOf<ForwardingEffect>()
@@ -69,7 +49,8 @@
     override fun handle(input: ForwardingInput, nowMs: Long): List<ForwardingEffect> {
         when (input) {
             is ForwardingInput.Arrived -> onArrived(input.call, nowMs)
-            is ForwardingInput.ResponseStarted -> onResponseStarted(input.call, nowMs)
+            is ForwardingInput.ResponseStarted -> onResponseStarted(input, nowMs)
+            is ForwardingInput.AttemptStalled -> onAttemptStalled(input, nowMs)
             is ForwardingInput.AttemptEnded -> onAttemptEnded(input, nowMs)
             is ForwardingInput.CallClosed -> onCallClosed(input.call)
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
@@ -93,7 +74,7 @@
 
     private fun onArrived(call: ForwardedCall, nowMs: Long) {
         val state = CallState(call)
-        retryBudget(call.pool).recordRequest(nowMs)
+        retries.recordRequest(call.pool, nowMs)
         if (quarantine.isQuarantined(call.fingerprint)) {
             refuse(state, RefusalReason.QUARANTINED, null, nowMs)
             return
@@ -132,7 +113,7 @@
     /** Dispatches [state], or ends it if it may not wait longer; returns false if it waits on. */
     private fun tryPlace(state: CallState, nowMs: Long): Boolean {
         val call = state.call
-        if (state.remainingMs(nowMs) < MIN_ATTEMPT_MS) {
+        if (!state.hasTimeForAttempt(nowMs)) {
             end(state, RefusalReason.OUT_OF_TIME, null, nowMs)
             return true
         }
@@ -159,22 +140,26 @@
 
     private fun dispatch(state: CallState, selected: PlacementResult.Found, nowMs: Long) {
         selected.endpoint.onDispatched(selected.prefillTokens)
-        state.current =
-            CurrentAttempt(
-                selected.endpoint,
-                selected.prefillTokens,
-                selected.firstTokenMs,
-                nowMs
-            )
         state.tried += selected.endpoint.entry.id
         state.sentCount++
+        state.current = CurrentAttempt(
+            state.sentCount,
+            selected.endpoint,
+            selected.prefillTokens,
+            selected.firstTokenMs,
+            nowMs
+        )
         reporter.onChange()
         emitCommand(state, CallCommand.Dispatch(selected.endpoint.entry, state.sentCount), nowMs)
     }
 
-    private fun onResponseStarted(id: CallId, nowMs: Long) {
-        val state = calls[id] ?: return
-        val attempt = state.current ?: return
+    /** Returns the attempt [number] of [call] if it is in flight and was not replaced. */
+    private fun attemptInFlight(call: CallId, number: Int): CurrentAttempt? =
+        calls[call]?.current?.takeIf { it.number == number }
+
+    private fun onResponseStarted(input: ForwardingInput.ResponseStarted, nowMs: Long) {
+        val state = calls[input.call] ?: return
+        val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
         val speed = attempt.endpoint.speed
         val expectedMs = attempt.expectedFirstTokenMs / speed.firstTokenFactor
@@ -188,7 +173,7 @@
 
     private fun onAttemptEnded(input: ForwardingInput.AttemptEnded, nowMs: Long) {
         val state = calls[input.call] ?: return
-        val attempt = state.current ?: return
+        val attempt = attemptInFlight(input.call, input.attempt) ?: return
         state.current = null
         attempt.endpoint.onEnded(attempt.prefillTokens)
         val tokensPerEvent = routingTable?.pool(state.call.pool)?.tokensPerEvent ?: 0
@@ -248,21 +233,40 @@
     }
 
     private fun onBroken(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
+        onUnanswered(state, attempt, nowMs)
+        retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
+    }
+
+    private fun onUnanswered(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
         state.mayHaveRun = true
         attempt.endpoint.health.onFailure(nowMs)
         quarantine.onOwnCrash(state.call.fingerprint, attempt.endpoint.entry.id)
-        retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
+    }
+
+    /**
+     * Replaces the attempt at a silent endpoint if another endpoint takes the request at once. A
+     * silent endpoint may still answer, so the attempt goes on otherwise.
+     */
+    private fun onAttemptStalled(input: ForwardingInput.AttemptStalled, nowMs: Long) {
+        val state = calls[input.call] ?: return
+        val attempt = attemptInFlight(input.call, input.attempt) ?: return
+        val call = state.call
+        if (!call.route.kind.isRetryable || !retries.isAllowed(state, nowMs)) return
+        val inPool = endpoints.inPool(call.pool)
+        val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
+        val selected = result as? PlacementResult.Found ?: return
+        val isWorthwhile = !selected.endpoint.health.isEjected(nowMs) &&
+            selected.firstTokenMs < state.remainingMs(nowMs)
+        if (!isWorthwhile || !retries.trySpend(call.pool, nowMs)) return
+        attempt.endpoint.onEnded(attempt.prefillTokens)
+        onUnanswered(state, attempt, nowMs)
+        dispatch(state, selected, nowMs)
     }
 
     /** Queues the request for another endpoint if a retry is allowed, or ends it for [reason]. */
     private fun retry(state: CallState, reason: RefusalReason, nowMs: Long) {
         val call = state.call
-        val isAllowed = (!state.mayHaveRun || call.route.kind.isRetryable) &&
-            state.sentCount < call.route.maxAttempts &&
-            state.remainingMs(nowMs) >= MIN_ATTEMPT_MS &&
-            !quarantine.isQuarantined(call.fingerprint) &&
-            retryBudget(call.pool).trySpend(nowMs)
-        if (isAllowed) {
+        if (retries.isAllowed(state, nowMs) && retries.trySpend(call.pool, nowMs)) {
             requeue(state, nowMs)
         } else {
             end(state, reason, retryAfterMs(call, nowMs), nowMs)
@@ -357,14 +361,6 @@
         }
     }
 
-    private fun retryBudget(pool: PoolId): RetryBudget = retryBudgets.getOrPut(pool) {
-        RetryBudget(settings.retryBudgetShare * BUDGET_SAFETY) {
-            (settings.retryBudgetSlack * BUDGET_SAFETY / knownHosts).toInt().coerceAtLeast(1)
-        }
-    }
-
-    private val knownHosts: Int get() = hostRegistry.knownCount
-
     private companion object {
         /** The call's tier comes first; the rank of its route in the pool breaks ties. */
         val waitingOrder: Comparator<CallState> =
@@ -373,9 +369,6 @@
         /** Share of the burst that a restarted host starts with; others may have used the limit. */
         const val RESTART_QUOTA_SHARE = 0.3
 
-        /** An attempt is not worthwhile with less time left, in ms. */
-        const val MIN_ATTEMPT_MS = 15L
-
         /** Connections that fail before a request is refused. */
         const val MAX_CONNECT_FAILURES = 4
 
@@ -385,8 +378,5 @@
 
         /** Short, because slots are freed by other hosts without a message to this one, in ms. */
         const val WAITING_TICK_MS = 20L
-
-        /** Share of the retry budget that is used, since each host counts only its own retries. */
-        const val BUDGET_SAFETY = 0.6
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -12,17 +12,27 @@
     /** A request was received in full. */
     public data class Arrived(public val call: ForwardedCall) : ForwardingInput
 
-    /** The first bytes of the answer arrived, so the prefill is complete. */
-    public data class ResponseStarted(public val call: CallId) : ForwardingInput
+    /** The first bytes of the answer to [attempt] arrived, so the prefill is complete. */
+    public data class ResponseStarted(public val call: CallId, public val attempt: Int) :
+        ForwardingInput
+
+    /**
+     * The endpoint of [attempt] is silent. The attempt goes on; a [CallCommand.Dispatch] follows if
+     * another endpoint takes over.
+     */
+    public data class AttemptStalled(public val call: CallId, public val attempt: Int) :
+        ForwardingInput
 
     /**
      * An attempt ended; the call waits for the next command unless it has been answered.
      *
+     * @property attempt number of the attempt
      * @property gapCount event gaps in the fastest part of the stream; 0 without a stream
      * @property gapDurationMs duration of that part
      */
     public data class AttemptEnded(
         public val call: CallId,
+        public val attempt: Int,
         public val outcome: AttemptOutcome,
         public val gapCount: Int = 0,
         public val gapDurationMs: Long = 0
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -122,7 +122,7 @@
             fixture.arrive(urgent)
 
             val effects = fixture.send(
-                ForwardingInput.AttemptEnded(running.id, AttemptOutcome.Answered(true))
+                ForwardingInput.AttemptEnded(running.id, 1, AttemptOutcome.Answered(true))
             )
             val started = effects.filterIsInstance<ForwardingEffect.Command>().single()
             assertEquals(0, started.call.rankInPool)
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -37,7 +37,15 @@
     var nowMs = 0L
     private var lastCall = 0L
 
-    fun send(input: ForwardingInput): List<ForwardingEffect> = controller.handle(input, nowMs)
+    private val lastAttempts = mutableMapOf<CallId, Int>()
+
+    fun send(input: ForwardingInput): List<ForwardingEffect> =
+        controller.handle(input, nowMs).onEach { recordAttempt(it) }
+
+    private fun recordAttempt(effect: ForwardingEffect) {
+        val command = (effect as? ForwardingEffect.Command)?.command
+        if (command is CallCommand.Dispatch) lastAttempts[effect.call.id] = command.attempt
+    }
 
     fun commandsOf(input: ForwardingInput): List<CallCommand> =
         send(input).filterIsInstance<ForwardingEffect.Command>().map { it.command }
@@ -45,7 +53,7 @@
     fun arrive(call: ForwardedCall): List<CallCommand> = commandsOf(ForwardingInput.Arrived(call))
 
     fun end(call: ForwardedCall, outcome: AttemptOutcome): List<CallCommand> =
-        commandsOf(ForwardingInput.AttemptEnded(call.id, outcome))
+        commandsOf(ForwardingInput.AttemptEnded(call.id, lastAttempts.getValue(call.id), outcome))
 
     fun listEndpoints(vararg entries: EndpointEntry) =
         send(ForwardingInput.EndpointsChanged(entries.toList()))
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -33,7 +33,7 @@
             val long = fixture.call(tokens = 50_000)
             val first = place(long)
             fixture.nowMs = LONG_PROMPT_MS
-            fixture.send(ForwardingInput.ResponseStarted(long.id))
+            fixture.send(ForwardingInput.ResponseStarted(long.id, 1))
             place(fixture.call(tokens = 14_000))
 
             assertEquals(first, place(fixture.call(tokens = 600)))
@@ -71,7 +71,7 @@
                 val call = fixture.call(tokens = 3_000)
                 val endpoint = place(call)
                 fixture.nowMs += if (endpoint == EndpointId("e1")) 250 else 30
-                fixture.send(ForwardingInput.ResponseStarted(call.id))
+                fixture.send(ForwardingInput.ResponseStarted(call.id, 1))
                 fixture.end(call, AttemptOutcome.Answered(isSuccess = true))
             }
 
@@ -88,7 +88,7 @@
             val history = listOf(PromptPart(PromptPartId(1), 6_000))
             val first = fixture.call(tokens = 6_000, prompt = history)
             val holder = place(first)
-            fixture.send(ForwardingInput.ResponseStarted(first.id))
+            fixture.send(ForwardingInput.ResponseStarted(first.id, 1))
 
             repeat(3) {
                 assertEquals(holder, place(fixture.call(tokens = 6_000, prompt = history)))
@@ -121,6 +121,7 @@
                 fixture.send(
                     ForwardingInput.AttemptEnded(
                         ended.id,
+                        1,
                         AttemptOutcome.Answered(true),
                         gapCount = 20,
                         gapDurationMs = 120 * ms
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
+import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
@@ -32,6 +33,7 @@
     private val commands = context.loop.register(call.id)
     private val relay = StreamRelay(response, context.clock)
     private var lastResponse: BufferedResponse? = null
+    private var nextCommand: CallCommand? = null
     private var isAttemptRunning = false
     private var decisionCount = 0
     private var end = "answered"
@@ -84,7 +86,8 @@
 
     private suspend fun followCommands() {
         while (true) {
-            val command = commands.receive()
+            val command = nextCommand ?: commands.receive()
+            nextCommand = null
             decisionCount++
             when (command) {
                 is CallCommand.Dispatch -> if (attempt(command)) return
@@ -98,26 +101,42 @@
     private suspend fun attempt(command: CallCommand.Dispatch): Boolean {
         val startMs = context.clock.nowMs()
         isAttemptRunning = true
-        val result = context.exchange.run(call, request, command, relay) {
-            context.loop.submit(ForwardingInput.ResponseStarted(call.id))
-        }
+        val result = context.exchange.run(call, request, command, relay, Listener(command))
         isAttemptRunning = false
         lastResponse = result.response
+        nextCommand = result.next
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
         if (isDone) result.response?.let { response.writeComplete(it.head, it.body) }
-        report(outcome, command.endpoint.id.value, startMs)
+        report(outcome, command, startMs)
         return isDone
     }
 
-    private fun report(outcome: AttemptOutcome, endpoint: String, startMs: Long) {
+    private inner class Listener(private val dispatch: CallCommand.Dispatch) : AttemptListener {
+        private var isStallLogged = false
+
+        override val commands: ReceiveChannel<CallCommand> get() = this@CallSession.commands
+
+        override fun onResponseStarted() =
+            context.loop.submit(ForwardingInput.ResponseStarted(call.id, dispatch.attempt))
+
+        override fun onStalled() {
+            context.loop.submit(ForwardingInput.AttemptStalled(call.id, dispatch.attempt))
+            if (isStallLogged) return
+            isStallLogged = true
+            val endpoint = dispatch.endpoint.id.value
+            context.eventLog.attemptStalled(call, endpoint, relay.eventCount)
+        }
+    }
+
+    private fun report(outcome: AttemptOutcome, command: CallCommand.Dispatch, startMs: Long) {
         val description = describe(outcome)
         context.metrics.attempts.labelValues(description.substringBefore(':')).inc()
         val firstEventMs = (relay.firstEventAtMs - call.arrivedAtMs).takeIf { relay.isStarted }
         val tookMs = context.clock.nowMs() - startMs
         context.eventLog.attemptEnded(
             call,
-            endpoint,
+            command.endpoint.id.value,
             description,
             tookMs,
             firstEventMs,
@@ -126,6 +145,7 @@
         context.loop.submit(
             ForwardingInput.AttemptEnded(
                 call.id,
+                command.attempt,
                 outcome,
                 gapCount = relay.shortestGaps.gapCount,
                 gapDurationMs = relay.shortestGaps.durationMs
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -17,13 +17,18 @@
 import cowslipcart.daemon.http1.send
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.supervisorScope
 
 /** A request of a caller with its whole body. */
 internal class BufferedRequest(val head: RequestHead, val body: ByteArray)
@@ -31,12 +36,37 @@
 /** A response of an endpoint that was read to its end and not yet forwarded. */
 internal class BufferedResponse(val head: ResponseHead, val body: ByteArray)
 
-/** How an attempt ended, with the response of the endpoint if it was not streamed. */
-internal class ExchangeResult(val outcome: AttemptOutcome, val response: BufferedResponse? = null)
+/**
+ * How an attempt ended.
+ *
+ * @property response response of the endpoint if it was not streamed
+ * @property next command that replaces the attempt; null if it ended by itself
+ */
+internal class ExchangeResult(
+    val outcome: AttemptOutcome,
+    val response: BufferedResponse? = null,
+    val next: CallCommand? = null
+)
+
+/** Connects a running attempt to the control thread. */
+internal interface AttemptListener {
+    /** Receives the command that replaces the attempt. */
+    val commands: ReceiveChannel<CallCommand>
+
+    /** The endpoint has started to respond. */
+    fun onResponseStarted()
+
+    /** The endpoint is silent. The attempt goes on until a command replaces it. */
+    fun onStalled()
+}
 
 /** Wraps the result of a read, so that a null result differs from a timeout. */
 private class ReadResult<T>(val value: T)
 
+/** Ends an attempt that [next] replaces. */
+private class AttemptReplacedException(val next: CallCommand, message: String) :
+    IOException(message)
+
 /** The response is incomplete, not authenticated or not valid for its request. */
 private class InvalidResponseException(message: String) : IOException(message)
 
@@ -50,7 +80,7 @@
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
-     * returned. [onResponseStarted] is called once the endpoint has started to respond.
+     * returned. The connection to the endpoint is closed before a replaced attempt returns.
      * Throws [CallerDisconnectedException] if the caller can't be written to; failures of the
      * endpoint are returned as an outcome.
      */
@@ -59,7 +89,7 @@
         request: BufferedRequest,
         dispatch: CallCommand.Dispatch,
         relay: StreamRelay,
-        onResponseStarted: () -> Unit
+        listener: AttemptListener
     ): ExchangeResult {
         val endpoint = dispatch.endpoint
         val maxIdleMs = if (call.route.kind.isRetryable) Long.MAX_VALUE else AT_MOST_ONCE_IDLE_MS
@@ -67,7 +97,7 @@
             ?: return ExchangeResult(AttemptOutcome.NotSent("no connection"))
         var isReusable = false
         try {
-            val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
+            val attempt = Attempt(call, request, dispatch, relay, listener, connection)
             val result = attempt.run()
             attempt.reusableHead?.let { head ->
                 isReusable = true
@@ -80,6 +110,8 @@
             // A closed channel can throw this too, while the attempt itself is not cancelled.
             currentCoroutineContext().ensureActive()
             return ExchangeResult(AttemptOutcome.Broken("connection cancelled"))
+        } catch (e: AttemptReplacedException) {
+            return ExchangeResult(AttemptOutcome.Broken(e.message.orEmpty()), next = e.next)
         } catch (e: IOException) {
             return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
         } finally {
@@ -92,7 +124,7 @@
         private val request: BufferedRequest,
         private val dispatch: CallCommand.Dispatch,
         private val relay: StreamRelay,
-        private val onResponseStarted: () -> Unit,
+        private val listener: AttemptListener,
         private val connection: ServerConnection
     ) {
         private val endpoint = dispatch.endpoint
@@ -209,7 +241,7 @@
             if (!isSuccess && head.status >= FIRST_SERVER_ERROR) {
                 return ExchangeResult(AttemptOutcome.Answered(isSuccess = false), response)
             }
-            onResponseStarted()
+            listener.onResponseStarted()
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true), response)
         }
 
@@ -218,7 +250,7 @@
             var isFirst = true
             while (true) {
                 val piece = withInactivityTimeout("stream stalled") { reader.next() } ?: break
-                if (isFirst) onResponseStarted()
+                if (isFirst) listener.onResponseStarted()
                 isFirst = false
                 relay.onBytes(piece)
             }
@@ -227,26 +259,45 @@
         }
 
         /**
-         * Runs [read] and fails the attempt if the endpoint sends nothing for too long. This needs
+         * Runs [read] and reports a stall if the endpoint sends nothing for too long. This needs
          * another attempt to be left, and the endpoint to be inactive on all connections of this
          * host. An active endpoint has only queued the request; a retry elsewhere would process
-         * its prompt twice.
+         * its prompt twice. A failed read must not cancel the wait for commands, since a command
+         * that is received at that moment would be lost; hence the supervisor scope.
          */
         private suspend fun <T> withInactivityTimeout(failure: String, read: suspend () -> T): T {
             val limitMs = inactivityTimeoutMs()
             if (limitMs == null) return read().also { activity.onBytes(endpoint.id) }
-            return coroutineScope {
+            return supervisorScope {
                 val reading = async { read() }
-                var result = withTimeoutOrNull(limitMs) { ReadResult(reading.await()) }
+                var waitMs: Long = limitMs
+                var result = awaitOrReplace(reading, waitMs, failure)
                 while (result == null) {
-                    if (!activity.isActive(endpoint.id)) fail("$failure for $limitMs ms")
-                    result = withTimeoutOrNull(limitMs) { ReadResult(reading.await()) }
+                    if (!activity.isActive(endpoint.id)) {
+                        listener.onStalled()
+                        waitMs = STALL_REPEAT_MS
+                    }
+                    result = awaitOrReplace(reading, waitMs, failure)
                 }
                 activity.onBytes(endpoint.id)
                 result.value
             }
         }
 
+        /** Returns the result of [reading], or null after [waitMs]. */
+        @OptIn(ExperimentalCoroutinesApi::class)
+        private suspend fun <T> awaitOrReplace(
+            reading: Deferred<T>,
+            waitMs: Long,
+            failure: String
+        ): ReadResult<T>? = select {
+            reading.onAwait { ReadResult(it) }
+            listener.commands.onReceive {
+                throw AttemptReplacedException(it, "$failure, replaced")
+            }
+            onTimeout(waitMs) { null }
+        }
+
         /** Returns the longest time without bytes, in ms; null if the attempt has no limit. */
         private fun inactivityTimeoutMs(): Long? {
             if (dispatch.attempt >= call.route.maxAttempts) return null
@@ -289,5 +340,8 @@
 
         /** Half of the gap after which callers abandon a stream, in ms. */
         const val STREAM_INACTIVITY_MS = 1_300L
+
+        /** Interval at which a stall is reported again, since another endpoint may be free, in ms. */
+        const val STALL_REPEAT_MS = 200L
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -117,6 +117,7 @@
                 commandsByCall[input.call]?.trySend(CallCommand.GiveUp(reason))
 
             is ForwardingInput.ResponseStarted,
+            is ForwardingInput.AttemptStalled,
             is ForwardingInput.CallClosed,
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -63,6 +63,14 @@
             ?.log("attempt")
     }
 
+    /** Writes that [endpoint] is silent in an attempt, after [events] forwarded events. */
+    fun attemptStalled(call: ForwardedCall, endpoint: String, events: Int) = event(
+        "attempt-stalled",
+        "request" to call.requestId.value,
+        "endpoint" to endpoint,
+        "events" to events
+    )
+
     /**
      * Writes and counts the end of a request.
      *
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallSessionTest.kt
@@ -7,30 +7,15 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.RefusalReason
-import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.WorkKind
-import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.readRequest
-import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.Header
-import cowslipcart.daemon.http1.Headers
 import cowslipcart.daemon.http1.RequestHead
-import io.ktor.network.selector.SelectorManager
-import io.ktor.utils.io.ByteChannel
-import io.ktor.utils.io.readRemaining
 import java.io.IOException
 import java.util.concurrent.CancellationException
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.async
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.runBlocking
-import kotlinx.io.readByteArray
 import org.junit.jupiter.api.Nested
 
 class CallSessionTest {
@@ -59,50 +44,18 @@
         ): List<Header> = throw failure
     }
 
-    private val clock = RuntimeClock()
-    private val selector = SelectorManager(Dispatchers.IO)
-    private val loopScope = CoroutineScope(SupervisorJob())
+    private val harness = SessionHarness()
 
     @AfterTest
-    fun stop() {
-        loopScope.cancel()
-        selector.close()
-    }
+    fun stop() = harness.close()
 
     /** Returns the response to a request that [failure] meets while it is sent. */
     private fun responseAfter(failure: Exception): String =
         ScriptedEndpoint({ it.readRequest(0) }).use { endpoint ->
-            val entry = EndpointEntry(
-                EndpointId("e"),
-                PoolId("pool"),
-                "127.0.0.1",
-                endpoint.port,
-                "a",
-                1,
-                false
-            )
-            val metrics = GatewayMetrics()
-            val eventLog = GatewayEventLog(clock, metrics)
-            val controller = OneAttemptController(entry)
-            val loop = ForwardingLoop(controller, clock, eventLog, metrics) { _, _ -> }
-            loop.start(loopScope)
-            val connections = EndpointConnections(selector, clock) { 1 }
-            val exchange = EndpointExchange(connections, FailingHeaderCodec(failure), clock)
-            serve(SessionContext(loop, exchange, eventLog, metrics, clock))
+            val controller = OneAttemptController(endpoint.entry("e"))
+            harness.response(WorkKind.AtMostOnce, controller, FailingHeaderCodec(failure))
         }
 
-    private fun serve(context: SessionContext): String = runBlocking(Dispatchers.IO) {
-        val written = ByteChannel()
-        val response = CallerResponse(written, isHeadRequest = false) { false }
-        val request =
-            BufferedRequest(RequestHead("POST", "/a/", Headers(emptyList())), ByteArray(0))
-        val call = sampleCall(WorkKind.AtMostOnce, clock.nowMs())
-        val received = async { written.readRemaining().readByteArray().decodeToString() }
-        CallSession(context, call, request, response).serve(ByteSource(ByteChannel()))
-        written.flushAndClose()
-        received.await()
-    }
-
     /** Guards against requests whose connection closes without an answer or a log line. */
     @Nested
     inner class UnexpectedExceptions {
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
@@ -2,9 +2,6 @@
 
 import cowslipcart.core.forwarding.AttemptOutcome
 import cowslipcart.core.forwarding.CallCommand
-import cowslipcart.core.forwarding.EndpointEntry
-import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.WorkKind
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.readRequest
@@ -20,11 +17,20 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 
 /** Guards against a request that ends without an answer, since its attempt ends by an exception. */
 class EndpointExchangeTest {
+    private object SilentListener : AttemptListener {
+        override val commands = Channel<CallCommand>()
+
+        override fun onResponseStarted() = Unit
+
+        override fun onStalled() = Unit
+    }
+
     private val clock = RuntimeClock()
     private val selector = SelectorManager(Dispatchers.IO)
     private val exchange =
@@ -43,10 +49,10 @@
             val head = RequestHead("POST", "/a/", Headers(emptyList()))
             val request = BufferedRequest(head, ByteArray(bodyBytes))
             val response = CallerResponse(ByteChannel(), isHeadRequest = false) { false }
-            val entry = EndpointEntry(ENDPOINT, PoolId("pool"), "127.0.0.1", endpoint.port, "a", 1, false)
-            val dispatch = CallCommand.Dispatch(entry, 1)
+            val dispatch = CallCommand.Dispatch(endpoint.entry("e"), 1)
             val relay = StreamRelay(response, clock)
-            exchange.run(sampleCall(kind, clock.nowMs()), request, dispatch, relay) {}.outcome
+            val call = sampleCall(kind, clock.nowMs())
+            exchange.run(call, request, dispatch, relay, SilentListener).outcome
         }
     }
 
@@ -121,7 +127,6 @@
     private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
 
     private companion object {
-        val ENDPOINT = EndpointId("e")
         const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
             "Transfer-Encoding: chunked\r\n\r\n"
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
@@ -101,7 +101,7 @@
 
             assertEquals<CallCommand?>(
                 CallCommand.GiveUp(RefusalReason.CONTROL_FAILED),
-                commandAfter(ForwardingInput.AttemptEnded(call.id, outcome))
+                commandAfter(ForwardingInput.AttemptEnded(call.id, 1, outcome))
             )
         }
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ScriptedEndpoint.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ScriptedEndpoint.kt
@@ -1,5 +1,8 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.PoolId
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -11,6 +14,10 @@
 
     val port: Int get() = server.localPort
 
+    /** Entry of this endpoint as [id], with one slot. */
+    fun entry(id: String) =
+        EndpointEntry(EndpointId(id), PoolId("pool"), "127.0.0.1", port, "a", 1, false)
+
     init {
         thread(isDaemon = true, name = "endpoint") {
             for (script in scripts) server.accept().use { script(it) }
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StalledStreamTest.kt
@@ -0,0 +1,87 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.core.forwarding.ForwardingInput
+import cowslipcart.core.forwarding.ForwardingSettings
+import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.createForwardingController
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.routing.WorkKind
+import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.readRequest
+import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.send
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import org.junit.jupiter.api.Nested
+
+/** Guards against streams that are cut off although their endpoint was only silent for a while. */
+class StalledStreamTest {
+    private val harness = SessionHarness()
+    private val requestCount = AtomicInteger()
+
+    @AfterTest
+    fun stop() = harness.close()
+
+    /** Sends event 1, and the rest after [silenceMs] if the endpoint has the first request. */
+    private fun stream(socket: Socket, silenceMs: Long) {
+        socket.readRequest(0)
+        val isFirst = requestCount.incrementAndGet() == 1
+        socket.send(STREAM_HEAD + event(1))
+        if (isFirst) Thread.sleep(silenceMs)
+        // The caller of the gateway may have closed the connection meanwhile.
+        runCatching { socket.send(event(2) + event(END) + "0\r\n\r\n") }
+    }
+
+    private fun event(id: Int): String {
+        val text = "id: $id\ndata: x\n\n"
+        return "${text.length.toString(16)}\r\n$text\r\n"
+    }
+
+    /** Returns what the caller of a stream gets from [endpoints]. */
+    private fun response(vararg endpoints: ScriptedEndpoint): String {
+        val host = HostId("host-1")
+        val profile = HostProfile("a", 1.0)
+        val settings = ForwardingSettings(host, IncarnationId(1), profile, true, 0.2, 100)
+        val controller = createForwardingController(settings, Random(1))
+        val entries = endpoints.mapIndexed { index, endpoint -> endpoint.entry("e$index") }
+        controller.handle(ForwardingInput.EndpointsChanged(entries), 0)
+        return harness.response(WorkKind.EventStream(true, GAP_TARGET_MS), controller)
+    }
+
+    private fun assertComplete(response: String) {
+        val ids = Regex("id: (\\d+)").findAll(response).map { it.groupValues[1].toInt() }
+        assertEquals((1..END).toList(), ids.toList())
+        assertTrue(response.endsWith("0\r\n\r\n"), response)
+    }
+
+    @Nested
+    inner class Silence {
+        @Test
+        fun `a stream goes on after a silence if no other endpoint can take over`() =
+            ScriptedEndpoint({ stream(it, SILENCE_MS) }).use { assertComplete(response(it)) }
+
+        @Test
+        fun `another endpoint takes over a stream while its endpoint is silent`() {
+            val first = ScriptedEndpoint({ stream(it, LONG_SILENCE_MS) })
+            val second = ScriptedEndpoint({ stream(it, LONG_SILENCE_MS) })
+            first.use { second.use { assertComplete(response(first, second)) } }
+            assertEquals(2, requestCount.get())
+        }
+    }
+
+    private companion object {
+        /** Exceeds the time after which a stream counts as stalled, in ms. */
+        const val SILENCE_MS = 2_000L
+
+        /** Exceeds the time that the request may take, in ms. */
+        const val LONG_SILENCE_MS = 12_000L
+        const val GAP_TARGET_MS = 250L
+        const val END = 3
+        const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n"
+    }
+}
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -46,6 +46,7 @@
 
     /** One submission to a gateway; a retry after a refusal is a new attempt. */
     private class Attempt(val host: EmulatedHost, val call: ForwardedCall) {
+        var number = 0
         var engine: EmulatedEngine? = null
         var sequence: EmulatedSequence? = null
         var eventCount = 0
@@ -88,8 +89,11 @@
     fun onCommand(call: ForwardedCall, command: CallCommand) {
         val attempt = current?.takeIf { it.call === call } ?: return
         when (command) {
-            is CallCommand.Dispatch -> run.queue.scheduleIn(run.workload.networkMs) {
-                submit(attempt, run.engines.getValue(command.endpoint.id))
+            is CallCommand.Dispatch -> {
+                attempt.number = command.attempt
+                run.queue.scheduleIn(run.workload.networkMs) {
+                    submit(attempt, run.engines.getValue(command.endpoint.id))
+                }
             }
 
             is CallCommand.Refuse -> onRefused(attempt, command.retryAfterMs)
@@ -107,14 +111,18 @@
         attempt.sequence = sequence
         if (!engine.submit(sequence)) {
             val declined = AttemptOutcome.Declined(DeclineReason.FULL)
-            run.send(attempt.host, ForwardingInput.AttemptEnded(attempt.call.id, declined))
+            run.send(
+                attempt.host,
+                ForwardingInput.AttemptEnded(attempt.call.id, attempt.number, declined)
+            )
         }
     }
 
     private fun onEvent(attempt: Attempt, isLast: Boolean) {
         if (isEnded || current !== attempt) return
         if (attempt.eventCount++ == 0) {
-            run.send(attempt.host, ForwardingInput.ResponseStarted(attempt.call.id))
+            val started = ForwardingInput.ResponseStarted(attempt.call.id, attempt.number)
+            run.send(attempt.host, started)
         }
         if (firstEventMs < 0) {
             firstEventMs = nowMs - arrivedAtMs
@@ -131,6 +139,7 @@
             attempt.host,
             ForwardingInput.AttemptEnded(
                 attempt.call.id,
+                attempt.number,
                 AttemptOutcome.Answered(isSuccess = true),
                 attempt.shortestGaps.gapCount,
                 attempt.shortestGaps.durationMs
