Watch callers that send more than 64 KiB without waiting

Cause: the watch on a caller's connection stopped when 64 KiB of pipelined bytes were buffered. After another 1 MB Ktor stopped to read the socket, so that the caller's close was never seen and the endpoint worked on until the request's time was up.

Change: ByteSource.awaitClose() reads on and discards what exceeds 64 KiB. The connection then carries no other request: the response says "Connection: close" where it has not begun, and nothing more is read from the connection, since what follows starts in the middle of a message.

Result: the close is noticed at any number of pipelined bytes.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -59,7 +59,8 @@
     private suspend fun cancelOnDisconnect(caller: CallerSocket, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
-                if (caller.source.awaitClose()) throw CallerDisconnectedException()
+                caller.source.awaitClose()
+                throw CallerDisconnectedException()
             }
             block()
             monitor.cancel()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -53,7 +53,7 @@
         try {
             val head = withTimeoutOrNull(limits.headerTimeoutMs) { readHead(source, limits) }
                 ?: return rejectAndClose(writer, REQUEST_TIMEOUT, "header-timeout")
-            response = CallerResponse(writer, head.method == "HEAD") { mustClose(head) }
+            response = CallerResponse(writer, head.method == "HEAD") { mustClose(head, source) }
             request = BufferedRequest(head, readBody(source, writer, head, limits))
         } catch (e: MalformedMessageException) {
             return rejectAndClose(writer, BAD_REQUEST, e.message ?: "malformed")
@@ -64,7 +64,7 @@
             }
             return rejectAndClose(writer, status, e.message.orEmpty())
         }
-        return respond(request, response, caller)
+        return respond(request, response, caller) && !source.isOverrun
     }
 
     private suspend fun respond(
@@ -134,8 +134,8 @@
         return false
     }
 
-    private fun mustClose(head: RequestHead): Boolean =
-        state.isStopping || head.headers.hasToken("Connection", "close")
+    private fun mustClose(head: RequestHead, source: ByteSource): Boolean =
+        state.isStopping || source.isOverrun || head.headers.hasToken("Connection", "close")
 
     private companion object {
         const val REQUEST_TIMEOUT = 408
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -24,6 +24,10 @@
     var receivedBytes = 0L
         private set
 
+    /** Whether bytes were discarded, so that the connection can't carry another message. */
+    var isOverrun = false
+        private set
+
     /** Whether the connection is open and no received bytes wait to be read. */
     val isIdle: Boolean
         get() = start == end && channel.availableForRead == 0 && !channel.isClosedForRead
@@ -51,14 +55,15 @@
     suspend fun awaitByte(): Boolean = bufferedCount > 0 || fill()
 
     /**
-     * Waits until the peer closes the connection, and returns true. Returns false if the peer has
-     * sent so many pipelined bytes that the end of the connection can't be detected.
+     * Waits until the peer closes the connection. Of the bytes that arrive meanwhile, more than
+     * [MAX_PIPELINED_BYTES] are discarded: the end of the connection is found only behind them.
      */
-    suspend fun awaitClose(): Boolean {
-        while (bufferedCount < MAX_PIPELINED_BYTES) {
-            if (!fill()) return true
+    suspend fun awaitClose() {
+        while (fill()) {
+            if (bufferedCount <= MAX_PIPELINED_BYTES) continue
+            isOverrun = true
+            start = end
         }
-        return false
     }
 
     /**
@@ -155,7 +160,7 @@
         const val MAX_LINE_BYTES = 4_096
         const val HEAD_END_BYTES = 4
 
-        /** Limit on bytes buffered while a response is pending; the rest is read afterwards. */
+        /** Limit on bytes buffered while a response is pending. */
         const val MAX_PIPELINED_BYTES = 65_536
         const val CR = '\r'.code.toByte()
         const val LF = '\n'.code.toByte()
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -1,8 +1,11 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.core.forwarding.ForwardingInput
+import java.io.IOException
+import java.net.Socket
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -117,6 +120,51 @@
         }
     }
 
+    @Nested
+    inner class Pipelining {
+        /** Guards against a caller that is no longer watched since it sent too much. */
+        @Test
+        fun `the close of a caller that sends on without waiting is noticed`() {
+            val endpoint = RawEndpoint().closedAfterwards()
+            val fixture = SessionFixture(endpoint.port).closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 10)
+            assertTrue(await(SETUP_MS) { endpoint.connections.any { it.byteCount > 0 } })
+            thread(isDaemon = true) { sendQuietly(caller, ByteArray(PIPELINED_BYTES)) }
+            Thread.sleep(SENDING_MS)
+            val closedAtNs = System.nanoTime()
+            caller.close()
+
+            val received = endpoint.connections.single()
+            assertTrue(await(SETUP_MS) { received.endAtNs != null }, "never closed")
+            val endMs = msSince(closedAtNs, assertNotNull(received.endAtNs))
+            assertTrue(endMs <= LIMIT_MS, "closed $endMs ms after the caller")
+        }
+
+        /** Guards against a request that is read from the middle of another one. */
+        @Test
+        fun `nothing is run after pipelined bytes were discarded`() {
+            val response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+            val endpoint = RawEndpoint(response = response, responseMs = SENDING_MS)
+                .closedAfterwards()
+            val fixture = SessionFixture(endpoint.port).closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 0).closedAfterwards()
+            val next = "GET /x HTTP/1.1\r\nHost: gateway\r\n\r\n".toByteArray()
+            repeat(PIPELINED_COUNT) { caller.getOutputStream().write(next) }
+
+            caller.soTimeout = SETUP_MS.toInt()
+            val text = caller.getInputStream().readAllBytes().decodeToString()
+            assertTrue("Connection: close" in text, text)
+            val arrivals = fixture.controller.inputs.count { it is ForwardingInput.Arrived }
+            assertEquals(1, arrivals)
+        }
+
+        private fun sendQuietly(caller: Socket, bytes: ByteArray) = try {
+            caller.getOutputStream().write(bytes)
+        } catch (_: IOException) {
+            // The caller has closed.
+        }
+    }
+
     private companion object {
         const val POLL_MS = 5L
         const val SETUP_MS = 5_000L
@@ -126,6 +174,8 @@
         /** Time after a caller's close within which its endpoint has to see its own. */
         const val LIMIT_MS = 500L
         const val BEHIND_MS = 2_000L
+        const val PIPELINED_BYTES = 4_000_000
+        const val PIPELINED_COUNT = 4_000
         const val BODY_BYTES = 1_000_000
 
         /** Bound on what the endpoint's receive buffer held when the caller closed. */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RawEndpoint.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RawEndpoint.kt
@@ -9,18 +9,20 @@
 import kotlin.concurrent.thread
 
 /**
- * An endpoint that accepts connections on loopback and never responds. It reads nothing in the
- * first [silenceMs] of a connection, as an endpoint on a slow or stopped machine.
+ * An endpoint that accepts connections on loopback. It reads nothing in the first [silenceMs] of a
+ * connection, as an endpoint on a slow or stopped machine, and sends [response], if there is one,
+ * [responseMs] after the first bytes.
  */
-internal class RawEndpoint(private val silenceMs: Long = 0) : AutoCloseable {
+internal class RawEndpoint(
+    private val silenceMs: Long = 0,
+    private val response: String? = null,
+    private val responseMs: Long = 0
+) : AutoCloseable {
     /** What arrived on one connection, with times of `System.nanoTime`. */
     class Received(private val socket: Socket) : AutoCloseable {
         @Volatile
         var byteCount = 0L
 
-        @Volatile
-        var firstByteAtNs: Long? = null
-
         @Volatile
         var endAtNs: Long? = null
 
@@ -57,8 +59,9 @@
             while (true) {
                 val count = socket.getInputStream().read(buffer)
                 if (count < 0) break
-                if (received.firstByteAtNs == null) received.firstByteAtNs = System.nanoTime()
+                val isFirst = received.byteCount == 0L
                 received.byteCount += count
+                if (isFirst) respond(socket)
             }
         } catch (_: IOException) {
             // A reset ends the connection like an end of the stream does.
@@ -66,6 +69,12 @@
         received.endAtNs = System.nanoTime()
     }
 
+    private fun respond(socket: Socket) {
+        if (response == null) return
+        Thread.sleep(responseMs)
+        socket.getOutputStream().write(response.toByteArray())
+    }
+
     override fun close() {
         server.close()
         connections.forEach { it.close() }
