Close connections that are established as their time is up

Cause: withTimeoutOrNull drops the result of its block if the time is up while the block ends. On a host whose threads are stopped for tens of ms, connectTo() then returned null and left an open connection to the endpoint that nothing used or closed.

Change: connectTo() remembers the connection and aborts it unless it is returned.

Result: no open connection is left. A cancelled request was suspected to lose its connection in the same way; a trial that cancelled it after each step of the connecting found no connection left open, since a scope resumes its caller without another dispatch.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -73,11 +73,20 @@
     ip: String,
     port: Int,
     timeoutMs: Long
-): ServerConnection? = withTimeoutOrNull(timeoutMs) {
-    val socket = aSocket(this@connectTo).tcp().connect(InetSocketAddress(ip, port)) {
-        noDelay = true
+): ServerConnection? {
+    var established: ServerConnection? = null
+    var isReturned = false
+    try {
+        return withTimeoutOrNull(timeoutMs) {
+            val socket = aSocket(this@connectTo).tcp().connect(InetSocketAddress(ip, port)) {
+                noDelay = true
+            }
+            ServerConnection(socket, this@connectTo).also { established = it }
+        }.also { isReturned = it != null }
+    } finally {
+        // The result is dropped if the time is up between the connection and the end of the block.
+        if (!isReturned) established?.abort()
     }
-    ServerConnection(socket, this@connectTo)
 }
 
 /**
