Keep or close a returned connection when its request is cancelled

Cause: EndpointConnections.release() suspended on a mutex, after EndpointExchange had noted that the connection was returned. A request that was cancelled while it waited, by its caller's close or its timeout, left the connection neither idle nor closed.

Change: a plain lock takes the place of the mutex. Nothing suspends while it is held.

Result: a returned connection is always kept or closed. The new test cancels the release while another thread holds the lock. It failed before with "open connections ==> expected: <0> but was: <1>" and passes now.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -20,8 +20,6 @@
 import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.SocketChannel
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** An open TCP connection to an endpoint or to a server of the platform. */
@@ -106,7 +104,8 @@
         val idleSinceMs: Long
     )
 
-    private val mutex = Mutex()
+    // A plain lock, since a caller that is cancelled while it suspends would lose its connection.
+    private val lock = Any()
     private val idleByEndpoint = mutableMapOf<EndpointId, ArrayDeque<IdleConnection>>()
 
     /**
@@ -123,7 +122,7 @@
     }
 
     /** Keeps [connection] for reuse, or closes it if [head], its last response, rules that out. */
-    suspend fun release(endpoint: EndpointEntry, connection: ServerConnection, head: ResponseHead) {
+    fun release(endpoint: EndpointEntry, connection: ServerConnection, head: ResponseHead) {
         val idleMs = idleTimeoutMs(head)
         if (idleMs <= 0 || !connection.source.isIdle) {
             connection.close()
@@ -131,7 +130,7 @@
         }
         connection.useCount++
         val nowMs = clock.nowMs()
-        mutex.withLock {
+        synchronized(lock) {
             val idle = idleByEndpoint.getOrPut(endpoint.id) { ArrayDeque() }
             idle += IdleConnection(connection, nowMs + idleMs, nowMs)
             if (idle.size > maxIdleConnections(endpoint.pool)) idle.removeFirst().connection.close()
@@ -139,7 +138,7 @@
     }
 
     /** Closes expired connections and those to endpoints that are not in [listed]. */
-    suspend fun evict(listed: Set<EndpointId>) = mutex.withLock {
+    fun evict(listed: Set<EndpointId>): Unit = synchronized(lock) {
         val nowMs = clock.nowMs()
         for ((endpoint, idle) in idleByEndpoint) {
             idle.removeAll { entry ->
@@ -151,8 +150,8 @@
         idleByEndpoint.values.removeIf { it.isEmpty() }
     }
 
-    private suspend fun takeIdle(endpoint: EndpointId, maxIdleMs: Long): ServerConnection? =
-        mutex.withLock {
+    private fun takeIdle(endpoint: EndpointId, maxIdleMs: Long): ServerConnection? =
+        synchronized(lock) {
             val idle = idleByEndpoint[endpoint] ?: return null
             while (idle.isNotEmpty()) {
                 val entry = idle.removeLast()
