Let the blocked thread of a test end by itself

Cause: the test interrupted a thread that sleeps, which printed a stack trace.

Change: the executor is shut down without an interrupt.

Result: a green run prints no stack trace of this test.

--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -102,7 +102,7 @@
         /** Guards against work for a caller that left while this host is behind with its own. */
         @Test
         fun `the endpoint sees its connection closed ahead of other work of this host`() {
-            resources += AutoCloseable { sessionThread.shutdownNow() }
+            resources += AutoCloseable { sessionThread.shutdown() }
             val endpoint = RawEndpoint().closedAfterwards()
             val dispatcher = sessionThread.asCoroutineDispatcher()
             val fixture = SessionFixture(endpoint.port, sessionDispatcher = dispatcher)
