Measure the time from a caller's close to the end of its work

Cause: the log showed that a caller had left, and not how long the work for its request went on.

Change: the answer line has the field goneMs, the time since the end of the caller's connection was read, and the metric caller_gone_seconds is a histogram of it. CallerSocket notes the time on the thread that reads the end.

Result: both are written for each request whose caller has closed. They don't contain the time that the close waited in the kernel before it was read, which Java can't tell.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -51,8 +51,10 @@
         } finally {
             context.loop.unregister(call.id)
             context.loop.submit(ForwardingInput.CallClosed(call.id))
-            val tookMs = context.clock.nowMs() - call.arrivedAtMs
-            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount)
+            val nowMs = context.clock.nowMs()
+            val tookMs = nowMs - call.arrivedAtMs
+            val goneMs = caller.closedAtMs?.let { nowMs - it }
+            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount, goneMs)
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -21,7 +21,7 @@
 ) {
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val caller = CallerSocket(socket, context.probe)
+        val caller = CallerSocket(socket, context.probe, context.clock)
         try {
             while (serveNext(caller)) Unit
         } catch (_: CallerDisconnectedException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import io.ktor.network.selector.Selectable
 import io.ktor.network.sockets.Socket
@@ -13,14 +14,27 @@
 import kotlinx.coroutines.delay
 
 /** The connection of a caller, with what is known of its end. */
-internal class CallerSocket(private val socket: Socket, private val probe: ReadProbe) {
+internal class CallerSocket(
+    private val socket: Socket,
+    private val probe: ReadProbe,
+    private val clock: RuntimeClock
+) {
     private val channel = ByteChannel()
     private val reading = socket.attachForReading(channel)
     private val socketChannel = (socket as Selectable).channel as SocketChannel
 
+    /** Time at which the end of the connection was read, on the monotonic clock; null before. */
+    @Volatile
+    var closedAtMs: Long? = null
+        private set
+
     val source = ByteSource(channel)
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
+    init {
+        onClose { closedAtMs = clock.nowMs() }
+    }
+
     /** Whether the end of the connection was read from the socket, or a reset. */
     val isClosed: Boolean get() = reading.isCompleted
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -69,9 +69,19 @@
      * @param status status sent to the caller, 0 if no response was sent
      * @param decisions commands of the control thread that reached the request; 0 means that it was
      * never decided
+     * @param goneMs time from the end of the caller's connection to the end of the work for the
+     * request, null if the connection was open
      */
-    fun requestEnded(call: ForwardedCall, status: Int, end: String, tookMs: Long, decisions: Int) {
+    fun requestEnded(
+        call: ForwardedCall,
+        status: Int,
+        end: String,
+        tookMs: Long,
+        decisions: Int,
+        goneMs: Long?
+    ) {
         metrics.countEndedRequest(call.route.id.value, status, end, tookMs)
+        goneMs?.let { metrics.observeCallerGone(it) }
         line(Level.INFO)
             ?.addKeyValue("request", call.requestId.value)
             ?.addKeyValue("route", call.route.id.value)
@@ -79,6 +89,7 @@
             ?.addKeyValue("end", end)
             ?.addKeyValue("tookMs", tookMs)
             ?.addKeyValue("decisions", decisions)
+            ?.addKeyValue("goneMs", goneMs)
             ?.log("answer")
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -39,12 +39,22 @@
         .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
         .register(registry)
 
+    private val goneDurations = Histogram.builder()
+        .name("cowslipcart_gateway_caller_gone_seconds")
+        .help("Time from reading a caller's close to the end of the work for its request")
+        .classicOnly()
+        .classicUpperBounds(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+        .register(registry)
+
     /** Counts a request that ended with [status] after [tookMs]; [end] says how. */
     fun countEndedRequest(route: String, status: Int, end: String, tookMs: Long) {
         answers.labelValues(route, "$status", end).inc()
         durations.labelValues(route).observe(tookMs / MS_PER_S)
     }
 
+    /** Records that the work for a request ended [goneMs] after its caller's close was read. */
+    fun observeCallerGone(goneMs: Long) = goneDurations.observe(goneMs / MS_PER_S)
+
     /** Counts a request that was not admitted. */
     fun countRejection(status: Int, reason: String) {
         rejections.labelValues("$status", reason).inc()
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLeavesTest.kt
@@ -118,6 +118,18 @@
             val endMs = msSince(closedAtNs, assertNotNull(received.endAtNs))
             assertTrue(endMs <= LIMIT_MS, "closed $endMs ms after the caller")
         }
+
+        @Test
+        fun `the time from the close of a caller to the end of its work is measured`() {
+            val endpoint = RawEndpoint().closedAfterwards()
+            val fixture = SessionFixture(endpoint.port).closedAfterwards()
+            val caller = fixture.sendRequest(bodyBytes = 10)
+            assertTrue(await(SETUP_MS) { endpoint.connections.any { it.byteCount > 0 } })
+            caller.close()
+
+            val line = "cowslipcart_gateway_caller_gone_seconds_count 1"
+            assertTrue(await(SETUP_MS) { line in fixture.metrics.render().decodeToString() })
+        }
     }
 
     @Nested
