--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -59,8 +59,10 @@
         } finally {
             context.loop.unregister(call.id)
             context.loop.submit(ForwardingInput.CallClosed(call.id))
-            val tookMs = context.clock.nowMs() - call.arrivedAtMs
-            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount)
+            val nowMs = context.clock.nowMs()
+            val tookMs = nowMs - call.arrivedAtMs
+            val goneMs = caller.closedAtMs?.let { nowMs - it }
+            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount, goneMs)
         }
     }
 
@@ -79,7 +81,8 @@
     private suspend fun cancelOnDisconnect(caller: CallerMonitor, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
-                if (caller.awaitClose()) throw CallerDisconnectedException()
+                caller.awaitClose()
+                throw CallerDisconnectedException()
             }
             block()
             monitor.cancel()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openWriteChannel
@@ -11,27 +12,31 @@
 import kotlinx.coroutines.delay
 
 /** The connection of a caller. */
-internal class CallerSocket(private val socket: Socket, private val probe: ReadProbe) :
-    CallerMonitor {
+internal class CallerSocket(
+    private val socket: Socket,
+    private val probe: ReadProbe,
+    private val clock: RuntimeClock
+) : CallerMonitor {
     private val channel = ByteChannel()
     private val reading = socket.attachForReading(channel)
 
+    @Volatile
+    override var closedAtMs: Long? = null
+        private set
+
     val source = ByteSource(channel)
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
-    /** Whether pipelined bytes have filled the buffer, so that nothing more is read for now. */
-    @Volatile
-    private var isReadingPaused = false
+    init {
+        onClose { closedAtMs = clock.nowMs() }
+    }
 
     override val isClosed: Boolean get() = reading.isCompleted
 
     override fun onClose(action: () -> Unit): DisposableHandle =
         reading.invokeOnCompletion { _ -> action() }
 
-    override suspend fun awaitClose(): Boolean {
-        isReadingPaused = false
-        return source.awaitClose().also { isReadingPaused = !it }
-    }
+    override suspend fun awaitClose() = source.awaitClose()
 
     /**
      * A host that is behind with its work may not have read the end of the connection yet, so the
@@ -40,16 +45,13 @@
     override suspend fun confirmOpen() {
         val knownBytes = source.receivedBytes
         var pauseMs = FIRST_PAUSE_MS
-        while (isReadPending(knownBytes) && probe.isReadable(socket)) {
+        while (!isClosed && source.receivedBytes == knownBytes && probe.isReadable(socket)) {
             delay(pauseMs)
             pauseMs = minOf(2 * pauseMs, MAX_PAUSE_MS)
         }
         if (isClosed) throw CallerDisconnectedException()
     }
 
-    private fun isReadPending(knownBytes: Long): Boolean =
-        !isClosed && !isReadingPaused && source.receivedBytes == knownBytes
-
     fun close() = socket.close()
 
     private companion object {
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OpenCaller.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OpenCaller.kt
@@ -6,10 +6,11 @@
 /** A caller that never closes its connection. */
 internal object OpenCaller : CallerMonitor {
     override val isClosed: Boolean = false
+    override val closedAtMs: Long? = null
 
     override fun onClose(action: () -> Unit) = DisposableHandle { }
 
-    override suspend fun awaitClose(): Boolean = awaitCancellation()
+    override suspend fun awaitClose() = awaitCancellation()
 
     override suspend fun confirmOpen() = Unit
 }
