Keep the selector running in the test of closed connections

Cause: the test failed once after a merge (connection stays open). A closed socket channel is released as the selector runs, and Ktor's selector runs only while something waits on it; in the test nothing did after the connection was established. A gateway always waits for connections. Change: the test binds a server socket and waits in accept, as a gateway does; the check stays.

--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointConnectionsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointConnectionsTest.kt
@@ -9,6 +9,7 @@
 import io.ktor.network.selector.SelectInterest
 import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -22,7 +23,9 @@
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -34,6 +37,7 @@
     private val server = RawEndpoint()
     private val selector = SelectorManager(Dispatchers.IO)
     private val connections = EndpointConnections(selector, RuntimeClock()) { 2 }
+    private val scope = CoroutineScope(Dispatchers.IO)
     private val endpoint = EndpointEntry(
         EndpointId("e1"),
         PoolId("pool"),
@@ -44,8 +48,15 @@
         isDraining = false
     )
 
+    init {
+        // Closes happen as the selector runs, which it does only while something waits on it. A
+        // gateway always waits for connections.
+        scope.launch { aSocket(selector).tcp().bind(SessionFixture.LOOPBACK, 0).accept() }
+    }
+
     @AfterTest
     fun stop() {
+        scope.cancel()
         server.close()
         selector.close()
     }
