Follow the store further after an exception

A host would keep the configuration or the endpoints of one moment until its restart, and send requests by them: to routes that changed and to endpoints that left.

Cause: an exception that is no IOException, from reading, decoding or taking over a table, ended the coroutine that follows it; a CancellationException of the socket's channel did so without a trace.

Result: StoreFollowerTest was red before (both cases: "Expected value to be true", the change was not seen within 2 s) and is green. No such exception has been seen in a log.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -20,7 +20,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 
@@ -71,9 +73,32 @@
 
     /** Starts following the store, and registers [self] with [record] in it. */
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
-        scope.launch { while (isActive) followConfiguration() }
-        scope.launch { while (isActive) followEndpoints() }
-        scope.launch { registerAndListHosts(self, record) }
+        scope.launch {
+            while (isActive) guard(StoreTable.CONFIGURATION) { followConfiguration() }
+        }
+        scope.launch { while (isActive) guard(StoreTable.ENDPOINTS) { followEndpoints() } }
+        scope.launch {
+            while (isActive) guard(StoreTable.HOSTS) { registerAndListHosts(self, record) }
+        }
+    }
+
+    /** Runs [step]; logs its exception and pauses, so that the table is followed further. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun guard(table: StoreTable, step: suspend () -> Unit) {
+        try {
+            step()
+        } catch (e: RuntimeException) {
+            // A closed channel can throw a CancellationException although nothing is cancelled.
+            currentCoroutineContext().ensureActive()
+            val origin = e.stackTrace.firstOrNull()
+            eventLog.event(
+                "store-failed",
+                "table" to table.name,
+                "reason" to "$e",
+                "at" to "$origin"
+            )
+            delay(FIRST_RETRY_DELAY_MS)
+        }
     }
 
     /** Queues an update that another host read from the store; never blocks. */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -22,6 +22,7 @@
 import cowslipcart.core.store.TableSnapshot
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
+import java.util.concurrent.CancellationException
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -43,6 +44,7 @@
         var unansweredReads = 0
         var readCount = 0
         var isTrimmed = false
+        var nextFailure: RuntimeException? = null
 
         fun write(state: String) {
             val offset = LogOffset(records.size.toLong())
@@ -65,6 +67,10 @@
                 return TableChanges(emptyList(), from).right()
             }
             readCount++
+            nextFailure?.let {
+                nextFailure = null
+                throw it
+            }
             if (unansweredReads > 0) {
                 unansweredReads--
                 delay(waitMs + responseTimeoutMs)
@@ -163,6 +169,30 @@
         }
     }
 
+    /** Guards against a host that keeps the state of one moment until it is restarted. */
+    @Nested
+    inner class Exceptions {
+        private fun changeIsSeenAfter(failure: RuntimeException) = runTest {
+            store.write("ready")
+            follow()
+            delay(START_MS)
+            store.nextFailure = failure
+            while (store.nextFailure != null) delay(STEP_MS)
+            store.write("draining")
+            delay(DRAIN_MS)
+
+            assertTrue(entries.single().isDraining)
+        }
+
+        @Test
+        fun `a change is seen after a fault of the program`() =
+            changeIsSeenAfter(IllegalStateException("unexpected"))
+
+        @Test
+        fun `a change is seen after the connection to the store was cancelled`() =
+            changeIsSeenAfter(CancellationException("channel cancelled"))
+    }
+
     @Nested
     inner class Outage {
         /**
