Print the violations of a soak seed as it ends

Cause: they were seen only at the end of all seeds. Change: one line for each seed, then one for each violation. Result: no change of the checks.

--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoakTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoakTest.kt
@@ -12,6 +12,7 @@
     private fun soak(seed: Long, faultMs: Long) = GatewaySoak(seed).use { soak ->
         val violations = soak.run(faultMs)
         println("seed $seed: ${soak.log.requests.size} requests, ${violations.size} violations")
+        violations.forEach { println("  $it") }
         val events = soak.log.events.joinToString("\n")
         assertEquals(
             emptyList(),
