--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -108,13 +108,15 @@
     OUT_OF_TIME("out-of-time"),
     DECLINED("declined"),
     NOT_SENT("not-sent"),
+    CONTROL_FAILED("control-failed"),
     MAY_HAVE_RUN("may-have-run")
 }
 
 /** Decision of the control thread for a waiting request. */
 public sealed interface CallCommand {
     /**
-     * Send the request to [endpoint].
+     * Send the request to [endpoint]. During an attempt, which has stalled, this replaces it: its
+     * connection is closed first.
      *
      * @property attempt number of the attempt, from 1
      */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -6,8 +6,10 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.daemon.control.RuntimeClock
-import cowslipcart.daemon.http1.ByteSource
+import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -17,7 +19,8 @@
     val exchange: EndpointExchange,
     val eventLog: GatewayEventLog,
     val metrics: GatewayMetrics,
-    val clock: RuntimeClock
+    val clock: RuntimeClock,
+    val probe: ReadProbe
 )
 
 /** Executes the commands of the control thread for one request, and responds to its caller. */
@@ -30,6 +33,7 @@
     private val commands = context.loop.register(call.id)
     private val relay = StreamRelay(response, context.clock)
     private var lastResponse: BufferedResponse? = null
+    private var nextCommand: CallCommand? = null
     private var isAttemptRunning = false
     private var decisionCount = 0
     private var end = "answered"
@@ -38,38 +42,59 @@
      * Serves the request until it is answered or its time is up. Reads from [caller] meanwhile, so
      * that a disconnect cancels the request; throws [CallerDisconnectedException] then.
      */
-    suspend fun serve(caller: ByteSource) {
-        context.loop.submit(ForwardingInput.Arrived(call))
+    @Suppress("TooGenericExceptionCaught")
+    suspend fun serve(caller: CallerMonitor) {
         try {
+            if (caller.isClosed) throw CallerDisconnectedException()
+            context.loop.submit(ForwardingInput.Arrived(call))
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
-            withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands() } }
+            withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands(caller) } }
                 ?: onTimeout()
         } catch (e: CallerDisconnectedException) {
             end = "caller-left"
             throw e
+        } catch (e: RuntimeException) {
+            currentCoroutineContext().ensureActive()
+            onException(e)
         } finally {
             context.loop.unregister(call.id)
             context.loop.submit(ForwardingInput.CallClosed(call.id))
-            val tookMs = context.clock.nowMs() - call.arrivedAtMs
-            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount)
+            val nowMs = context.clock.nowMs()
+            val tookMs = nowMs - call.arrivedAtMs
+            val goneMs = caller.closedAtMs?.let { nowMs - it }
+            context.eventLog.requestEnded(call, response.status, end, tookMs, decisionCount, goneMs)
         }
     }
 
-    private suspend fun cancelOnDisconnect(caller: ByteSource, block: suspend () -> Unit) =
+    /** Ends a request that a fault of this program has interrupted; it may have run. */
+    private suspend fun onException(exception: RuntimeException) {
+        end = "exception"
+        context.eventLog.event(
+            "request-failed",
+            "request" to call.requestId.value,
+            "reason" to "$exception",
+            "at" to "${exception.stackTrace.firstOrNull()}"
+        )
+        if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
+    }
+
+    private suspend fun cancelOnDisconnect(caller: CallerMonitor, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
-                if (caller.awaitClose()) throw CallerDisconnectedException()
+                caller.awaitClose()
+                throw CallerDisconnectedException()
             }
             block()
             monitor.cancel()
         }
 
-    private suspend fun followCommands() {
+    private suspend fun followCommands(caller: CallerMonitor) {
         while (true) {
-            val command = commands.receive()
+            val command = nextCommand ?: commands.receive()
+            nextCommand = null
             decisionCount++
             when (command) {
-                is CallCommand.Dispatch -> if (attempt(command)) return
+                is CallCommand.Dispatch -> if (attempt(command, caller)) return
                 is CallCommand.Refuse -> return refuse(command)
                 is CallCommand.GiveUp -> return giveUp()
             }
@@ -77,29 +102,46 @@
     }
 
     /** Runs one attempt; returns whether the caller has its response. */
-    private suspend fun attempt(command: CallCommand.Dispatch): Boolean {
+    private suspend fun attempt(command: CallCommand.Dispatch, caller: CallerMonitor): Boolean {
         val startMs = context.clock.nowMs()
         isAttemptRunning = true
-        val result = context.exchange.run(call, request, command, relay) {
-            context.loop.submit(ForwardingInput.ResponseStarted(call.id))
-        }
+        val result =
+            context.exchange.run(call, request, command, relay, caller, Listener(command))
         isAttemptRunning = false
         lastResponse = result.response
+        nextCommand = result.next
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
         if (isDone) result.response?.let { response.writeComplete(it.head, it.body) }
-        report(outcome, command.endpoint.id.value, startMs)
+        report(outcome, command, startMs)
         return isDone
     }
 
-    private fun report(outcome: AttemptOutcome, endpoint: String, startMs: Long) {
+    private inner class Listener(private val dispatch: CallCommand.Dispatch) : AttemptListener {
+        private var isStallLogged = false
+
+        override val commands: ReceiveChannel<CallCommand> get() = this@CallSession.commands
+
+        override fun onResponseStarted() =
+            context.loop.submit(ForwardingInput.ResponseStarted(call.id, dispatch.attempt))
+
+        override fun onStalled() {
+            context.loop.submit(ForwardingInput.AttemptStalled(call.id, dispatch.attempt))
+            if (isStallLogged) return
+            isStallLogged = true
+            val endpoint = dispatch.endpoint.id.value
+            context.eventLog.attemptStalled(call, endpoint, relay.eventCount)
+        }
+    }
+
+    private fun report(outcome: AttemptOutcome, command: CallCommand.Dispatch, startMs: Long) {
         val description = describe(outcome)
         context.metrics.attempts.labelValues(description.substringBefore(':')).inc()
         val firstEventMs = (relay.firstEventAtMs - call.arrivedAtMs).takeIf { relay.isStarted }
         val tookMs = context.clock.nowMs() - startMs
         context.eventLog.attemptEnded(
             call,
-            endpoint,
+            command.endpoint.id.value,
             description,
             tookMs,
             firstEventMs,
@@ -108,6 +150,7 @@
         context.loop.submit(
             ForwardingInput.AttemptEnded(
                 call.id,
+                command.attempt,
                 outcome,
                 gapCount = relay.shortestGaps.gapCount,
                 gapDurationMs = relay.shortestGaps.durationMs
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -9,8 +9,6 @@
 import cowslipcart.daemon.http1.TooLongException
 import cowslipcart.daemon.http1.send
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -21,20 +19,22 @@
     private val admission: CallAdmission,
     private val state: GatewayState
 ) {
+    /** Limits of the configuration in force. */
+    private val limits: CallerLimits get() = state.routing?.limits ?: DEFAULT_LIMITS
+
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val source = ByteSource(socket.openReadChannel())
-        val writer = socket.openWriteChannel(autoFlush = false)
+        val caller = CallerSocket(socket, context.probe, context.clock)
         state.openConnections.incrementAndGet()
         try {
-            while (serveNext(source, writer)) Unit
+            while (serveNext(caller)) Unit
         } catch (_: CallerDisconnectedException) {
             return
         } catch (e: IOException) {
             context.eventLog.event("caller-connection-lost", "reason" to e.message)
         } finally {
-            closeQuietly(writer)
-            socket.close()
+            closeQuietly(caller.writer)
+            caller.close()
             state.openConnections.decrementAndGet()
         }
     }
@@ -48,15 +48,17 @@
     }
 
     /** Serves one request; returns whether the connection can carry another one. */
-    private suspend fun serveNext(source: ByteSource, writer: ByteWriteChannel): Boolean {
-        val limits = state.routing?.limits ?: DEFAULT_LIMITS
-        if (!awaitRequest(source, limits)) return false
+    private suspend fun serveNext(caller: CallerSocket): Boolean {
+        val source = caller.source
+        val writer = caller.writer
+        if (!awaitRequest(source)) return false
+        val limits = limits
         val response: CallerResponse
         val request: BufferedRequest
         try {
             val head = withTimeoutOrNull(limits.headerTimeoutMs) { readHead(source, limits) }
                 ?: return rejectAndClose(writer, REQUEST_TIMEOUT, "header-timeout")
-            response = CallerResponse(writer, head.method == "HEAD") { mustClose(head) }
+            response = CallerResponse(writer, head.method == "HEAD") { mustClose(head, source) }
             request = BufferedRequest(head, readBody(source, writer, head, limits))
         } catch (e: MalformedMessageException) {
             return rejectAndClose(writer, BAD_REQUEST, e.message ?: "malformed")
@@ -67,13 +69,13 @@
             }
             return rejectAndClose(writer, status, e.message.orEmpty())
         }
-        return respond(request, response, source)
+        return respond(request, response, caller) && !source.isOverrun
     }
 
     private suspend fun respond(
         request: BufferedRequest,
         response: CallerResponse,
-        source: ByteSource
+        caller: CallerSocket
     ): Boolean {
         state.activeRequests.incrementAndGet()
         try {
@@ -90,7 +92,7 @@
                 }
 
                 is CallAdmission.Result.Admitted ->
-                    CallSession(context, admitted.call, request, response).serve(source)
+                    CallSession(context, admitted.call, request, response).serve(caller)
             }
         } finally {
             state.activeRequests.decrementAndGet()
@@ -100,14 +102,26 @@
 
     /**
      * Waits for the first byte of a request; returns false at the idle timeout, at the end or when
-     * idle connections are closed.
+     * idle connections are closed. A longer timeout that comes into force meanwhile extends the
+     * wait, since callers reuse a connection within the timeout that they know; a shorter one
+     * applies to the next wait.
      */
-    private suspend fun awaitRequest(source: ByteSource, limits: CallerLimits): Boolean {
-        var isWaiting = true
-        val isOpen = withTimeoutOrNull(limits.idleTimeoutMs) {
-            state.readUnlessClosing { source.awaitByte().also { isWaiting = false } }
+    private suspend fun awaitRequest(source: ByteSource): Boolean {
+        val startMs = context.clock.nowMs()
+        var timeoutMs = limits.idleTimeoutMs
+        while (true) {
+            val leftMs = startMs + timeoutMs - context.clock.nowMs()
+            val isOpen = withTimeoutOrNull(leftMs) {
+                state.readUnlessClosing { source.awaitByte() }
+            }
+            // Bytes that arrive with the timeout or the close are a request, whose caller waits.
+            if (source.hasBytes) return true
+            if (isOpen != null) return isOpen
+            if (limits.idleTimeoutMs <= timeoutMs) break
+            timeoutMs = limits.idleTimeoutMs
         }
-        return !isWaiting && isOpen == true
+        context.eventLog.event("caller-connection-idle", "idleMs" to timeoutMs)
+        return false
     }
 
     private suspend fun readHead(source: ByteSource, limits: CallerLimits): RequestHead {
@@ -140,8 +154,8 @@
         return false
     }
 
-    private fun mustClose(head: RequestHead): Boolean =
-        state.isStopping || head.headers.hasToken("Connection", "close")
+    private fun mustClose(head: RequestHead, source: ByteSource): Boolean =
+        state.isStopping || source.isOverrun || head.headers.hasToken("Connection", "close")
 
     private companion object {
         const val REQUEST_TIMEOUT = 408
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -6,6 +6,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.ResponseHead
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
@@ -13,20 +14,53 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
 import java.io.IOException
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SocketChannel
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** An open TCP connection to an endpoint or to a server of the platform. */
-internal class ServerConnection(private val socket: Socket) {
+internal class ServerConnection(private val socket: Socket, private val selector: SelectorManager) {
+    private val channel = (socket as Selectable).channel as SocketChannel
+    private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+    private var isWriterUsed = false
     val source = ByteSource(socket.openReadChannel())
-    val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     /** Number of completed requests on this connection. */
     var useCount = 0
 
+    /**
+     * Sends [bytes]. What the kernel accepts at once is sent before this function suspends, so that
+     * a check that was made right before holds for it.
+     */
+    suspend fun send(bytes: ByteArray) {
+        val sentCount = if (isWriterUsed) 0 else channel.write(ByteBuffer.wrap(bytes))
+        if (sentCount == bytes.size) return
+        isWriterUsed = true
+        writer.writeFully(bytes, sentCount, bytes.size)
+        writer.flush()
+    }
+
+    /** Closes the connection after everything that was written has been sent. */
     fun close() = socket.close()
+
+    /**
+     * Resets the connection and discards what was written and not yet sent. [close] would go on
+     * sending a request that nobody waits for, and hold the connection until it is sent.
+     */
+    fun abort() {
+        try {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0)
+        } catch (_: ClosedChannelException) {
+            return
+        }
+        channel.close()
+        selector.notifyClosed(socket as Selectable)
+        socket.close()
+    }
 }
 
 /**
@@ -37,11 +71,20 @@
     ip: String,
     port: Int,
     timeoutMs: Long
-): ServerConnection? = withTimeoutOrNull(timeoutMs) {
-    val socket = aSocket(this@connectTo).tcp().connect(InetSocketAddress(ip, port)) {
-        noDelay = true
+): ServerConnection? {
+    var established: ServerConnection? = null
+    var isReturned = false
+    try {
+        return withTimeoutOrNull(timeoutMs) {
+            val socket = aSocket(this@connectTo).tcp().connect(InetSocketAddress(ip, port)) {
+                noDelay = true
+            }
+            ServerConnection(socket, this@connectTo).also { established = it }
+        }.also { isReturned = it != null }
+    } finally {
+        // The result is dropped if the time is up between the connection and the end of the block.
+        if (!isReturned) established?.abort()
     }
-    ServerConnection(socket)
 }
 
 /**
@@ -61,7 +104,8 @@
         val idleSinceMs: Long
     )
 
-    private val mutex = Mutex()
+    // A plain lock, since a caller that is cancelled while it suspends would lose its connection.
+    private val lock = Any()
     private val idleByEndpoint = mutableMapOf<EndpointId, ArrayDeque<IdleConnection>>()
 
     /**
@@ -78,7 +122,7 @@
     }
 
     /** Keeps [connection] for reuse, or closes it if [head], its last response, rules that out. */
-    suspend fun release(endpoint: EndpointEntry, connection: ServerConnection, head: ResponseHead) {
+    fun release(endpoint: EndpointEntry, connection: ServerConnection, head: ResponseHead) {
         val idleMs = idleTimeoutMs(head)
         if (idleMs <= 0 || !connection.source.isIdle) {
             connection.close()
@@ -86,7 +130,7 @@
         }
         connection.useCount++
         val nowMs = clock.nowMs()
-        mutex.withLock {
+        synchronized(lock) {
             val idle = idleByEndpoint.getOrPut(endpoint.id) { ArrayDeque() }
             idle += IdleConnection(connection, nowMs + idleMs, nowMs)
             if (idle.size > maxIdleConnections(endpoint.pool)) idle.removeFirst().connection.close()
@@ -94,7 +138,7 @@
     }
 
     /** Closes expired connections and those to endpoints that are not in [listed]. */
-    suspend fun evict(listed: Set<EndpointId>) = mutex.withLock {
+    fun evict(listed: Set<EndpointId>): Unit = synchronized(lock) {
         val nowMs = clock.nowMs()
         for ((endpoint, idle) in idleByEndpoint) {
             idle.removeAll { entry ->
@@ -106,8 +150,8 @@
         idleByEndpoint.values.removeIf { it.isEmpty() }
     }
 
-    private suspend fun takeIdle(endpoint: EndpointId, maxIdleMs: Long): ServerConnection? =
-        mutex.withLock {
+    private fun takeIdle(endpoint: EndpointId, maxIdleMs: Long): ServerConnection? =
+        synchronized(lock) {
             val idle = idleByEndpoint[endpoint] ?: return null
             while (idle.isNotEmpty()) {
                 val entry = idle.removeLast()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -73,7 +73,8 @@
         EndpointExchange(connections, headerCodec, clock),
         eventLog,
         metrics,
-        clock
+        clock,
+        SelectorReadProbe()
     )
 
     private var follower: StoreFollower? = null
