Treat a stream that ends inside an event as broken

Cause: A stream without a length or chunks ends with its connection, so its end says nothing about whether it is whole. `StreamRelay.finish` forwarded the bytes after the last event and the last chunk to the caller, who saw a complete answer with a part of an event.

Change: `finish` is told whether the body has a length or chunks. Without them, bytes after the last event, or a stream without any event, end the attempt as broken, so the stream is resumed at another endpoint or cut off. With a length or chunks the framing shows that the body is whole, so bytes after the last event are forwarded as before; a body that ends before its length or last chunk failed already. An answer without a length whose connection is reset failed already too; a system test now covers it.

Result: `GatewayTest`, "a stream that ends with its connection within an event is resumed", was red on the code before: "expected: <[1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]> but was: <[1, 2, 3, 4, 5]>", where event 5 had only its first half. The tests of complete and of reset streams were green before. With the change the 13 tests of `RunnerFaults` and `NormalOperation` pass, as do those of `StreamRelayTest`.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -159,7 +159,9 @@
                 val result = when {
                     metadata.isDeclined -> receiveDecline(head, reader)
                     head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
-                    isEventStream(head) && isAuthentic(metadata) -> receiveStream(head, reader)
+                    isEventStream(head) && isAuthentic(metadata) ->
+                        receiveStream(head, reader, isFramed = framing != BodyFraming.UntilClose)
+
                     else -> receiveComplete(head, metadata, reader)
                 }
                 val canReuse = framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
@@ -209,7 +211,11 @@
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true), response)
         }
 
-        private suspend fun receiveStream(head: ResponseHead, reader: BodyReader): ExchangeResult {
+        private suspend fun receiveStream(
+            head: ResponseHead,
+            reader: BodyReader,
+            isFramed: Boolean
+        ): ExchangeResult {
             relay.begin(head)
             var isFirst = true
             while (true) {
@@ -218,7 +224,7 @@
                 isFirst = false
                 relay.onBytes(piece)
             }
-            relay.finish()
+            relay.finish(isFramed)
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true))
         }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -3,8 +3,12 @@
 import cowslipcart.core.forwarding.ShortestGapWindow
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ResponseHead
+import java.io.EOFException
 import java.io.IOException
 
+/** A stream without a length ended where the endpoint can't have ended it. */
+internal class IncompleteStreamException : EOFException("connection closed within the stream")
+
 /** An event of the stream is missing. */
 internal class EventOrderException(message: String) : IOException(message)
 
@@ -55,9 +59,14 @@
         response.writeStreamed(checkNotNull(head), joined)
     }
 
-    /** Ends the response after the endpoint has completed its stream. */
-    suspend fun finish() {
+    /**
+     * Ends the response after the endpoint has completed its stream. With a length or chunks
+     * ([isFramed]) bytes after the last event belong to the stream. Otherwise they show that the
+     * stream was broken off, as does a stream without events; throws [IncompleteStreamException].
+     */
+    suspend fun finish(isFramed: Boolean) {
         val remainder = splitter.takeRemainder()
+        if (!isFramed && (remainder.isNotEmpty() || !isStarted)) throw IncompleteStreamException()
         response.writeStreamed(checkNotNull(head), remainder)
         response.finish()
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
@@ -37,7 +37,7 @@
             relay.onBytes(event(1) + "id: 2\ndata".toByteArray())
             relay.begin(head("second"))
             relay.onBytes(event(2))
-            relay.finish()
+            relay.finish(isFramed = true)
 
             val text = written()
             assertEquals(1, Regex("id: 2").findAll(text).count())
@@ -66,6 +66,48 @@
         }
     }
 
+    @Nested
+    inner class End {
+        /** Guards against a stream cut off inside an event that is forwarded as complete. */
+        @Test
+        fun `a stream that ends with its connection inside an event is broken`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1) + "id: 2\ndata".toByteArray())
+
+            assertFailsWith<IncompleteStreamException> { relay.finish(isFramed = false) }
+            val text = written()
+            assertFalse("id: 2" in text)
+            assertFalse(text.endsWith("0\r\n\r\n"))
+        }
+
+        @Test
+        fun `a stream that ends with its connection before its first event is broken`() = runTest {
+            relay.begin(head("first"))
+
+            assertFailsWith<IncompleteStreamException> { relay.finish(isFramed = false) }
+            assertFalse(response.isStarted)
+        }
+
+        @Test
+        fun `a stream that ends with its connection after an event is complete`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1) + event(2))
+            relay.finish(isFramed = false)
+
+            assertTrue(written().endsWith("0\r\n\r\n"))
+        }
+
+        /** Chunks or a length tell that the body is whole, so nothing of it may be left out. */
+        @Test
+        fun `bytes after the last event of a stream with chunks are forwarded`() = runTest {
+            relay.begin(head("first"))
+            relay.onBytes(event(1) + ": end".toByteArray())
+            relay.finish(isFramed = true)
+
+            assertTrue("5\r\n: end\r\n0\r\n\r\n" in written())
+        }
+    }
+
     @Nested
     inner class Order {
         @Test
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -33,8 +33,20 @@
 
     /** Runs the request and answers with status 500. */
     public data object Fails : RunnerFault
+
+    /**
+     * Sends a stream without length or chunks, which ends with its connection: after the last
+     * event, or in the middle of event [brokenEvent].
+     */
+    public data class Unframed(public val brokenEvent: Int? = null) : RunnerFault
+
+    /** Sends a stream without length or chunks and resets its connection before event [event]. */
+    public data class UnframedReset(public val event: Int) : RunnerFault
 }
 
+/** Ends a connection with a reset. */
+private class ConnectionResetException : IOException("connection reset on purpose")
+
 /** Request that a runner executes; [id] is its `Attempt-Id`. Names of [headers] are lower case. */
 public class RunRequest(
     public val id: String,
@@ -85,6 +97,8 @@
         val input = BufferedInputStream(socket.getInputStream())
         try {
             while (answerNext(input, socket.getOutputStream())) Unit
+        } catch (_: ConnectionResetException) {
+            socket.setSoLinger(true, 0)
         } catch (_: IOException) {
             return
         }
@@ -122,7 +136,7 @@
         return true
     }
 
-    /** Sends the events after `Last-Event-Id`; returns whether the stream is complete. */
+    /** Sends the events after `Last-Event-Id`; returns whether the connection stays open. */
     private fun stream(
         request: RunRequest,
         sealHeaders: String,
@@ -130,26 +144,36 @@
         output: OutputStream
     ): Boolean {
         val first = (request.headers["last-event-id"]?.toInt() ?: 0) + 1
+        val isFramed = fault !is RunnerFault.Unframed && fault !is RunnerFault.UnframedReset
+        val framing = if (isFramed) "Transfer-Encoding: chunked\r\n" else ""
         output.write(
             (
                 "HTTP/1.1 200 OK\r\n${sealHeaders}Content-Type: text/event-stream\r\n" +
-                    "Transfer-Encoding: chunked\r\n\r\n"
+                    "$framing\r\n"
                 ).toByteArray()
         )
         for (event in first..EVENT_COUNT) {
             val text = "id: $event\ndata: $event of ${request.id}\n\n"
-            if (fault is RunnerFault.BreakAt && fault.event == event) {
-                output.chunk(text.take(text.length / 2))
+            if (isBrokenAt(fault, event)) {
+                output.piece(text.take(text.length / 2), isFramed)
                 return false
             }
-            output.chunk(text)
+            if (fault is RunnerFault.UnframedReset && fault.event == event) {
+                TimeUnit.MILLISECONDS.sleep(BEFORE_RESET_MS)
+                throw ConnectionResetException()
+            }
+            output.piece(text, isFramed)
             if (eventGapMs > 0) TimeUnit.MILLISECONDS.sleep(eventGapMs)
         }
-        output.write("0\r\n\r\n".toByteArray())
+        if (isFramed) output.write("0\r\n\r\n".toByteArray())
         output.flush()
-        return true
+        return isFramed
     }
 
+    private fun isBrokenAt(fault: RunnerFault, event: Int): Boolean =
+        (fault is RunnerFault.BreakAt && fault.event == event) ||
+            (fault is RunnerFault.Unframed && fault.brokenEvent == event)
+
     private fun readRequest(input: InputStream): RunRequest? {
         val firstLine = input.line() ?: return null
         val headers = generateSequence { input.line()?.takeIf { it.isNotEmpty() } }
@@ -177,8 +201,9 @@
         flush()
     }
 
-    private fun OutputStream.chunk(text: String) {
-        write("${text.length.toString(HEX_RADIX)}\r\n$text\r\n".toByteArray())
+    private fun OutputStream.piece(text: String, isChunk: Boolean) {
+        val bytes = if (isChunk) "${text.length.toString(HEX_RADIX)}\r\n$text\r\n" else text
+        write(bytes.toByteArray())
         flush()
     }
 
@@ -187,5 +212,8 @@
         public const val EVENT_COUNT: Int = 12
         private const val BACKLOG = 64
         private const val HEX_RADIX = 16
+
+        /** Time in which the receiver reads what was sent, since a reset discards the rest. */
+        private const val BEFORE_RESET_MS = 100L
     }
 }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -156,6 +156,40 @@
             }
         }
 
+        /** Guards against a stream cut off inside an event that is forwarded as complete. */
+        @Test
+        fun `a stream that ends with its connection within an event is resumed`(): Unit =
+            runBlocking {
+                val ids = idsAfter(RunnerFault.Unframed(brokenEvent = 5))
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+            }
+
+        @Test
+        fun `a stream that ends with its connection after its last event is complete`(): Unit =
+            runBlocking {
+                val ids = idsAfter(RunnerFault.Unframed())
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+            }
+
+        @Test
+        fun `a stream without a length whose connection is reset is resumed`(): Unit = runBlocking {
+            val ids = idsAfter(RunnerFault.UnframedReset(5))
+            assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+        }
+
+        /** Returns the ids in a stream whose first runner has [fault]. */
+        private suspend fun idsAfter(fault: RunnerFault): List<String> {
+            val runners = listOf("model-1", "model-2").map { cluster.startRunner(it, "model") }
+            val gateway = startReadyGateway()
+            gateway.send("/chat/1", headers = chat)
+            // The second request goes to the runner that holds its prompt.
+            val holder = runners.single { it.runs.isNotEmpty() }
+            holder.faults += fault
+            val stream = gateway.send("/chat/2", headers = chat)
+            assertTrue(holder.faults.isEmpty(), "expected a run with $fault")
+            return Regex("(?m)^id: (\\d+)$").findAll(stream.body).map { it.groupValues[1] }.toList()
+        }
+
         @Test
         fun `an extra answer on a keep-alive connection reaches no caller`(): Unit = runBlocking {
             val desk = cluster.startRunner("desk-1", "desk")
