Refuse requests with a prompt part that crashes endpoints

Cause: Crashes were counted by the fingerprint of a whole request. Requests that share one deadly part and are otherwise unlike each other have a fingerprint each, so none of them was ever quarantined, and each crashed one or more endpoints, with some twenty other requests that ran there.

Change: `PartCrashHistory` judges the parts of prompts, all but the last, by crashes and answers of all hosts. A part is quarantined after crashes of three endpoints, 2 s or more apart, without an answer in between. Only a connection that the endpoint closed or reset before the first event counts, once for each endpoint; a stall, a decline or a wrong answer does not. An answer on any host, even one before the news of the crash, takes the crashes back, so parts that merely ran beside are cleared. A part that was in some of the crashes of another quarantined part is released too. Load reports carry what a host saw for 3 s, and a quarantine each second as long as it holds, so hosts that start later know it. Times are sent as ages, and equal crashes are merged, so late or repeated reports change nothing. Without an answer, hosts let one request through, one host after another, from 30 s after the last crash on, and wait longer after each crash. `ResponseStarted` now means the first complete event. The new field of the report is left out while it is empty; recorded datagrams read and write as before. A host of an earlier version can't read a report that has the field.

`ForwardingControllerTest`, "unlike requests with a part that crashed three endpoints are refused", was red on the code before: "Expected value to be of type <...Refuse>, actual <class ...Dispatch>".

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -36,4 +36,7 @@
     var prefillTokens: Int,
     val expectedFirstTokenMs: Double,
     val sentAtMs: Long
-)
+) {
+    /** Whether the endpoint has sent the first event of its answer, or the whole answer. */
+    var hasStarted = false
+}
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -16,7 +16,13 @@
 
 /** Identifies a part of a prompt by its content: equal parts have equal ids. */
 @JvmInline
-public value class PromptPartId(public val value: Long)
+public value class PromptPartId(public val value: Long) {
+    override fun toString(): String = value.toULong().toString(HEX_RADIX)
+
+    private companion object {
+        const val HEX_RADIX = 16
+    }
+}
 
 /**
  * One of the consecutive parts of a prompt. A prefix cache holds a part only together with all
@@ -86,8 +92,16 @@
     /** No byte of the request was sent. */
     public data class NotSent(public val reason: String) : AttemptOutcome
 
-    /** The connection or the answer broke after the request was sent; it may have run. */
-    public data class Broken(public val reason: String) : AttemptOutcome
+    /**
+     * The connection or the answer broke after the request was sent; it may have run.
+     *
+     * @property isConnectionLost whether the endpoint closed or reset the connection; false if it
+     * sent nothing for too long or sent an invalid answer
+     */
+    public data class Broken(
+        public val reason: String,
+        public val isConnectionLost: Boolean = false
+    ) : AttemptOutcome
 }
 
 /** Why an endpoint did not run a request. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -58,7 +58,7 @@
     private val placement = Placement(cacheIndex, settings.profile.domain, random)
     private val hostRegistry = HostRegistry(settings.host, settings.profile)
     private val quotas = QuotaRegistry(if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE)
-    private val quarantine = QuarantineTracker()
+    private val quarantine = CrashQuarantine(settings.host)
     private val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
     private val retryBudgets = mutableMapOf<PoolId, RetryBudget>()
     private val calls = mutableMapOf<CallId, CallState>()
@@ -78,6 +78,7 @@
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host)
             ForwardingInput.Tick -> onTick(nowMs)
         }
+        effects += quarantine.takeChanges()
         placeWaiting(nowMs)
         return effects.toList().also { effects.clear() }
     }
@@ -94,19 +95,11 @@
     private fun onArrived(call: ForwardedCall, nowMs: Long) {
         val state = CallState(call)
         retryBudget(call.pool).recordRequest(nowMs)
-        if (quarantine.isQuarantined(call.fingerprint)) {
-            refuse(state, RefusalReason.QUARANTINED, null, nowMs)
-            return
-        }
         when (val admission = quotas.tryTake(call, hostRegistry.counts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
+                val spread = random.nextDouble()
                 val afterMs =
-                    AdmissionRule.quotaRetryAfterMs(
-                        call,
-                        admission.waitMs,
-                        random.nextDouble(),
-                        nowMs
-                    )
+                    AdmissionRule.quotaRetryAfterMs(call, admission.waitMs, spread, nowMs)
                 refuse(state, RefusalReason.OVER_QUOTA, afterMs, nowMs)
             }
 
@@ -136,6 +129,10 @@
             end(state, RefusalReason.OUT_OF_TIME, null, nowMs)
             return true
         }
+        if (quarantine.isQuarantined(call, nowMs)) {
+            end(state, RefusalReason.QUARANTINED, null, nowMs)
+            return true
+        }
         val inPool = endpoints.inPool(call.pool)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
@@ -168,6 +165,7 @@
             )
         state.tried += selected.endpoint.entry.id
         state.sentCount++
+        quarantine.onDispatched(state.call, nowMs)
         reporter.onChange()
         emitCommand(state, CallCommand.Dispatch(selected.endpoint.entry, state.sentCount), nowMs)
     }
@@ -175,7 +173,9 @@
     private fun onResponseStarted(id: CallId, nowMs: Long) {
         val state = calls[id] ?: return
         val attempt = state.current ?: return
+        attempt.hasStarted = true
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
+        quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
         val expectedMs = attempt.expectedFirstTokenMs / speed.firstTokenFactor
         speed.onFirstToken(expectedMs, nowMs - attempt.sentAtMs)
@@ -196,9 +196,15 @@
         reporter.onChange()
         when (val outcome = input.outcome) {
             is AttemptOutcome.Answered -> onAnswered(state, attempt, outcome, nowMs)
+
             is AttemptOutcome.Declined -> onDeclined(state, attempt, outcome, nowMs)
+
             is AttemptOutcome.NotSent -> onNotSent(state, attempt, nowMs)
-            is AttemptOutcome.Broken -> onBroken(state, attempt, nowMs)
+
+            is AttemptOutcome.Broken -> {
+                quarantine.onBroken(state.call, attempt, outcome, nowMs)
+                onBroken(state, attempt, nowMs)
+            }
         }
     }
 
@@ -209,7 +215,7 @@
         nowMs: Long
     ) {
         state.mayHaveRun = true
-        quarantine.onAnswered(state.call.fingerprint)
+        quarantine.onAnswered(state.call)
         if (outcome.isSuccess) {
             attempt.endpoint.health.onSuccess()
             calls -= state.call.id
@@ -250,7 +256,6 @@
     private fun onBroken(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
         state.mayHaveRun = true
         attempt.endpoint.health.onFailure(nowMs)
-        quarantine.onOwnCrash(state.call.fingerprint, attempt.endpoint.entry.id)
         retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
     }
 
@@ -260,7 +265,7 @@
         val isAllowed = (!state.mayHaveRun || call.route.kind.isRetryable) &&
             state.sentCount < call.route.maxAttempts &&
             state.remainingMs(nowMs) >= MIN_ATTEMPT_MS &&
-            !quarantine.isQuarantined(call.fingerprint) &&
+            !quarantine.isQuarantined(call, nowMs) &&
             retryBudget(call.pool).trySpend(nowMs)
         if (isAllowed) {
             requeue(state, nowMs)
@@ -331,14 +336,13 @@
         if (status == ReportStatus.OUTDATED) return
         val isRestarted = status == ReportStatus.RESTARTED
         if (isRestarted) {
-            quarantine.onPeerRestarted(report.host)
             val reason = "incarnation ${report.incarnation}"
             effects += ForwardingEffect.LogStateChange(report.host.value, "host-started", reason)
         }
         endpoints.onPeerLoads(report.host, report.loads)
         endpoints.onTokenTimes(report.msPerToken)
         quotas.onPeerUse(report.host, report.unitsUsed, isRestarted)
-        quarantine.onPeerNotices(report.host, report.crashes)
+        quarantine.onPeerReport(report, isRestarted, nowMs)
         for (read in report.prefilledParts) {
             cacheIndex.record(listOf(PromptPart(read.part, 0)), read.endpoint, nowMs)
         }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -12,7 +12,7 @@
     /** A request was received in full. */
     public data class Arrived(public val call: ForwardedCall) : ForwardingInput
 
-    /** The first bytes of the answer arrived, so the prefill is complete. */
+    /** The first event, or the whole answer, arrived, so the prefill is complete. */
     public data class ResponseStarted(public val call: CallId) : ForwardingInput
 
     /**
@@ -97,6 +97,7 @@
  * @property unitsUsed units of the limits that the host has used, by organisation
  * @property prefilledParts prompt parts that endpoints have prefilled since the last report
  * @property crashes recent connections that broke while an endpoint ran a request
+ * @property suspectedParts what the host knows of prompt parts that may crash endpoints
  */
 public data class HostLoadReport(
     public val host: HostId,
@@ -107,7 +108,8 @@
     public val msPerToken: Map<EndpointId, Double>,
     public val unitsUsed: Map<OrganisationId, Double>,
     public val prefilledParts: List<PrefilledPart>,
-    public val crashes: List<CrashNotice>
+    public val crashes: List<CrashNotice>,
+    public val suspectedParts: List<SuspectedPart> = emptyList()
 )
 
 /** [endpoint] has prefilled [part], so its prefix cache may hold it. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -7,7 +7,7 @@
     private val settings: ForwardingSettings,
     private val endpoints: EndpointRegistry,
     private val quotas: QuotaRegistry,
-    private val quarantine: QuarantineTracker
+    private val quarantine: CrashQuarantine
 ) {
     private val prefilledParts = ArrayDeque<PrefilledPart>()
     private var sequence = 0L
@@ -45,7 +45,8 @@
             msPerToken = endpoints.takeTokenTimes(),
             unitsUsed = quotas.unitsUsed(),
             prefilledParts = parts,
-            crashes = quarantine.recentNotices
+            crashes = quarantine.recentNotices,
+            suspectedParts = quarantine.takeSuspectedParts(nowMs)
         )
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -195,6 +195,70 @@
         }
     }
 
+    /** Guards against a prompt part that crashes an endpoint with each new request. */
+    @Nested
+    inner class DeadlyPart {
+        private val lost = AttemptOutcome.Broken("closed", isConnectionLost = true)
+
+        private fun callWith(vararg parts: Long) = fixture.call(
+            prompt = parts.map { PromptPart(PromptPartId(it), 100) },
+            maxAttempts = 1
+        )
+
+        /** Sends a request with [parts] that ends with [outcome], and returns its commands. */
+        private fun play(outcome: AttemptOutcome, vararg parts: Long): List<CallCommand> {
+            val call = callWith(*parts)
+            fixture.nowMs += 1_000
+            return fixture.arrive(call).also { fixture.end(call, outcome) }
+        }
+
+        @Test
+        fun `unlike requests with a part that crashed three endpoints are refused`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            val endpoints = (1L..3L).map { dispatchedTo(play(lost, 1, 66, it)) }
+            assertEquals(3, endpoints.toSet().size, "$endpoints")
+
+            val refusal = assertIs<CallCommand.Refuse>(play(lost, 2, 66, 9).single())
+            assertEquals(RefusalReason.QUARANTINED, refusal.reason)
+        }
+
+        @Test
+        fun `stalls and wrong answers quarantine no part`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            repeat(3) { play(AttemptOutcome.Broken("stalled"), 1, 66, it.toLong()) }
+
+            dispatchedTo(play(lost, 2, 66, 9))
+        }
+
+        @Test
+        fun `a request that had an event does not blame its parts`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            repeat(3) {
+                val call = callWith(1, 66, it.toLong())
+                fixture.nowMs += 1_000
+                fixture.arrive(call)
+                fixture.send(ForwardingInput.ResponseStarted(call.id))
+                fixture.end(call, lost)
+            }
+
+            dispatchedTo(play(lost, 2, 66, 9))
+        }
+
+        @Test
+        fun `reports tell the other hosts of the part`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            repeat(3) { play(lost, 1, 66, it.toLong()) }
+            val report = checkNotNull(fixture.controller.loadReport(fixture.nowMs))
+            val other = ForwardingFixture()
+            other.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            other.report("host-2", 1, suspectedParts = report.suspectedParts)
+
+            val prompt = listOf(66L, 5L).map { PromptPart(PromptPartId(it), 100) }
+            val commands = other.arrive(other.call(prompt = prompt))
+            assertIs<CallCommand.Refuse>(commands.single())
+        }
+    }
+
     @Nested
     inner class OverLimit {
         /** Load pattern: an organisation sends large and small requests far above its limit. */
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -101,7 +101,8 @@
         used: Double = 0.0,
         incarnation: Long = 9,
         crashes: List<CrashNotice> = emptyList(),
-        msPerToken: Map<EndpointId, Double> = emptyMap()
+        msPerToken: Map<EndpointId, Double> = emptyMap(),
+        suspectedParts: List<SuspectedPart> = emptyList()
     ) = send(
         ForwardingInput.PeerReported(
             HostLoadReport(
@@ -113,7 +114,8 @@
                 msPerToken,
                 mapOf(ORGANISATION to used),
                 emptyList(),
-                crashes
+                crashes,
+                suspectedParts
             )
         )
     )
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -11,11 +11,14 @@
 import cowslipcart.daemon.http1.BodyReader
 import cowslipcart.daemon.http1.HeadParser
 import cowslipcart.daemon.http1.Header
+import cowslipcart.daemon.http1.MalformedMessageException
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
+import cowslipcart.daemon.http1.TooLongException
 import cowslipcart.daemon.http1.send
 import io.ktor.utils.io.ClosedByteChannelException
+import java.io.EOFException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
@@ -49,7 +52,8 @@
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
-     * returned. [onResponseStarted] is called once the endpoint has started to respond.
+     * returned. [onResponseStarted] is called once the endpoint has sent the first event of a
+     * stream, or the whole of another response.
      * Throws [CallerDisconnectedException] if the caller can't be written to; failures of the
      * endpoint are returned as an outcome.
      */
@@ -78,7 +82,8 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: IOException) {
-            return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
+            val reason = e.message ?: e.javaClass.simpleName
+            return ExchangeResult(AttemptOutcome.Broken(reason, isConnectionLost(e)))
         } finally {
             if (!isReusable) connection.close()
         }
@@ -158,7 +163,9 @@
                 }
                 val result = when {
                     metadata.isDeclined -> receiveDecline(head, reader)
+
                     head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
+
                     isEventStream(head) && isAuthentic(metadata) ->
                         receiveStream(head, reader, isFramed = framing != BodyFraming.UntilClose)
 
@@ -176,8 +183,8 @@
 
         private suspend fun readHead(): ResponseHead {
             while (true) {
-                val bytes =
-                    connection.source.readHead(MAX_HEAD_BYTES) ?: fail("connection closed")
+                val bytes = connection.source.readHead(MAX_HEAD_BYTES)
+                    ?: throw EOFException("connection closed")
                 val head = HeadParser.parseResponse(bytes)
                 if (head.status >= FIRST_FINAL_STATUS) return head
             }
@@ -217,12 +224,12 @@
             isFramed: Boolean
         ): ExchangeResult {
             relay.begin(head)
-            var isFirst = true
+            var hasEvent = false
             while (true) {
                 val piece = withInactivityTimeout("stream stalled") { reader.next() } ?: break
-                if (isFirst) onResponseStarted()
-                isFirst = false
-                relay.onBytes(piece)
+                val isEventComplete = relay.onBytes(piece)
+                if (isEventComplete && !hasEvent) onResponseStarted()
+                hasEvent = hasEvent || isEventComplete
             }
             relay.finish(isFramed)
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true))
@@ -260,6 +267,13 @@
         }
     }
 
+    /** Whether the endpoint ended the connection; otherwise it sent nothing or a wrong answer. */
+    private fun isConnectionLost(failure: IOException): Boolean = when (failure) {
+        is InvalidResponseException, is EventOrderException -> false
+        is MalformedMessageException, is TooLongException -> false
+        else -> true
+    }
+
     private fun isEventStream(head: ResponseHead): Boolean = head.status == OK_STATUS &&
         head.headers["Content-Type"]?.startsWith("text/event-stream") == true
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -45,11 +45,13 @@
     }
 
     /**
-     * Forwards the events that [bytes] complete. Throws [EventOrderException] if one is missing.
+     * Forwards the events that [bytes] complete, and returns whether there are any, forwarded
+     * before or now. Throws [EventOrderException] if one is missing.
      */
-    suspend fun onBytes(bytes: ByteArray) {
-        val events = splitter.add(bytes).filter { isNext(it) }
-        if (events.isEmpty()) return
+    suspend fun onBytes(bytes: ByteArray): Boolean {
+        val completed = splitter.add(bytes)
+        val events = completed.filter { isNext(it) }
+        if (events.isEmpty()) return completed.isNotEmpty()
         val nowMs = clock.nowMs()
         if (eventCount == 0) firstEventAtMs = nowMs
         eventCount += events.size
@@ -57,6 +59,7 @@
         events.last().id?.let { lastEventId = it }
         val joined = events.map { it.bytes }.reduce { all, next -> all + next }
         response.writeStreamed(checkNotNull(head), joined)
+        return true
     }
 
     /**
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -9,8 +9,10 @@
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.SuspectedPart
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.HostId
@@ -58,6 +60,13 @@
         report.prefilledParts.map { PrefilledPartDocument(it.part.value, it.endpoint.value) },
         report.crashes.map {
             CrashNoticeDocument(it.number, it.fingerprint.value, it.endpoint.value)
+        },
+        report.suspectedParts.map { suspected ->
+            SuspectedPartDocument(
+                suspected.part.value,
+                suspected.answeredAgoMs,
+                suspected.crashes.map { PartCrashDocument(it.endpoint.value, it.agoMs) }
+            )
         }
     )
 
@@ -76,6 +85,13 @@
         },
         crashes = document.crashes.map {
             CrashNotice(it.number, Fingerprint(it.fingerprint), EndpointId(it.endpoint))
+        },
+        suspectedParts = document.suspectedParts.map { suspected ->
+            SuspectedPart(
+                PromptPartId(suspected.part),
+                suspected.crashes.map { PartCrash(EndpointId(it.endpoint), it.agoMs) },
+                suspected.answeredAgoMs
+            )
         }
     )
 }
@@ -84,6 +100,7 @@
  * Array form of [HostLoadReport]. The order of the fields is part of the protocol.
  *
  * @property reads prompt parts that endpoints have read lately
+ * @property suspectedParts left out if empty; reports of earlier versions have none
  */
 @Serializable
 @CborArray
@@ -99,7 +116,8 @@
     val tokenTimes: List<TokenTimeDocument>,
     val uses: List<UnitUsageDocument>,
     val reads: List<PrefilledPartDocument>,
-    val crashes: List<CrashNoticeDocument>
+    val crashes: List<CrashNoticeDocument>,
+    val suspectedParts: List<SuspectedPartDocument> = emptyList()
 )
 
 @Serializable
@@ -122,3 +140,15 @@
 @Serializable
 @CborArray
 private class CrashNoticeDocument(val number: Long, val fingerprint: String, val endpoint: String)
+
+@Serializable
+@CborArray
+private class SuspectedPartDocument(
+    val part: Long,
+    val answeredAgoMs: Long?,
+    val crashes: List<PartCrashDocument>
+)
+
+@Serializable
+@CborArray
+private class PartCrashDocument(val endpoint: String, val agoMs: Long)
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -5,8 +5,10 @@
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.SuspectedPart
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.HostId
@@ -39,6 +41,10 @@
         prefilledParts = listOf(PrefilledPart(PromptPartId(5), id)),
         crashes = listOf(CrashNotice(1, Fingerprint("f"), id))
     )
+    private val suspectedParts = listOf(
+        SuspectedPart(PromptPartId(-7), listOf(PartCrash(id, 4), PartCrash(id, 90_000)), null),
+        SuspectedPart(PromptPartId(8), emptyList(), answeredAgoMs = 1_500)
+    )
     private val samples = listOf(
         PeerDatagram.LoadReport(report, isLeaving = false),
         PeerDatagram.LoadReport(report, isLeaving = true),
@@ -65,6 +71,27 @@
                 assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
             }
         }
+
+        @Test
+        fun `suspected parts survive a round trip`() {
+            val sample = PeerDatagram.LoadReport(
+                report.copy(suspectedParts = suspectedParts),
+                false
+            )
+
+            assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+        }
+
+        /** Guards against a report that is divided on its way, with 8 parts of 5 crashes each. */
+        @Test
+        fun `the largest list of suspected parts takes less than a datagram`() {
+            val crashes = List(5) { PartCrash(EndpointId("i-0123456789"), 1_800_000) }
+            val parts = List(8) { SuspectedPart(PromptPartId(Long.MAX_VALUE), crashes, 1_800_000) }
+            val full = PeerDatagram.LoadReport(report.copy(suspectedParts = parts), false)
+            val added = DatagramCodec.encode(full).size - DatagramCodec.encode(samples[0]).size
+
+            assertTrue(added < 1_000, "$added bytes")
+        }
     }
 
     /**
