--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -38,7 +38,7 @@
     private val placement = Placement(cacheIndex, settings.profile.domain, random)
     private val hostRegistry = HostRegistry(settings.host, settings.profile)
     private val quotas = QuotaRegistry(if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE)
-    private val quarantine = QuarantineTracker()
+    private val quarantine = CrashQuarantine(settings.host)
     private val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
     private val retries = RetryRule(settings, quarantine) { hostRegistry.knownCount }
     private val calls = mutableMapOf<CallId, CallState>()
@@ -59,6 +59,7 @@
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host)
             ForwardingInput.Tick -> onTick(nowMs)
         }
+        effects += quarantine.takeChanges()
         placeWaiting(nowMs)
         return effects.toList().also { effects.clear() }
     }
@@ -75,19 +76,11 @@
     private fun onArrived(call: ForwardedCall, nowMs: Long) {
         val state = CallState(call)
         retries.recordRequest(call.pool, nowMs)
-        if (quarantine.isQuarantined(call.fingerprint)) {
-            refuse(state, RefusalReason.QUARANTINED, null, nowMs)
-            return
-        }
         when (val admission = quotas.tryTake(call, hostRegistry.counts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
+                val spread = random.nextDouble()
                 val afterMs =
-                    AdmissionRule.quotaRetryAfterMs(
-                        call,
-                        admission.waitMs,
-                        random.nextDouble(),
-                        nowMs
-                    )
+                    AdmissionRule.quotaRetryAfterMs(call, admission.waitMs, spread, nowMs)
                 refuse(state, RefusalReason.OVER_QUOTA, afterMs, nowMs)
             }
 
@@ -117,6 +110,10 @@
             end(state, RefusalReason.OUT_OF_TIME, null, nowMs)
             return true
         }
+        if (quarantine.isQuarantined(call, nowMs)) {
+            end(state, RefusalReason.QUARANTINED, null, nowMs)
+            return true
+        }
         val inPool = endpoints.inPool(call.pool)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
@@ -149,6 +146,7 @@
             selected.firstTokenMs,
             nowMs
         )
+        quarantine.onDispatched(state.call, nowMs)
         reporter.onChange()
         emitCommand(state, CallCommand.Dispatch(selected.endpoint.entry, state.sentCount), nowMs)
     }
@@ -160,7 +158,9 @@
     private fun onResponseStarted(input: ForwardingInput.ResponseStarted, nowMs: Long) {
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
+        attempt.hasStarted = true
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
+        quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
         val expectedMs = attempt.expectedFirstTokenMs / speed.firstTokenFactor
         speed.onFirstToken(expectedMs, nowMs - attempt.sentAtMs)
@@ -181,9 +181,15 @@
         reporter.onChange()
         when (val outcome = input.outcome) {
             is AttemptOutcome.Answered -> onAnswered(state, attempt, outcome, nowMs)
+
             is AttemptOutcome.Declined -> onDeclined(state, attempt, outcome, nowMs)
+
             is AttemptOutcome.NotSent -> onNotSent(state, attempt, nowMs)
-            is AttemptOutcome.Broken -> onBroken(state, attempt, nowMs)
+
+            is AttemptOutcome.Broken -> {
+                onUnanswered(state, attempt, outcome, nowMs)
+                retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
+            }
         }
     }
 
@@ -194,7 +200,7 @@
         nowMs: Long
     ) {
         state.mayHaveRun = true
-        quarantine.onAnswered(state.call.fingerprint)
+        quarantine.onAnswered(state.call)
         if (outcome.isSuccess) {
             attempt.endpoint.health.onSuccess()
             calls -= state.call.id
@@ -232,15 +238,15 @@
         }
     }
 
-    private fun onBroken(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
-        onUnanswered(state, attempt, nowMs)
-        retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
-    }
-
-    private fun onUnanswered(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
+    private fun onUnanswered(
+        state: CallState,
+        attempt: CurrentAttempt,
+        outcome: AttemptOutcome.Broken,
+        nowMs: Long
+    ) {
         state.mayHaveRun = true
         attempt.endpoint.health.onFailure(nowMs)
-        quarantine.onOwnCrash(state.call.fingerprint, attempt.endpoint.entry.id)
+        quarantine.onBroken(state.call, attempt, outcome, nowMs)
     }
 
     /**
@@ -259,7 +265,7 @@
             selected.firstTokenMs < state.remainingMs(nowMs)
         if (!isWorthwhile || !retries.trySpend(call.pool, nowMs)) return
         attempt.endpoint.onEnded(attempt.prefillTokens)
-        onUnanswered(state, attempt, nowMs)
+        onUnanswered(state, attempt, STALLED, nowMs)
         dispatch(state, selected, nowMs)
     }
 
@@ -335,14 +341,13 @@
         if (status == ReportStatus.OUTDATED) return
         val isRestarted = status == ReportStatus.RESTARTED
         if (isRestarted) {
-            quarantine.onPeerRestarted(report.host)
             val reason = "incarnation ${report.incarnation}"
             effects += ForwardingEffect.LogStateChange(report.host.value, "host-started", reason)
         }
         endpoints.onPeerLoads(report.host, report.loads)
         endpoints.onTokenTimes(report.msPerToken)
         quotas.onPeerUse(report.host, report.unitsUsed, isRestarted)
-        quarantine.onPeerNotices(report.host, report.crashes)
+        quarantine.onPeerReport(report, isRestarted, nowMs)
         for (read in report.prefilledParts) {
             cacheIndex.record(listOf(PromptPart(read.part, 0)), read.endpoint, nowMs)
         }
@@ -366,6 +371,9 @@
         val waitingOrder: Comparator<CallState> =
             compareBy({ it.call.tier }, { it.call.rankInPool })
 
+        /** Outcome of an attempt that another one replaces, since its endpoint is silent. */
+        val STALLED = AttemptOutcome.Broken("stalled", isConnectionLost = false)
+
         /** Share of the burst that a restarted host starts with; others may have used the limit. */
         const val RESTART_QUOTA_SHARE = 0.3
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/RetryRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/RetryRule.kt
@@ -11,7 +11,7 @@
  */
 internal class RetryRule(
     private val settings: ForwardingSettings,
-    private val quarantine: QuarantineTracker,
+    private val quarantine: CrashQuarantine,
     private val knownHosts: () -> Int
 ) {
     private val budgets = mutableMapOf<PoolId, RetryBudget>()
@@ -25,7 +25,7 @@
         return (!state.mayHaveRun || call.route.kind.isRetryable) &&
             state.sentCount < call.route.maxAttempts &&
             state.hasTimeForAttempt(nowMs) &&
-            !quarantine.isQuarantined(call.fingerprint)
+            !quarantine.isQuarantined(call, nowMs)
     }
 
     /** Counts a retry and returns true, or returns false if the budget of [pool] is used up. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -11,9 +11,12 @@
 import cowslipcart.daemon.http1.BodyReader
 import cowslipcart.daemon.http1.HeadParser
 import cowslipcart.daemon.http1.Header
+import cowslipcart.daemon.http1.MalformedMessageException
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
+import cowslipcart.daemon.http1.TooLongException
+import java.io.EOFException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
@@ -115,12 +118,15 @@
             // A closed channel can throw this too, while the attempt itself is not cancelled.
             currentCoroutineContext().ensureActive()
             if (caller.isClosed) throw CallerDisconnectedException()
-            return ExchangeResult(AttemptOutcome.Broken("connection cancelled"))
+            return ExchangeResult(
+                AttemptOutcome.Broken("connection cancelled", isConnectionLost = true)
+            )
         } catch (e: AttemptReplacedException) {
             return ExchangeResult(AttemptOutcome.Broken(e.message.orEmpty()), next = e.next)
         } catch (e: IOException) {
             if (caller.isClosed) throw CallerDisconnectedException()
-            return ExchangeResult(AttemptOutcome.Broken(e.message ?: e.javaClass.simpleName))
+            val reason = e.message ?: e.javaClass.simpleName
+            return ExchangeResult(AttemptOutcome.Broken(reason, isConnectionLost(e)))
         } finally {
             closing.dispose()
             if (!isReusable) connection.abort()
@@ -202,8 +208,12 @@
                 }
                 val result = when {
                     metadata.isDeclined -> receiveDecline(head, reader)
+
                     head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
-                    isEventStream(head) && isAuthentic(metadata) -> receiveStream(head, reader)
+
+                    isEventStream(head) && isAuthentic(metadata) ->
+                        receiveStream(head, reader, isFramed = framing != BodyFraming.UntilClose)
+
                     else -> receiveComplete(head, metadata, reader)
                 }
                 val canReuse = framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
@@ -218,8 +228,8 @@
 
         private suspend fun readHead(): ResponseHead {
             while (true) {
-                val bytes =
-                    connection.source.readHead(MAX_HEAD_BYTES) ?: fail("connection closed")
+                val bytes = connection.source.readHead(MAX_HEAD_BYTES)
+                    ?: throw EOFException("connection closed")
                 val head = HeadParser.parseResponse(bytes)
                 if (head.status >= FIRST_FINAL_STATUS) return head
             }
@@ -253,16 +263,20 @@
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true), response)
         }
 
-        private suspend fun receiveStream(head: ResponseHead, reader: BodyReader): ExchangeResult {
+        private suspend fun receiveStream(
+            head: ResponseHead,
+            reader: BodyReader,
+            isFramed: Boolean
+        ): ExchangeResult {
             relay.begin(head)
-            var isFirst = true
+            var hasEvent = false
             while (true) {
                 val piece = withInactivityTimeout("stream stalled") { reader.next() } ?: break
-                if (isFirst) listener.onResponseStarted()
-                isFirst = false
-                relay.onBytes(piece)
+                val isEventComplete = relay.onBytes(piece)
+                if (isEventComplete && !hasEvent) listener.onResponseStarted()
+                hasEvent = hasEvent || isEventComplete
             }
-            relay.finish()
+            relay.finish(isFramed)
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true))
         }
 
@@ -317,6 +331,13 @@
         }
     }
 
+    /** Whether the endpoint ended the connection; otherwise it sent nothing or a wrong answer. */
+    private fun isConnectionLost(failure: IOException): Boolean = when (failure) {
+        is InvalidResponseException, is EventOrderException -> false
+        is MalformedMessageException, is TooLongException -> false
+        else -> true
+    }
+
     private fun isEventStream(head: ResponseHead): Boolean = head.status == OK_STATUS &&
         head.headers["Content-Type"]?.startsWith("text/event-stream") == true
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -3,8 +3,12 @@
 import cowslipcart.core.forwarding.ShortestGapWindow
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ResponseHead
+import java.io.EOFException
 import java.io.IOException
 
+/** A stream without a length ended where the endpoint can't have ended it. */
+internal class IncompleteStreamException : EOFException("connection closed within the stream")
+
 /** An event of the stream is missing. */
 internal class EventOrderException(message: String) : IOException(message)
 
@@ -41,11 +45,13 @@
     }
 
     /**
-     * Forwards the events that [bytes] complete. Throws [EventOrderException] if one is missing.
+     * Forwards the events that [bytes] complete, and returns whether there are any, forwarded
+     * before or now. Throws [EventOrderException] if one is missing.
      */
-    suspend fun onBytes(bytes: ByteArray) {
-        val events = splitter.add(bytes).filter { isNext(it) }
-        if (events.isEmpty()) return
+    suspend fun onBytes(bytes: ByteArray): Boolean {
+        val completed = splitter.add(bytes)
+        val events = completed.filter { isNext(it) }
+        if (events.isEmpty()) return completed.isNotEmpty()
         val nowMs = clock.nowMs()
         if (eventCount == 0) firstEventAtMs = nowMs
         eventCount += events.size
@@ -53,11 +59,17 @@
         events.last().id?.let { lastEventId = it }
         val joined = events.map { it.bytes }.reduce { all, next -> all + next }
         response.writeStreamed(checkNotNull(head), joined)
+        return true
     }
 
-    /** Ends the response after the endpoint has completed its stream. */
-    suspend fun finish() {
+    /**
+     * Ends the response after the endpoint has completed its stream. With a length or chunks
+     * ([isFramed]) bytes after the last event belong to the stream. Otherwise they show that the
+     * stream was broken off, as does a stream without events; throws [IncompleteStreamException].
+     */
+    suspend fun finish(isFramed: Boolean) {
         val remainder = splitter.takeRemainder()
+        if (!isFramed && (remainder.isNotEmpty() || !isStarted)) throw IncompleteStreamException()
         response.writeStreamed(checkNotNull(head), remainder)
         response.finish()
     }
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -7,6 +7,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.Collections
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.time.TimeSource
 
@@ -32,8 +33,14 @@
     /** Runs the request and answers with status 500. */
     public data object Fails : RunnerFault
 
-    /** Sends a complete answer without a length, which ends with its connection. */
-    public data object NoLength : RunnerFault
+    /**
+     * Sends an answer or a stream without length or chunks, which ends with its connection: after
+     * its end, or in the middle of event [brokenEvent].
+     */
+    public data class Unframed(public val brokenEvent: Int? = null) : RunnerFault
+
+    /** Sends a stream without length or chunks and resets its connection before event [event]. */
+    public data class UnframedReset(public val event: Int) : RunnerFault
 }
 
 /** How the run of a request ended. */
@@ -48,6 +55,9 @@
     public data object Broken : RunEnd
 }
 
+/** Ends a connection with a reset. */
+private class ConnectionResetException : IOException("connection reset on purpose")
+
 /** Request that a runner executes; [id] is its `Attempt-Id`. Names of [headers] are lower case. */
 public class RunRequest(
     public val id: String,
@@ -113,6 +123,8 @@
         val connection = RunnerConnection(socket)
         try {
             while (answerNext(connection)) Unit
+        } catch (_: ConnectionResetException) {
+            socket.setSoLinger(true, 0)
         } catch (_: IOException) {
             return
         }
@@ -133,12 +145,15 @@
         runs += request
         val end = try {
             run(request, fault, connection)
+        } catch (e: ConnectionResetException) {
+            request.end(RunEnd.Broken)
+            throw e
         } catch (e: IOException) {
             request.end(RunEnd.CallerLeft)
             throw e
         }
         request.end(end)
-        return end is RunEnd.Answered && fault != RunnerFault.NoLength
+        return end is RunEnd.Answered && fault !is RunnerFault.Unframed
     }
 
     private fun run(request: RunRequest, fault: RunnerFault, connection: RunnerConnection): RunEnd {
@@ -157,7 +172,7 @@
         }
         connection.work(request.workMs)
         val body = "answer of $id to ${request.id}"
-        if (fault == RunnerFault.NoLength) {
+        if (fault is RunnerFault.Unframed) {
             connection.output.write("HTTP/1.1 200 OK\r\n$sealHeaders\r\n$body".toByteArray())
         } else {
             connection.output.answer(OK, sealHeaders, body)
@@ -178,8 +193,8 @@
     ): RunEnd {
         val output = connection.output
         val first = (request.headers["last-event-id"]?.toInt() ?: 0) + 1
-        val isChunked = fault != RunnerFault.NoLength
-        val framing = if (isChunked) "Transfer-Encoding: chunked\r\n" else ""
+        val isFramed = fault !is RunnerFault.Unframed && fault !is RunnerFault.UnframedReset
+        val framing = if (isFramed) "Transfer-Encoding: chunked\r\n" else ""
         output.write(
             (
                 "HTTP/1.1 200 OK\r\n${sealHeaders}Content-Type: text/event-stream\r\n" +
@@ -188,18 +203,26 @@
         )
         for (event in first..EVENT_COUNT) {
             val text = "id: $event\ndata: $event of ${request.id}\n\n"
-            if (fault is RunnerFault.BreakAt && fault.event == event) {
-                output.chunk(text.take(text.length / 2))
+            if (isBrokenAt(fault, event)) {
+                output.piece(text.take(text.length / 2), isFramed)
                 return RunEnd.Broken
             }
-            if (isChunked) output.chunk(text) else output.write(text.toByteArray())
+            if (fault is RunnerFault.UnframedReset && fault.event == event) {
+                TimeUnit.MILLISECONDS.sleep(BEFORE_RESET_MS)
+                throw ConnectionResetException()
+            }
+            output.piece(text, isFramed)
             connection.work(maxOf(eventGapMs, request.workMs / EVENT_COUNT))
         }
-        if (isChunked) output.write("0\r\n\r\n".toByteArray())
+        if (isFramed) output.write("0\r\n\r\n".toByteArray())
         output.flush()
         return RunEnd.Answered(OK)
     }
 
+    private fun isBrokenAt(fault: RunnerFault, event: Int): Boolean =
+        (fault is RunnerFault.BreakAt && fault.event == event) ||
+            (fault is RunnerFault.Unframed && fault.brokenEvent == event)
+
     private val RunRequest.workMs: Long get() = headers["work-ms"]?.toLong() ?: 0
 
     private fun readRequest(input: InputStream): RunRequest? {
@@ -229,8 +252,9 @@
         flush()
     }
 
-    private fun OutputStream.chunk(text: String) {
-        write("${text.length.toString(HEX_RADIX)}\r\n$text\r\n".toByteArray())
+    private fun OutputStream.piece(text: String, isChunk: Boolean) {
+        val bytes = if (isChunk) "${text.length.toString(HEX_RADIX)}\r\n$text\r\n" else text
+        write(bytes.toByteArray())
         flush()
     }
 
@@ -243,5 +267,8 @@
         private const val UNAVAILABLE = 503
         private const val BACKLOG = 64
         private const val HEX_RADIX = 16
+
+        /** Time in which the receiver reads what was sent, since a reset discards the rest. */
+        private const val BEFORE_RESET_MS = 100L
     }
 }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakDisruptions.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakDisruptions.kt
@@ -203,7 +203,7 @@
     private fun answerWithoutLength(runner: ProxiedRunner) {
         log.note("${runner.id}: answers without a length")
         val faults = runner.server.faults
-        synchronized(faults) { repeat(NO_LENGTH_COUNT) { faults += RunnerFault.NoLength } }
+        synchronized(faults) { repeat(NO_LENGTH_COUNT) { faults += RunnerFault.Unframed() } }
     }
 
     /** Drains the runner for the rest of the soak, if another runner of its service remains. */
