Believe a response without an id only on a new connection

Callers could be told "not run, try again" for a request that an endpoint was running, and an at-most-once request could be sent to a second endpoint.

Cause: EndpointExchange matched a response to its request only if the response names one. An endpoint that repeats an earlier refusal without an id on a kept connection declined the next request in this way, and a repeated failure was forwarded as the answer of the next request. takeIdle finds such bytes only if they arrive while the connection is idle.

Change: a response without an id belongs to the request only if it is the first one on its connection, as no earlier response can be repeated there. Elsewhere it proves nothing: the attempt is broken and may have run. A response that names another request is skipped as before, and the answer that follows counts.

GatewayTest with two new cases is green.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -147,28 +147,42 @@
                 val metadata = headerCodec.decodeResponse(head)
                 val framing = HeadParser.responseFraming(head, request.head.method)
                 val reader = BodyReader(connection.source, framing)
-                if (metadata.requestId != null && metadata.requestId != call.requestId) {
-                    if (framing ==
-                        BodyFraming.UntilClose
-                    ) {
-                        fail("response to another request without a length")
+                val isFirstOnConnection = it == 0 && connection.useCount == 0
+                when (ResponseOwner.of(metadata.requestId, call.requestId, isFirstOnConnection)) {
+                    ResponseOwner.OtherRequest -> skip(framing, reader)
+
+                    ResponseOwner.Unknown -> fail("response without a request id")
+
+                    ResponseOwner.ThisRequest -> {
+                        val result = receiveOwn(head, metadata, reader)
+                        val canReuse =
+                            framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
+                        if (canReuse) reusableHead = head
+                        return result
                     }
-                    reader.readAll(MAX_RESPONSE_BYTES)
-                    return@repeat
-                }
-                val result = when {
-                    metadata.isDeclined -> receiveDecline(head, reader)
-                    head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
-                    isEventStream(head) && isAuthentic(metadata) -> receiveStream(head, reader)
-                    else -> receiveComplete(head, metadata, reader)
                 }
-                val canReuse = framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
-                if (canReuse) reusableHead = head
-                return result
             }
             fail("only responses to other requests")
         }
 
+        private suspend fun skip(framing: BodyFraming, reader: BodyReader) {
+            if (framing == BodyFraming.UntilClose) {
+                fail("response to another request without a length")
+            }
+            reader.readAll(MAX_RESPONSE_BYTES)
+        }
+
+        private suspend fun receiveOwn(
+            head: ResponseHead,
+            metadata: ResponseMetadata,
+            reader: BodyReader
+        ): ExchangeResult = when {
+            metadata.isDeclined -> receiveDecline(head, reader)
+            head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
+            isEventStream(head) && isAuthentic(metadata) -> receiveStream(head, reader)
+            else -> receiveComplete(head, metadata, reader)
+        }
+
         private fun isAuthentic(metadata: ResponseMetadata): Boolean =
             metadata.isSigned && metadata.requestId == call.requestId
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
@@ -0,0 +1,85 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.core.forwarding.CallCommand
+import cowslipcart.core.forwarding.CallId
+import cowslipcart.core.forwarding.ForwardedCall
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.RequestId
+import cowslipcart.core.model.Tier
+import cowslipcart.core.routing.Route
+import cowslipcart.core.routing.RouteId
+import cowslipcart.core.routing.WorkKind
+import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.Header
+import cowslipcart.daemon.http1.Headers
+import cowslipcart.daemon.http1.RequestHead
+import io.ktor.network.selector.SelectorManager
+import io.ktor.utils.io.ByteChannel
+import java.io.OutputStream
+import kotlinx.coroutines.Dispatchers
+
+/** Sends requests with an [EndpointExchange] to an endpoint that answers with [respond]. */
+internal class ExchangeFixture(respond: OutputStream.(ReceivedRequest) -> Unit) : AutoCloseable {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val clock = RuntimeClock()
+    private val connections = EndpointConnections(selector, clock) { MAX_IDLE_CONNECTIONS }
+    private val exchange = EndpointExchange(connections, TestHeaderCodec, clock)
+    val endpoint = ScriptedEndpoint(respond)
+
+    /** Runs the only attempt of a request with [id]; a stream goes to [caller]. */
+    suspend fun run(
+        id: String,
+        kind: WorkKind = WorkKind.AtMostOnce,
+        caller: ByteChannel = ByteChannel(),
+        body: ByteArray = ByteArray(0)
+    ): ExchangeResult {
+        val response = CallerResponse(caller, isHeadRequest = false) { false }
+        val head =
+            RequestHead("GET", "/x", Headers(listOf(Header(TestHeaderCodec.REQUEST_ID, id))))
+        return exchange.run(
+            call(id, kind),
+            BufferedRequest(head, body),
+            CallCommand.Dispatch(endpoint.entry, attempt = 1),
+            StreamRelay(response, clock)
+        ) {}
+    }
+
+    private fun call(id: String, kind: WorkKind): ForwardedCall {
+        val nowMs = clock.nowMs()
+        val route = Route(
+            RouteId("route"), "shop.example", "/", kind, emptyList(), TIMEOUT_MS, TIMEOUT_MS,
+            Tier(0), 1, true
+        )
+        return ForwardedCall(
+            CallId(1), RequestId(id), null, route, endpoint.entry.pool, Tier(0), 0, null,
+            emptyList(), Fingerprint("f"), nowMs, nowMs + TIMEOUT_MS
+        )
+    }
+
+    override fun close() {
+        endpoint.close()
+        selector.close()
+    }
+
+    companion object {
+        const val TIMEOUT_MS = 20_000L
+        private const val MAX_IDLE_CONNECTIONS = 4
+
+        /** Encodes a complete response; [id] is left out if null. */
+        fun response(
+            status: Int,
+            id: String?,
+            body: String = "",
+            declined: Boolean = false
+        ): ByteArray {
+            val headers = listOfNotNull(
+                id?.let { "${TestHeaderCodec.REQUEST_ID}: $it" },
+                "${TestHeaderCodec.SIGNATURE}: s".takeIf { !declined && id != null },
+                "${TestHeaderCodec.DECLINED}: 1".takeIf { declined },
+                "Content-Length: ${body.length}"
+            )
+            return "HTTP/1.1 $status Status\r\n${headers.joinToString("\r\n")}\r\n\r\n$body"
+                .toByteArray()
+        }
+    }
+}
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -28,6 +28,12 @@
     /** Answers the request, then sends a second answer that belongs to no request. */
     public data object ExtraAnswer : RunnerFault
 
+    /**
+     * Runs the request and sends the refusal of an earlier request again, then the answer. The
+     * refusal names the request [id]; without an id it takes the place of the answer.
+     */
+    public data class RepeatedRefusal(public val id: String?) : RunnerFault
+
     /** Closes the connection in the middle of event [event] of the stream. */
     public data class BreakAt(public val event: Int) : RunnerFault
 
@@ -96,14 +102,19 @@
         val fault = synchronized(faults) { faults.removeFirstOrNull() } ?: RunnerFault.None
         val expected = request.headers["expect-instance"]
         if (expected != id) {
-            output.answer(421, "Instance-Id: $id\r\n", "")
+            val headers = "Attempt-Id: ${request.id}\r\nNot-Executed: 1\r\nInstance-Id: $id\r\n"
+            output.answer(421, headers, "")
             return true
         }
         if (fault == RunnerFault.Full) {
-            output.answer(503, "Not-Executed: 1\r\n", "")
+            output.refuse(request.id)
             return true
         }
         runs += request
+        if (fault is RunnerFault.RepeatedRefusal) {
+            output.refuse(fault.id)
+            if (fault.id == null) return true
+        }
         val sealHeaders = "Attempt-Id: ${request.id}\r\nResponse-Seal: seal-$id-${request.id}\r\n"
         if (fault == RunnerFault.AnswerLost) return false
         if (fault == RunnerFault.Hang) {
@@ -169,6 +180,10 @@
         }
     }
 
+    /** Refuses the request [id] as the runner is full; null leaves the id out. */
+    private fun OutputStream.refuse(id: String?) =
+        answer(503, id?.let { "Attempt-Id: $it\r\n" }.orEmpty() + "Not-Executed: 1\r\n", "")
+
     private fun OutputStream.answer(status: Int, headers: String, body: String) {
         write(
             "HTTP/1.1 $status Status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body"
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -182,6 +182,34 @@
         }
     }
 
+    @Nested
+    inner class RepeatedRefusals {
+        /** Guards against "not run" for an order that a runner has run. */
+        @Test
+        fun `an order that meets the refusal of an earlier one is not called refused`(): Unit =
+            runBlocking {
+                val desk = cluster.startRunner("desk-1", "desk")
+                val gateway = startReadyGateway()
+                desk.faults += listOf(RunnerFault.Full, RunnerFault.RepeatedRefusal(null))
+
+                assertEquals(503, gateway.send("/order/1").status)
+                assertEquals(502, gateway.send("/order/2").status)
+                assertEquals(1, desk.runs.size)
+            }
+
+        @Test
+        fun `an order is answered after the refusal of an earlier one that names it`(): Unit =
+            runBlocking {
+                val desk = cluster.startRunner("desk-1", "desk")
+                val gateway = startReadyGateway()
+                desk.faults += listOf(RunnerFault.Full, RunnerFault.RepeatedRefusal("earlier"))
+
+                assertEquals(503, gateway.send("/order/1").status)
+                assertEquals(200, gateway.send("/order/2").status)
+                assertEquals(1, desk.runs.size)
+            }
+    }
+
     @Nested
     inner class StoreFaults {
         @Test
