Sum the slots of endpoints without overflow

Callers of every route would get no answer: with two entries of slots in a pool and hosts in several groups, the control thread ended.

Cause: Placement, freeShare and the context of a decision added slots as Int. Picking an endpoint by its free slots then asks for a random number below a sum that is zero or negative, which throws in the control thread; nothing decides there any more.

Change: these sums and the weights are Long, as are the two counts in DecisionContext.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -293,8 +293,8 @@
         val inPool = endpoints.inPool(state.call.pool)
         val context = DecisionContext(
             revision = routingTable?.revision?.value ?: 0,
-            freeSlots = inPool.sumOf { it.freeSlots.coerceAtLeast(0) },
-            slotCount = inPool.sumOf { it.entry.slotCount },
+            freeSlots = inPool.sumOf { it.freeSlots.coerceAtLeast(0).toLong() },
+            slotCount = inPool.sumOf { it.entry.slotCount.toLong() },
             liveHosts = counts.live,
             knownHosts = counts.known,
             waitedMs = nowMs - state.call.arrivedAtMs,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -78,8 +78,8 @@
  */
 public data class DecisionContext(
     public val revision: Long,
-    public val freeSlots: Int,
-    public val slotCount: Int,
+    public val freeSlots: Long,
+    public val slotCount: Long,
     public val liveHosts: Int,
     public val knownHosts: Int,
     public val waitedMs: Long,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -88,8 +88,8 @@
 
     /** Picks one of [available] at random, weighted by its free slots. */
     private fun pickByFreeSlots(available: List<TrackedEndpoint>): TrackedEndpoint? {
-        val weights = available.map { 1 + it.freeSlots.coerceAtLeast(0) }
-        var position = if (weights.isEmpty()) 0 else random.nextInt(weights.sum())
+        val weights = available.map { 1L + it.freeSlots.coerceAtLeast(0) }
+        var position = if (weights.isEmpty()) 0 else random.nextLong(weights.sum())
         return available.withIndex().firstOrNull { (index, _) ->
             position -= weights[index]
             position < 0
@@ -149,12 +149,12 @@
 
 /** Share of the slots of [endpoints] that are free, without draining endpoints; 0 without slots. */
 internal fun freeShare(endpoints: Collection<TrackedEndpoint>): Double {
-    var slots = 0
-    var free = 0
+    var slots = 0L
+    var free = 0L
     for (endpoint in endpoints) {
         if (endpoint.entry.isDraining) continue
         slots += endpoint.entry.slotCount
         free += endpoint.freeSlots.coerceAtLeast(0)
     }
-    return if (slots == 0) 0.0 else free.toDouble() / slots
+    return if (slots == 0L) 0.0 else free.toDouble() / slots
 }
