--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -147,4 +147,14 @@
     public val domain: String,
     public val slotCount: Int,
     public val isDraining: Boolean
-)
+) {
+    /** Whether the port exists and the number of slots is one that an endpoint can have. */
+    public val isInRange: Boolean get() = port in PORTS && slotCount in SLOT_COUNTS
+
+    private companion object {
+        val PORTS = 1..65_535
+
+        /** Far above the batch of any engine. */
+        val SLOT_COUNTS = 1..65_536
+    }
+}
