Reject datagrams whose numbers overflow in sums

Callers could be placed by a load that overflowed, after a single datagram with extreme numbers.

Cause: DatagramCodec checked the form of a datagram and not its numbers: running requests and unread tokens of a load report are added to those of other hosts as Int and Long, a capacity of NaN breaks the order of the hosts, and a port out of range throws when a connection is opened.

Change: a load report with a number that no host can have is malformed, as is an update with an endpoint whose port or number of slots is out of range. Negative numbers within the same bounds are still accepted.

Result: DatagramCodecTest was red on the old code ("a load report with extreme numbers is rejected", "an endpoint with a port or a number of slots out of range is rejected ... port=0") and is green. A huge length at every place of a datagram allocates nothing on the old code either; the case stays as a test.

--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -29,19 +29,34 @@
     private const val VERSION = 4
     private const val US_PER_MS = 1_000.0
 
+    /** Far above the requests that a host has at one endpoint. */
+    private val RUNNING = -1_000_000..1_000_000
+
+    /** Far above the prompts that a host has at one endpoint. */
+    private val UNREAD_TOKENS = -1_000_000_000_000L..1_000_000_000_000L
+
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
     fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray =
         peerCbor.encodeToByteArray(LoadReportDocument.serializer(), toDocument(report, isLeaving))
 
     fun decode(bytes: ByteArray): Either<WireError, PeerDatagram> {
         val document = peerCbor.decodeFromByteArray(LoadReportDocument.serializer(), bytes)
-        return if (document.version == VERSION) {
-            PeerDatagram.LoadReport(toReport(document), document.isLeaving).right()
-        } else {
-            WireError.UnknownVersion(VERSION, document.version).left()
+        return when {
+            document.version != VERSION ->
+                WireError.UnknownVersion(VERSION, document.version).left()
+
+            !isInRange(document) -> WireError.Malformed("expected smaller numbers").left()
+
+            else -> PeerDatagram.LoadReport(toReport(document), document.isLeaving).right()
         }
     }
 
+    /** Whether the sums of the numbers of many reports neither overflow nor become NaN. */
+    private fun isInRange(document: LoadReportDocument): Boolean =
+        document.capacityCores.isFinite() &&
+            document.loads.all { it.running in RUNNING && it.unreadTokens in UNREAD_TOKENS } &&
+            document.uses.all { it.units.isFinite() }
+
     private fun toDocument(report: HostLoadReport, isLeaving: Boolean) = LoadReportDocument(
         VERSION,
         report.host.value,
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
@@ -86,6 +86,9 @@
                 record.beatNumber
             )
         }
+        if (record?.entry?.isInRange == false) {
+            throw SerializationException("expected a valid entry, found ${record.entry}")
+        }
         return EndpointChange(id, record, LogOffset(document.offset))
     }
 }
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -109,4 +109,71 @@
             }
         }
     }
+
+    /** Guards against numbers that overflow in sums, and lengths that are allocated unread. */
+    @Nested
+    inner class ExtremeNumbers {
+        private fun isRejected(report: HostLoadReport): Boolean {
+            val datagram = PeerDatagram.LoadReport(report, isLeaving = false)
+            return DatagramCodec.decode(DatagramCodec.encode(datagram)).isLeft()
+        }
+
+        @Test
+        fun `a load report with extreme numbers is rejected`() {
+            val loads = listOf(
+                HostLoad(Int.MAX_VALUE, 0),
+                HostLoad(Int.MIN_VALUE, 0),
+                HostLoad(0, Long.MAX_VALUE),
+                HostLoad(0, Long.MIN_VALUE)
+            )
+            for (load in loads) assertTrue(isRejected(report.copy(loads = mapOf(id to load))))
+            for (number in listOf(Double.NaN, Double.POSITIVE_INFINITY)) {
+                assertTrue(isRejected(report.copy(profile = HostProfile("a", number))))
+                val used = mapOf(OrganisationId("o") to number)
+                assertTrue(isRejected(report.copy(unitsUsed = used)))
+            }
+        }
+
+        @Test
+        fun `an endpoint with a port or a number of slots out of range is rejected`() {
+            val odd = listOf(
+                entry.copy(port = 0),
+                entry.copy(port = 65_536),
+                entry.copy(slotCount = 0),
+                entry.copy(slotCount = Int.MAX_VALUE)
+            )
+            for (next in odd) {
+                val change = EndpointChange(id, EndpointRecord(next, 1, 1), LogOffset(5))
+                val update =
+                    StoreUpdate.Endpoints(LogOffset(4), LogOffset(9), listOf(change), 4, null)
+                val bytes = DatagramCodec.encode(PeerDatagram.Update(update))
+                assertTrue(DatagramCodec.decode(bytes).isLeft(), "$next")
+            }
+        }
+
+        @Test
+        fun `a huge length at any place is an error`() {
+            val lengths = listOf("7fffffff", "7ffffffe", "ffffffff").map { "00000000$it" } +
+                listOf("7fffffffffffffff", "ffffffffffffffff")
+            for (sample in samples) {
+                val bytes = DatagramCodec.encode(sample)
+                for (index in 1 until bytes.size) {
+                    for (type in listOf(BYTES, TEXT, ARRAY)) {
+                        for (length in lengths) {
+                            val header = byteArrayOf(type) + HexFormat.of().parseHex(length)
+                            val head = bytes.copyOf(index) + header
+                            DatagramCodec.decode(head + bytes.drop(index + 1).toByteArray())
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private companion object {
+        /** CBOR types with a length of eight bytes. */
+        const val BYTES = 0x5b.toByte()
+        const val TEXT = 0x7b.toByte()
+        const val ARRAY = 0x9b.toByte()
+    }
 }
