Reject host records without a valid address

One odd record in the table of hosts could end the coroutine that lists the hosts, or the one that sends reports, on every host that reads the table.

Cause: HostRecord accepted any port and any text as an IP address. A socket address with a port out of range throws an IllegalArgumentException and one with an unknown host name an UnresolvedAddressException, neither of which is an IOException. A capacity of NaN has no rank among the hosts of a group.

Change: a record is readable only with an IPv4 address and port, and with a finite positive capacity. Any other one is skipped, and the other records hold.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HostRecord.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HostRecord.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.parseIpv4Address
 
 /** Record of a host in the store, as `IP:PORT DOMAIN CORES`. */
 internal class HostRecord(val address: SocketAddressSetting, val profile: HostProfile) {
@@ -15,10 +16,10 @@
             val fields = value.decodeToString().split(' ')
             if (fields.size != FIELD_COUNT) return null
             val (address, domain, cores) = fields
-            val port = address.substringAfterLast(':', "").toIntOrNull() ?: return null
             val capacityCores = cores.toDoubleOrNull() ?: return null
+            if (!capacityCores.isFinite() || capacityCores <= 0) return null
             return HostRecord(
-                SocketAddressSetting(address.substringBeforeLast(':'), port),
+                parseIpv4Address(address) ?: return null,
                 HostProfile(domain, capacityCores)
             )
         }
