--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -68,6 +68,9 @@
     private val endpointUpdates = updateChannel<StoreUpdate.Endpoints>()
     private val configurationUpdates = updateChannel<StoreUpdate.Configuration>()
     private var entries: List<EndpointEntry>? = null
+    private val unreadable = UnreadableRecords { key ->
+        eventLog.event("record-unreadable", "key" to key)
+    }
 
     /** Starts following the store, and registers [self] with [record] in it. */
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
@@ -137,7 +140,7 @@
             val id = EndpointId(record.key)
             val decoded = record.value?.let { decoder.decodeEndpoint(id, it) }
             if (decoded == null && record.value != null) {
-                eventLog.event("record-unreadable", "key" to record.key)
+                unreadable.report(StoreTable.ENDPOINTS, record)
             }
             EndpointChange(id, decoded, record.offset)
         }
@@ -197,7 +200,7 @@
             val value = record.value ?: continue
             val table = decoder.decodeRouting(record.key, value)
             if (table == null) {
-                eventLog.event("record-unreadable", "key" to record.key)
+                unreadable.report(StoreTable.CONFIGURATION, record)
             } else {
                 listener.onRouting(table)
             }
@@ -239,7 +242,7 @@
     private fun decodeHosts(records: List<TableRecord>): Map<HostId, HostRecord> =
         records.mapNotNull { record ->
             val decoded = record.value?.let { HostRecord.decode(it) }
-            if (decoded == null) eventLog.event("record-unreadable", "key" to record.key)
+            if (decoded == null) unreadable.report(StoreTable.HOSTS, record)
             decoded?.let { HostId(record.key) to it }
         }.toMap()
 
