--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EventSplitterTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EventSplitterTest.kt
@@ -1,9 +1,12 @@
 package cowslipcart.daemon.gateway
 
+import java.io.IOException
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import org.junit.jupiter.api.Nested
 
 class EventSplitterTest {
@@ -46,4 +49,35 @@
             }
         }
     }
+
+    @Nested
+    inner class LongEvents {
+        /** Guards against a cost that grows with the square of an event's length. */
+        @Test
+        fun `a long event in single bytes is split in time`() {
+            val splitter = EventSplitter()
+            val atMs = System.nanoTime() / NS_PER_MS
+            repeat(LONG_EVENT_BYTES) { assertEquals(emptyList(), splitter.add(byteArrayOf(X))) }
+            val event = splitter.add("\n\n".toByteArray()).single()
+            assertEquals(LONG_EVENT_BYTES + 2, event.bytes.size)
+            val tookMs = System.nanoTime() / NS_PER_MS - atMs
+            assertTrue(tookMs < BOUND_MS, "took $tookMs ms")
+        }
+
+        @Test
+        fun `an event without an end is a failure`() {
+            val splitter = EventSplitter()
+            assertFailsWith<IOException> {
+                repeat(ENDLESS_PIECES) { splitter.add(ByteArray(1_024)) }
+            }
+        }
+    }
+
+    private companion object {
+        const val LONG_EVENT_BYTES = 200_000
+        const val ENDLESS_PIECES = 2_000
+        const val BOUND_MS = 5_000L
+        const val NS_PER_MS = 1_000_000L
+        const val X = 'x'.code.toByte()
+    }
 }
