Bound responses of the store by the size of its pages

A response of the store without an end could take most of the heap of a gateway.

Cause: HttpClient accepted bodies of 16 MB, each held twice while it grows, for three tables at once, in a process with a heap of 72 MB. A page of the store holds at most 1 MB of records.

Change: the limit is 3 MB, twice such a page in base64 and JSON.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
@@ -94,7 +94,10 @@
     private companion object {
         const val MAX_HEAD_BYTES = 16_384
 
-        /** Largest page of the platform's store, including its encoding overhead. */
-        const val MAX_BODY_BYTES = 16 * 1_024 * 1_024
+        /**
+         * Twice the largest page of the platform's store, 1 MB of records in base64 and JSON. Three
+         * tables are read at once, and the heap of a gateway is 72 MB.
+         */
+        const val MAX_BODY_BYTES = 3 * 1_024 * 1_024
     }
 }
