Bound the bytes of a response that are no part of its body

An endpoint that sent such bytes without end kept its connection, and a thread of the host, until the deadline of the request.

Cause: empty lines before a head, interim responses and chunk extensions were skipped without a limit. The body of a refusal and of a response to another request was kept in memory, up to 8 MB, though nothing reads it. Reading did not notice a cancelled request while bytes were ready.

Change: at most 8 empty lines and 8 interim responses precede a response, and the chunk extensions of a body take at most 16 KB; else the attempt is broken. The bodies that nothing reads are dropped as they arrive, and that of a refusal has at most 64 KB. Each read checks for cancellation.

Endless header lines, lines of chunk sizes, trailers, bodies without a length, and responses to other requests ended the attempt and closed the connection before as well, as did a caller that left; these cases stay as tests.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -169,7 +169,7 @@
             if (framing == BodyFraming.UntilClose) {
                 fail("response to another request without a length")
             }
-            reader.readAll(MAX_RESPONSE_BYTES)
+            reader.skipAll(MAX_RESPONSE_BYTES)
         }
 
         private suspend fun receiveOwn(
@@ -187,16 +187,17 @@
             metadata.isSigned && metadata.requestId == call.requestId
 
         private suspend fun readHead(): ResponseHead {
-            while (true) {
+            repeat(MAX_INTERIM_RESPONSES + 1) {
                 val bytes =
                     connection.source.readHead(MAX_HEAD_BYTES) ?: fail("connection closed")
                 val head = HeadParser.parseResponse(bytes)
                 if (head.status >= FIRST_FINAL_STATUS) return head
             }
+            fail("more than $MAX_INTERIM_RESPONSES interim responses")
         }
 
         private suspend fun receiveDecline(head: ResponseHead, reader: BodyReader): ExchangeResult {
-            reader.readAll(MAX_RESPONSE_BYTES)
+            reader.skipAll(MAX_DECLINE_BYTES)
             val reason = when (head.status) {
                 WRONG_ENDPOINT_STATUS -> DeclineReason.WRONG_ENDPOINT
                 else -> DeclineReason.FULL
@@ -276,6 +277,10 @@
     private companion object {
         const val MAX_HEAD_BYTES = 16_384
         const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
+
+        /** A refusal has a short explanation at most. */
+        const val MAX_DECLINE_BYTES = 65_536
+        const val MAX_INTERIM_RESPONSES = 8
         const val MAX_MISMATCHED_RESPONSES = 4
         const val OK_STATUS = 200
         const val FIRST_FINAL_STATUS = 200
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -7,6 +7,9 @@
 internal class BodyReader(private val source: ByteSource, private val framing: BodyFraming) {
     private var remainingBytes = (framing as? BodyFraming.Length)?.bytes ?: 0
 
+    /** Bytes of chunk extensions in the body so far. */
+    private var extensionBytes = 0
+
     /** Whether the whole body was read. */
     var isComplete: Boolean = framing == BodyFraming.Length(0)
         private set
@@ -39,6 +42,19 @@
         }
     }
 
+    /**
+     * Reads and drops the rest of the body. Throws [TooLongException] if it exceeds [maxBytes],
+     * before it is read if its length is stated.
+     */
+    suspend fun skipAll(maxBytes: Int) {
+        if (remainingBytes > maxBytes) throw TooLongException.OfBody(maxBytes)
+        var skippedBytes = 0
+        while (true) {
+            skippedBytes += next()?.size ?: return
+            if (skippedBytes > maxBytes) throw TooLongException.OfBody(maxBytes)
+        }
+    }
+
     private suspend fun readFixedLength(): ByteArray {
         val piece = source.readSome(minOf(remainingBytes, MAX_READ_BYTES)) ?: failOnEnd()
         remainingBytes -= piece.size
@@ -65,6 +81,10 @@
 
     private fun parseChunkSize(line: String): Long {
         val digits = line.substringBefore(';').trim(' ', '\t')
+        extensionBytes += line.length - digits.length
+        if (extensionBytes > MAX_EXTENSION_BYTES) {
+            throw MalformedMessageException("over $MAX_EXTENSION_BYTES bytes of chunk extensions")
+        }
         if (digits.length !in 1..MAX_SIZE_DIGITS || digits.any { it !in HEX_DIGITS }) {
             throw MalformedMessageException("chunk size")
         }
@@ -85,6 +105,9 @@
         const val MAX_READ_BYTES = 65_536L
         const val MAX_TRAILERS = 32
 
+        /** Extensions are ignored, so a body mostly of them is read for nothing. */
+        const val MAX_EXTENSION_BYTES = 16_384
+
         /** Larger chunks exceed any limit on bodies. */
         const val MAX_SIZE_DIGITS = 8
         const val HEX_RADIX = 16
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -5,6 +5,8 @@
 import io.ktor.utils.io.readAvailable
 import java.io.EOFException
 import java.io.IOException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 
 /** The head or the body of a message exceeds its limit. */
 internal sealed class TooLongException(message: String) : IOException(message) {
@@ -30,6 +32,8 @@
      * connection was reset.
      */
     suspend fun fill(): Boolean {
+        // A read does not suspend, and so is not cancelled, while the peer sends fast enough.
+        currentCoroutineContext().ensureActive()
         channel.closedCause?.let { throw IOException("connection reset", it) }
         ensureCapacity()
         val count = channel.readAvailable(buffer, end, buffer.size - end)
@@ -57,7 +61,8 @@
 
     /**
      * Reads a message head, without the empty line that ends it. Returns null if the connection
-     * ends before its first byte. Throws [TooLongException] if the head exceeds [maxBytes].
+     * ends before its first byte. Throws [TooLongException] if the head exceeds [maxBytes], and
+     * [MalformedMessageException] if more than [MAX_EMPTY_LINES] empty lines precede it.
      */
     suspend fun readHead(maxBytes: Int): ByteArray? {
         skipEmptyLines()
@@ -111,13 +116,14 @@
 
     /** Skips empty lines before a message, as the HTTP standard asks. */
     private suspend fun skipEmptyLines() {
-        while (true) {
+        repeat(MAX_EMPTY_LINES + 1) {
             if (bufferedCount == 0 && !fill()) return
             if (buffer[start] != CR) return
             if (bufferedCount < 2 && !fill()) return
             if (bufferedCount < 2 || buffer[start + 1] != LF) return
             start += 2
         }
+        throw MalformedMessageException("more than $MAX_EMPTY_LINES empty lines before a head")
     }
 
     private fun indexOfHeadEnd(from: Int): Int {
@@ -149,6 +155,9 @@
         const val MAX_LINE_BYTES = 4_096
         const val HEAD_END_BYTES = 4
 
+        /** Some peers send an empty line after a body; more of them are no message. */
+        const val MAX_EMPTY_LINES = 8
+
         /** Limit on bytes buffered while a response is pending; the rest is read afterwards. */
         const val MAX_PIPELINED_BYTES = 65_536
         const val CR = '\r'.code.toByte()
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
@@ -14,9 +14,13 @@
 import cowslipcart.daemon.http1.Headers
 import cowslipcart.daemon.http1.RequestHead
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.aSocket
 import io.ktor.utils.io.ByteChannel
 import java.io.OutputStream
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
 
 /** Sends requests with an [EndpointExchange] to an endpoint that answers with [respond]. */
 internal class ExchangeFixture(respond: OutputStream.(ReceivedRequest) -> Unit) : AutoCloseable {
@@ -24,8 +28,15 @@
     private val clock = RuntimeClock()
     private val connections = EndpointConnections(selector, clock) { MAX_IDLE_CONNECTIONS }
     private val exchange = EndpointExchange(connections, TestHeaderCodec, clock)
+    private val scope = CoroutineScope(Dispatchers.IO)
     val endpoint = ScriptedEndpoint(respond)
 
+    init {
+        // A gateway always waits for connections. A selector that waits for nothing does not run,
+        // and does not close sockets.
+        scope.launch { aSocket(selector).tcp().bind("127.0.0.1", 0).use { it.accept() } }
+    }
+
     /** Runs the only attempt of a request with [id]; a stream goes to [caller]. */
     suspend fun run(
         id: String,
@@ -57,6 +68,7 @@
     }
 
     override fun close() {
+        scope.cancel()
         endpoint.close()
         selector.close()
     }
