Drop unsent bytes when a connection to an endpoint closes

An endpoint could read and run a request whose caller had left.

Cause: closing a socket sends what waits in its write channel first, and keeps the socket open until that is done. If an endpoint had not read the whole body when the caller left, the rest followed as soon as it read on.

Change: ServerConnection.close cancels both channels, so that the waiting bytes are dropped and the socket closes at once.

Result: EndlessResponseTest, "a body is not sent on when the caller leaves before the endpoint reads it", was red on the old code ("found bytes", the whole request, after the caller had left) and is green.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -20,13 +20,23 @@
 
 /** An open TCP connection to an endpoint or to a server of the platform. */
 internal class ServerConnection(private val socket: Socket) {
-    val source = ByteSource(socket.openReadChannel())
+    private val reader = socket.openReadChannel()
+    val source = ByteSource(reader)
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     /** Number of completed requests on this connection. */
     var useCount = 0
 
-    fun close() = socket.close()
+    /**
+     * Closes the connection at once. Bytes that wait in either channel are dropped: the socket
+     * would stay open until they are read, or sent.
+     */
+    fun close() {
+        val cause = IOException("connection closed by this host")
+        writer.cancel(cause)
+        reader.cancel(cause)
+        socket.close()
+    }
 }
 
 /**
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
@@ -139,11 +139,35 @@
         }
     }
 
+    @Nested
+    inner class Callers {
+        /** Guards against a request that is sent on, and runs, after its caller has left. */
+        @Test
+        fun `a body is not sent on when the caller leaves before the endpoint reads it`() {
+            ExchangeFixture { }.use { fixture ->
+                fixture.endpoint.pauseReading()
+                runBlocking {
+                    val running = launch(Dispatchers.IO) {
+                        fixture.run("r1", body = ByteArray(BODY_BYTES))
+                    }
+                    delay(SETTLE_MS)
+                    running.cancelAndJoin()
+                    delay(SETTLE_MS)
+                    val receivedBytes = fixture.endpoint.resumeReading()
+                    assertTrue(receivedBytes < BODY_BYTES, "found $receivedBytes bytes")
+                }
+            }
+        }
+    }
+
     private companion object {
         const val BOUND_MS = 8_000L
         const val SETTLE_MS = 200L
         const val CLOSE_MS = 1_000L
         const val PIECE_BYTES = 4_096
         const val EXTENSION_BYTES = 1_000
+
+        /** Far above what the buffers of two sockets hold. */
+        const val BODY_BYTES = 40_000_000
     }
 }
