Bound the memory of all responses that a host receives

Several endless or very long bodies at once could exceed the heap of a gateway, and an error for want of memory can end any of its threads.

Cause: each response may have 8 MB, whatever the others take, and is held up to twice while it grows. The heap is 72 MB.

Change: the responses that a host is receiving share 16 MB. A response that needs more ends as a broken attempt.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -46,6 +46,7 @@
     private val clock: RuntimeClock
 ) {
     private val activity = EndpointActivity(clock)
+    private val budget = BufferBudget(MAX_BUFFERED_BYTES)
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
@@ -210,8 +211,7 @@
             metadata: ResponseMetadata,
             reader: BodyReader
         ): ExchangeResult {
-            val body =
-                withInactivityTimeout("response stalled") { reader.readAll(MAX_RESPONSE_BYTES) }
+            val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
             if (relay.isStarted) fail("response is no stream although events were forwarded")
@@ -224,6 +224,15 @@
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true), response)
         }
 
+        private suspend fun readBody(reader: BodyReader): ByteArray {
+            val reservation = budget.Reservation()
+            try {
+                return reader.readAll(MAX_RESPONSE_BYTES) { reservation.add(it) }
+            } finally {
+                reservation.release()
+            }
+        }
+
         private suspend fun receiveStream(head: ResponseHead, reader: BodyReader): ExchangeResult {
             relay.begin(head)
             var isFirst = true
@@ -274,35 +283,38 @@
 
     private fun fail(message: String): Nothing = throw InvalidResponseException(message)
 
-    private companion object {
-        const val MAX_HEAD_BYTES = 16_384
-        const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
+    companion object {
+        /** Less than a quarter of the heap of a gateway, 72 MB. */
+        const val MAX_BUFFERED_BYTES = 16L * 1_024 * 1_024
+
+        private const val MAX_HEAD_BYTES = 16_384
+        private const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
 
         /** A refusal has a short explanation at most. */
-        const val MAX_DECLINE_BYTES = 65_536
-        const val MAX_INTERIM_RESPONSES = 8
-        const val MAX_MISMATCHED_RESPONSES = 4
-        const val OK_STATUS = 200
-        const val FIRST_FINAL_STATUS = 200
-        const val FIRST_FAILURE_STATUS = 300
-        const val FIRST_SERVER_ERROR = 500
-        const val WRONG_ENDPOINT_STATUS = 421
+        private const val MAX_DECLINE_BYTES = 65_536
+        private const val MAX_INTERIM_RESPONSES = 8
+        private const val MAX_MISMATCHED_RESPONSES = 4
+        private const val OK_STATUS = 200
+        private const val FIRST_FINAL_STATUS = 200
+        private const val FIRST_FAILURE_STATUS = 300
+        private const val FIRST_SERVER_ERROR = 500
+        private const val WRONG_ENDPOINT_STATUS = 421
 
         /**
          * Statuses that tell the caller that its request was not executed. Without a decline of the
          * endpoint that is not known, so they are not forwarded.
          */
-        val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
-        val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
+        private val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
+        private val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 
         /**
          * Longest idle time of a connection for requests that may be executed at most once, in ms.
          * If the endpoint closes an older connection while the request is in flight, the request
          * fails, since it can't be retried.
          */
-        const val AT_MOST_ONCE_IDLE_MS = 3_000L
+        private const val AT_MOST_ONCE_IDLE_MS = 3_000L
 
         /** Half of the gap after which callers abandon a stream, in ms. */
-        const val STREAM_INACTIVITY_MS = 1_300L
+        private const val STREAM_INACTIVITY_MS = 1_300L
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -30,14 +30,18 @@
         }
     }
 
-    /** Reads the rest of the body. Throws [TooLongException] if it exceeds [maxBytes]. */
-    suspend fun readAll(maxBytes: Int): ByteArray {
+    /**
+     * Reads the rest of the body. Throws [TooLongException] if it exceeds [maxBytes]. [onRead] is
+     * called with the size of each piece.
+     */
+    suspend fun readAll(maxBytes: Int, onRead: (Int) -> Unit = {}): ByteArray {
         val bytes = ByteArrayOutputStream()
         while (true) {
             val piece = next() ?: return bytes.toByteArray()
             if (bytes.size() + piece.size > maxBytes) {
                 throw TooLongException.OfBody(maxBytes)
             }
+            onRead(piece.size)
             bytes.write(piece)
         }
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -160,12 +161,33 @@
         }
     }
 
+    @Nested
+    inner class Memory {
+        /** Guards against endless bodies that together exceed the heap of a gateway. */
+        @Test
+        fun `many endless bodies at once stay within a common bound`() {
+            val fixture = ExchangeFixture {
+                text("${signed(it.id)}\r\n")
+                endless("x")
+            }
+            fixture.use {
+                runBlocking(Dispatchers.IO) {
+                    val outcomes = (1..CONCURRENT).map { async { fixture.run("r$it").outcome } }
+                        .awaitAll().map { assertIs<AttemptOutcome.Broken>(it).reason }
+                    val expected = "responses over ${EndpointExchange.MAX_BUFFERED_BYTES} bytes"
+                    assertTrue(outcomes.any { it.startsWith(expected) }, "found $outcomes")
+                }
+            }
+        }
+    }
+
     private companion object {
         const val BOUND_MS = 8_000L
         const val SETTLE_MS = 200L
         const val CLOSE_MS = 1_000L
         const val PIECE_BYTES = 4_096
         const val EXTENSION_BYTES = 1_000
+        const val CONCURRENT = 13
 
         /** Far above what the buffers of two sockets hold. */
         const val BODY_BYTES = 40_000_000
