Test an answer that trickles in beyond the deadline

Cause: operators of similar systems report endpoints whose bytes have no end. Bytes that keep coming, one at a time, also keep an endpoint active, and nothing showed that the deadline ends such an attempt on a route with a single one.

The case was not run on older code; no fault is mended here.

--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -37,6 +37,9 @@
     /** Closes the connection in the middle of event [event] of the stream. */
     public data class BreakAt(public val event: Int) : RunnerFault
 
+    /** Runs the request and sends its answer so slowly that it never ends. */
+    public data object Trickle : RunnerFault
+
     /** Runs the request and answers with status 500. */
     public data object Fails : RunnerFault
 }
@@ -121,6 +124,11 @@
             input.read()
             return false
         }
+        if (fault == RunnerFault.Trickle) {
+            output.trickle(
+                "HTTP/1.1 200 OK\r\n${sealHeaders}Content-Length: $TRICKLE_BYTES\r\n\r\n"
+            )
+        }
         if (fault == RunnerFault.Fails) {
             output.answer(500, sealHeaders, "failed")
             return true
@@ -180,6 +188,16 @@
         }
     }
 
+    /** Sends [head] and a body of [TRICKLE_BYTES], one byte at a time, until the caller closes. */
+    private fun OutputStream.trickle(head: String) {
+        write(head.toByteArray())
+        repeat(TRICKLE_BYTES) {
+            write('x'.code)
+            flush()
+            TimeUnit.MILLISECONDS.sleep(TRICKLE_GAP_MS)
+        }
+    }
+
     /** Refuses the request [id] as the runner is full; null leaves the id out. */
     private fun OutputStream.refuse(id: String?) =
         answer(503, id?.let { "Attempt-Id: $it\r\n" }.orEmpty() + "Not-Executed: 1\r\n", "")
@@ -201,6 +219,8 @@
         /** Number of events in a complete stream. */
         public const val EVENT_COUNT: Int = 12
         private const val BACKLOG = 64
+        private const val TRICKLE_BYTES = 10_000
+        private const val TRICKLE_GAP_MS = 200L
         private const val HEX_RADIX = 16
     }
 }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -8,6 +8,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
+import kotlin.time.TimeSource
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -326,6 +327,19 @@
             assertEquals(504, gateway.send("/order/1").status)
         }
 
+        /** Guards against an answer that trickles in and keeps its caller beyond the deadline. */
+        @Test
+        fun `an order whose answer trickles in gets 504 at its deadline`(): Unit = runBlocking {
+            val desk = cluster.startRunner("desk-1", "desk")
+            val gateway = startReadyGateway()
+            desk.faults += RunnerFault.Trickle
+            val startedAt = TimeSource.Monotonic.markNow()
+
+            assertEquals(504, gateway.send("/order/1").status)
+            val tookMs = startedAt.elapsedNow().inWholeMilliseconds
+            assertTrue(tookMs in ORDER_TIMEOUT_MS..ORDER_TIMEOUT_MS + SLACK_MS, "took $tookMs ms")
+        }
+
         @Test
         fun `a read is repeated when its runner is silent`(): Unit = runBlocking {
             val runners = listOf("desk-1", "desk-2").map { cluster.startRunner(it, "desk") }
@@ -340,6 +354,10 @@
     private companion object {
         const val SETTLE_MS = 300L
 
+        /** Timeout of the route of orders, in ms. */
+        const val ORDER_TIMEOUT_MS = 2_000L
+        const val SLACK_MS = 1_000L
+
         /** The platform counts requests on open connections up to this long after the signal. */
         const val LATE_MS = 3_000L
 
