Overrule an endpoint record that only its numbers make newest

An odd record of another writer, at the key of an endpoint and with a large sequence or a late start, shut out the true records of that endpoint for ever, also the one that it is draining.

Cause: EndpointListing ignores each record that its sequence and start make older than the known one, however many of them follow in the log.

Change: four such records in ascending order overrule the known one, which then is not by the endpoint. One or two may have been delayed on their way to the store. An endpoint that is draining or deleted stays so. To other listings the change goes with the numbers of the overruled record, as they may have that one; the form of the datagram is unchanged.

--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -25,13 +25,23 @@
 
 /**
  * The endpoints that may take work, by their records in the store. A record that an endpoint wrote
- * before the known one is ignored, wherever it is in the log. Entries that expire around an outage
- * of the store are kept for [EXPIRY_GRACE_MS] after its end.
+ * before the known one is ignored, wherever it is in the log, unless [CONFIRMING_RECORDS] of them
+ * follow each other: then the known one, with numbers too large, is not by the endpoint. Entries
+ * that expire around an outage of the store are kept for [EXPIRY_GRACE_MS] after its end.
  */
 public class EndpointListing {
-    private class KnownEndpoint(val record: EndpointRecord, val offset: LogOffset) {
+    /** [overruled] is a record with larger numbers that is not by the endpoint; null if none. */
+    private class KnownEndpoint(
+        val record: EndpointRecord,
+        val offset: LogOffset,
+        val overruled: EndpointRecord? = null
+    ) {
         /** Offset of the deletion of its key; null if the key exists. */
         var deletedAt: LogOffset? = null
+
+        /** The last of the records that followed in the log although they seem older. */
+        var lastOlder: EndpointChange? = null
+        var olderCount = 0
     }
 
     private val listed = mutableMapOf<EndpointId, KnownEndpoint>()
@@ -64,13 +74,47 @@
         if (record == null) {
             if (known == null || known.deletedAt != null) return emptyList()
             known.deletedAt = change.offset
-            return listOf(EndpointChange(change.id, known.record, known.offset), change)
+            return listOf(changeTo(change.id, known), change)
+        }
+        var overruled = known?.overruled
+        if (known != null && !isNewer(record, known.record)) {
+            if (!isConfirmed(known, change, record)) return emptyList()
+            overruled = overruled ?: known.record
         }
-        if (known != null && !isNewer(record, known.record)) return emptyList()
-        listed[change.id] = KnownEndpoint(record, change.offset)
+        val next = KnownEndpoint(record, change.offset, overruled?.takeIf { !isNewer(record, it) })
+        listed[change.id] = next
         val isHeartbeat = known != null && known.deletedAt == null &&
             known.record.entry == record.entry && known.record.startedAtMs == record.startedAtMs
-        return if (isHeartbeat) emptyList() else listOf(change)
+        return if (isHeartbeat) emptyList() else listOf(changeTo(change.id, next))
+    }
+
+    /**
+     * The change by which another listing comes to [known]. It has the numbers of an overruled
+     * record, as the other listing may have that one.
+     */
+    private fun changeTo(id: EndpointId, known: KnownEndpoint): EndpointChange {
+        val numbers = known.overruled ?: known.record
+        val record = EndpointRecord(known.record.entry, numbers.startedAtMs, numbers.sequence)
+        return EndpointChange(id, record, known.offset)
+    }
+
+    /**
+     * Whether [change], with a [record] that seems older than the known one, is the last of several
+     * in ascending order. A single one may have been delayed on its way to the store. An endpoint
+     * that is draining or deleted stays so, since it may not get work again.
+     */
+    private fun isConfirmed(
+        known: KnownEndpoint,
+        change: EndpointChange,
+        record: EndpointRecord
+    ): Boolean {
+        val last = known.lastOlder
+        if (last != null && change.offset <= last.offset) return false
+        val isAscending = last?.record?.let { isNewer(record, it) && !isNewer(it, record) } == true
+        known.olderCount = if (isAscending) known.olderCount + 1 else 1
+        known.lastOlder = change
+        return known.olderCount >= CONFIRMING_RECORDS && known.deletedAt == null &&
+            !known.record.entry.isDraining
     }
 
     /** Applies the newest records of all endpoints; [end] was the end of the log at the read. */
@@ -121,6 +165,12 @@
         /** Live endpoints rewrite their entry within about this time, in ms. */
         public const val EXPIRY_GRACE_MS: Long = 2_000
 
+        /**
+         * Records by which an endpoint shows that a later one is not its own. Fewer are delayed on
+         * their way to the store, as an endpoint writes one about every second.
+         */
+        public const val CONFIRMING_RECORDS: Int = 4
+
         private const val MAX_ENDPOINTS = 4_096
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/store/EndpointListingTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/store/EndpointListingTest.kt
@@ -17,11 +17,12 @@
         offset: Long,
         heartbeat: Long,
         isDraining: Boolean = false,
-        startedAtMs: Long = 1
+        startedAtMs: Long = 1,
+        slots: Int = 4
     ) = EndpointChange(
         id,
         EndpointRecord(
-            EndpointEntry(id, PoolId("p"), "127.0.0.1", 1, "a", 4, isDraining),
+            EndpointEntry(id, PoolId("p"), "127.0.0.1", 1, "a", slots, isDraining),
             startedAtMs,
             heartbeat
         ),
@@ -30,6 +31,70 @@
 
     private fun delete(offset: Long) = EndpointChange(id, null, LogOffset(offset))
 
+    @Nested
+    inner class OddRecords {
+        private val others = EndpointListing()
+        private val confirming = EndpointListing.CONFIRMING_RECORDS
+
+        private fun apply(vararg changes: EndpointChange) {
+            for (change in changes) others.onChanges(listing.onChanges(listOf(change)))
+        }
+
+        private fun applyHeartbeats() {
+            for (number in 1L..confirming) apply(change(9 + number, heartbeat = 9 + number))
+        }
+
+        private fun bothEntries() = listOf(listing, others).map { it.entries(0).single() }
+
+        /** Guards against a record with a huge number that shuts out its endpoint for ever. */
+        @Test
+        fun `records in a row overrule one that is newer only by its sequence`() {
+            apply(change(1, heartbeat = 5), change(2, heartbeat = 1_000_000_000, slots = 9))
+            assertEquals(listOf(9, 9), bothEntries().map { it.slotCount })
+            applyHeartbeats()
+
+            assertEquals(listOf(4, 4), bothEntries().map { it.slotCount })
+        }
+
+        @Test
+        fun `records in a row overrule one that is newer only by its start`() {
+            apply(change(1, heartbeat = 5))
+            apply(change(2, heartbeat = 1, startedAtMs = 4_000_000_000_000, slots = 9))
+            applyHeartbeats()
+
+            assertEquals(listOf(4, 4), bothEntries().map { it.slotCount })
+        }
+
+        @Test
+        fun `draining after an overruled record is seen at once by all`() {
+            apply(change(1, heartbeat = 5), change(2, heartbeat = 1_000_000_000, slots = 9))
+            applyHeartbeats()
+            apply(change(30, heartbeat = 30, isDraining = true))
+
+            assertEquals(listOf(true, true), bothEntries().map { it.isDraining })
+        }
+
+        @Test
+        fun `a draining and a deleted endpoint stay so`() {
+            apply(change(1, heartbeat = 100, isDraining = true))
+            applyHeartbeats()
+            assertEquals(listOf(true, true), bothEntries().map { it.isDraining })
+
+            apply(delete(40))
+            for (number in 1L..confirming) apply(change(50 + number, heartbeat = 9 + number))
+            assertTrue(listing.entries(10_000).isEmpty())
+        }
+
+        @Test
+        fun `a repeated or a descending record confirms nothing`() {
+            apply(change(1, heartbeat = 50, slots = 9))
+            repeat(confirming * 2) { apply(change(2, heartbeat = 7)) }
+            repeat(confirming * 2) { apply(change(3L + it, heartbeat = 49L - it)) }
+
+            assertEquals(9, listing.entries(0).single().slotCount)
+        }
+    }
+
     @Nested
     inner class Order {
         @Test
