--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -27,7 +27,8 @@
     private val channel = (socket as Selectable).channel as SocketChannel
     private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
     private var isWriterUsed = false
-    val source = ByteSource(socket.openReadChannel())
+    private val reader = socket.openReadChannel()
+    val source = ByteSource(reader)
 
     /** Number of completed requests on this connection. */
     var useCount = 0
@@ -44,12 +45,20 @@
         writer.flush()
     }
 
-    /** Closes the connection after everything that was written has been sent. */
-    fun close() = socket.close()
+    /**
+     * Closes the connection. Bytes that wait in either channel are dropped: the socket would stay
+     * open until they are read, or sent.
+     */
+    fun close() {
+        val cause = IOException("connection closed by this host")
+        writer.cancel(cause)
+        reader.cancel(cause)
+        socket.close()
+    }
 
     /**
-     * Resets the connection and discards what was written and not yet sent. [close] would go on
-     * sending a request that nobody waits for, and hold the connection until it is sent.
+     * Resets the connection and discards what was written and not yet sent, also in the kernel, as
+     * nobody waits for the response to it.
      */
     fun abort() {
         try {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -80,6 +80,7 @@
     private val clock: RuntimeClock
 ) {
     private val activity = EndpointActivity(clock)
+    private val budget = BufferBudget(MAX_BUFFERED_BYTES)
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
@@ -197,46 +198,57 @@
                 val metadata = headerCodec.decodeResponse(head)
                 val framing = HeadParser.responseFraming(head, request.head.method)
                 val reader = BodyReader(connection.source, framing)
-                if (metadata.requestId != null && metadata.requestId != call.requestId) {
-                    if (framing ==
-                        BodyFraming.UntilClose
-                    ) {
-                        fail("response to another request without a length")
-                    }
-                    reader.readAll(MAX_RESPONSE_BYTES)
-                    return@repeat
-                }
-                val result = when {
-                    metadata.isDeclined -> receiveDecline(head, reader)
-
-                    head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
+                val isFirstOnConnection = it == 0 && connection.useCount == 0
+                when (ResponseOwner.of(metadata.requestId, call.requestId, isFirstOnConnection)) {
+                    ResponseOwner.OtherRequest -> skip(framing, reader)
 
-                    isEventStream(head) && isAuthentic(metadata) ->
-                        receiveStream(head, reader, isFramed = framing != BodyFraming.UntilClose)
+                    ResponseOwner.Unknown -> fail("response without a request id")
 
-                    else -> receiveComplete(head, metadata, reader)
+                    ResponseOwner.ThisRequest -> {
+                        val isFramed = framing != BodyFraming.UntilClose
+                        val result = receiveOwn(head, metadata, reader, isFramed)
+                        if (isFramed && sending.isCompleted && it == 0) reusableHead = head
+                        return result
+                    }
                 }
-                val canReuse = framing != BodyFraming.UntilClose && sending.isCompleted && it == 0
-                if (canReuse) reusableHead = head
-                return result
             }
             fail("only responses to other requests")
         }
 
+        private suspend fun skip(framing: BodyFraming, reader: BodyReader) {
+            if (framing == BodyFraming.UntilClose) {
+                fail("response to another request without a length")
+            }
+            reader.skipAll(MAX_RESPONSE_BYTES)
+        }
+
+        private suspend fun receiveOwn(
+            head: ResponseHead,
+            metadata: ResponseMetadata,
+            reader: BodyReader,
+            isFramed: Boolean
+        ): ExchangeResult = when {
+            metadata.isDeclined -> receiveDecline(head, reader)
+            head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
+            isEventStream(head) && isAuthentic(metadata) -> receiveStream(head, reader, isFramed)
+            else -> receiveComplete(head, metadata, reader)
+        }
+
         private fun isAuthentic(metadata: ResponseMetadata): Boolean =
             metadata.isSigned && metadata.requestId == call.requestId
 
         private suspend fun readHead(): ResponseHead {
-            while (true) {
+            repeat(MAX_INTERIM_RESPONSES + 1) {
                 val bytes = connection.source.readHead(MAX_HEAD_BYTES)
                     ?: throw EOFException("connection closed")
                 val head = HeadParser.parseResponse(bytes)
                 if (head.status >= FIRST_FINAL_STATUS) return head
             }
+            fail("more than $MAX_INTERIM_RESPONSES interim responses")
         }
 
         private suspend fun receiveDecline(head: ResponseHead, reader: BodyReader): ExchangeResult {
-            reader.readAll(MAX_RESPONSE_BYTES)
+            reader.skipAll(MAX_DECLINE_BYTES)
             val reason = when (head.status) {
                 WRONG_ENDPOINT_STATUS -> DeclineReason.WRONG_ENDPOINT
                 else -> DeclineReason.FULL
@@ -249,8 +261,7 @@
             metadata: ResponseMetadata,
             reader: BodyReader
         ): ExchangeResult {
-            val body =
-                withInactivityTimeout("response stalled") { reader.readAll(MAX_RESPONSE_BYTES) }
+            val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
             if (relay.isStarted) fail("response is no stream although events were forwarded")
@@ -263,6 +274,15 @@
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true), response)
         }
 
+        private suspend fun readBody(reader: BodyReader): ByteArray {
+            val reservation = budget.Reservation()
+            try {
+                return reader.readAll(MAX_RESPONSE_BYTES) { reservation.add(it) }
+            } finally {
+                reservation.release()
+            }
+        }
+
         private suspend fun receiveStream(
             head: ResponseHead,
             reader: BodyReader,
@@ -335,6 +355,7 @@
     private fun isConnectionLost(failure: IOException): Boolean = when (failure) {
         is InvalidResponseException, is EventOrderException -> false
         is MalformedMessageException, is TooLongException -> false
+        is EventTooLongException, is BufferBudgetException -> false
         else -> true
     }
 
@@ -343,34 +364,41 @@
 
     private fun fail(message: String): Nothing = throw InvalidResponseException(message)
 
-    private companion object {
-        const val MAX_HEAD_BYTES = 16_384
-        const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
-        const val MAX_MISMATCHED_RESPONSES = 4
-        const val OK_STATUS = 200
-        const val FIRST_FINAL_STATUS = 200
-        const val FIRST_FAILURE_STATUS = 300
-        const val FIRST_SERVER_ERROR = 500
-        const val WRONG_ENDPOINT_STATUS = 421
+    companion object {
+        /** Less than a quarter of the heap of a gateway, 72 MB. */
+        const val MAX_BUFFERED_BYTES = 16L * 1_024 * 1_024
+
+        private const val MAX_HEAD_BYTES = 16_384
+        private const val MAX_RESPONSE_BYTES = 8 * 1_024 * 1_024
+
+        /** A refusal has a short explanation at most. */
+        private const val MAX_DECLINE_BYTES = 65_536
+        private const val MAX_INTERIM_RESPONSES = 8
+        private const val MAX_MISMATCHED_RESPONSES = 4
+        private const val OK_STATUS = 200
+        private const val FIRST_FINAL_STATUS = 200
+        private const val FIRST_FAILURE_STATUS = 300
+        private const val FIRST_SERVER_ERROR = 500
+        private const val WRONG_ENDPOINT_STATUS = 421
 
         /**
          * Statuses that tell the caller that its request was not executed. Without a decline of the
          * endpoint that is not known, so they are not forwarded.
          */
-        val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
-        val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
+        private val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
+        private val BODILESS_METHODS = setOf("GET", "HEAD", "DELETE", "OPTIONS")
 
         /**
          * Longest idle time of a connection for requests that may be executed at most once, in ms.
          * If the endpoint closes an older connection while the request is in flight, the request
          * fails, since it can't be retried.
          */
-        const val AT_MOST_ONCE_IDLE_MS = 3_000L
+        private const val AT_MOST_ONCE_IDLE_MS = 3_000L
 
         /** Half of the gap after which callers abandon a stream, in ms. */
-        const val STREAM_INACTIVITY_MS = 1_300L
+        private const val STREAM_INACTIVITY_MS = 1_300L
 
         /** Interval at which a stall is reported again, since another endpoint may be free, in ms. */
-        const val STALL_REPEAT_MS = 200L
+        private const val STALL_REPEAT_MS = 200L
     }
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
@@ -17,20 +17,11 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 
 /** Guards against a request that ends without an answer, since its attempt ends by an exception. */
 class EndpointExchangeTest {
-    private object SilentListener : AttemptListener {
-        override val commands = Channel<CallCommand>()
-
-        override fun onResponseStarted() = Unit
-
-        override fun onStalled() = Unit
-    }
-
     private val clock = RuntimeClock()
     private val selector = SelectorManager(Dispatchers.IO)
     private val exchange =
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -27,9 +27,18 @@
     /** Answers the request, then sends a second answer that belongs to no request. */
     public data object ExtraAnswer : RunnerFault
 
+    /**
+     * Runs the request and sends the refusal of an earlier request again, then the answer. The
+     * refusal names the request [id]; without an id it takes the place of the answer.
+     */
+    public data class RepeatedRefusal(public val id: String?) : RunnerFault
+
     /** Closes the connection in the middle of event [event] of the stream. */
     public data class BreakAt(public val event: Int) : RunnerFault
 
+    /** Runs the request and sends its answer so slowly that it never ends. */
+    public data object Trickle : RunnerFault
+
     /** Runs the request and answers with status 500. */
     public data object Fails : RunnerFault
 
@@ -135,11 +144,12 @@
         val request = readRequest(connection.input) ?: return false
         val fault = synchronized(faults) { faults.removeFirstOrNull() } ?: RunnerFault.None
         if (request.headers["expect-instance"] != id) {
-            connection.output.answer(WRONG_INSTANCE, "Instance-Id: $id\r\n", "")
+            val headers = "Attempt-Id: ${request.id}\r\nNot-Executed: 1\r\nInstance-Id: $id\r\n"
+            connection.output.answer(WRONG_INSTANCE, headers, "")
             return true
         }
         if (fault == RunnerFault.Full) {
-            connection.output.answer(UNAVAILABLE, "Not-Executed: 1\r\n", "")
+            connection.output.refuse(request.id)
             return true
         }
         runs += request
@@ -163,6 +173,15 @@
             connection.input.read()
             return RunEnd.CallerLeft
         }
+        if (fault is RunnerFault.RepeatedRefusal) {
+            connection.output.refuse(fault.id)
+            if (fault.id == null) return RunEnd.Answered(UNAVAILABLE)
+        }
+        if (fault == RunnerFault.Trickle) {
+            connection.output.trickle(
+                "HTTP/1.1 200 OK\r\n${sealHeaders}Content-Length: $TRICKLE_BYTES\r\n\r\n"
+            )
+        }
         if (fault == RunnerFault.Fails) {
             connection.output.answer(FAILURE, sealHeaders, "failed")
             return RunEnd.Answered(FAILURE)
@@ -244,6 +263,20 @@
         }
     }
 
+    /** Sends [head] and a body of [TRICKLE_BYTES], one byte at a time, until the caller closes. */
+    private fun OutputStream.trickle(head: String) {
+        write(head.toByteArray())
+        repeat(TRICKLE_BYTES) {
+            write('x'.code)
+            flush()
+            TimeUnit.MILLISECONDS.sleep(TRICKLE_GAP_MS)
+        }
+    }
+
+    /** Refuses the request [id] as the runner is full; null leaves the id out. */
+    private fun OutputStream.refuse(id: String?) =
+        answer(503, id?.let { "Attempt-Id: $it\r\n" }.orEmpty() + "Not-Executed: 1\r\n", "")
+
     private fun OutputStream.answer(status: Int, headers: String, body: String) {
         write(
             "HTTP/1.1 $status Status\r\n${headers}Content-Length: ${body.length}\r\n\r\n$body"
@@ -266,6 +299,8 @@
         private const val FAILURE = 500
         private const val UNAVAILABLE = 503
         private const val BACKLOG = 64
+        private const val TRICKLE_BYTES = 10_000
+        private const val TRICKLE_GAP_MS = 200L
         private const val HEX_RADIX = 16
 
         /** Time in which the receiver reads what was sent, since a reset discards the rest. */
