Keep the place of departed hosts in the groups

Callers of divided deployments would be placed by loads that miss some hosts for up to a minute. Cause (found by the review): groups are counted from the known hosts. A late report of a host that had left also brought it back as a live one for a minute. Change: departed hosts count for the division for ten minutes, but are neither members nor relays. A report of the incarnation that left is outdated.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -56,7 +56,7 @@
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
             is ForwardingInput.EndpointsChanged -> effects += endpoints.onEntries(input.entries)
             is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
-            is ForwardingInput.PeerLeft -> onPeerLeft(input.host)
+            is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
             ForwardingInput.Tick -> onTick(nowMs)
         }
         effects += quarantine.takeChanges()
@@ -353,8 +353,8 @@
         }
     }
 
-    private fun onPeerLeft(host: HostId) {
-        hostRegistry.onLeft(host)
+    private fun onPeerLeft(host: HostId, nowMs: Long) {
+        hostRegistry.onLeft(host, nowMs)
         endpoints.onPeerLoads(host, emptyMap())
         effects += ForwardingEffect.LogStateChange(host.value, "host-left", "graceful shutdown")
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
@@ -9,7 +9,7 @@
     private val hosts = mutableMapOf<HostId, Peer>()
 
     /** Hosts that are gone. The platform may still list them; only a report adds them again. */
-    private val gone = mutableSetOf<HostId>()
+    private val gone = mutableMapOf<HostId, GoneHost>()
 
     /** Hosts that are not known to be gone, this one included. */
     val knownCount: Int get() = hosts.size + 1
@@ -27,9 +27,14 @@
     /** Extra delay of reports that are relayed between groups, in ms. */
     private val relayDelayMs: Long get() = if (topology.isDivided) RELAY_DELAY_MS else 0
 
-    /** Recomputes the groups and returns to which hosts this one sends and relays reports. */
+    /**
+     * Recomputes the groups and returns to which hosts this one sends its reports. Hosts that are
+     * gone keep their place in the groups for a while, since some hosts learn of it later, and those
+     * that divide the hosts differently don't reach each other.
+     */
     fun plan(nowMs: Long): ReportPlan {
-        topology = ReportTopology(own, hosts.values.map { it.known })
+        val departed = gone.values.filter { nowMs - it.sinceMs < PLACE_KEPT_MS }.map { it.known }
+        topology = ReportTopology(own, hosts.values.map { it.known }, departed)
         return topology.plan(hosts.filterValues { isLive(it, nowMs) }.keys)
     }
 
@@ -44,6 +49,7 @@
     /** Records a report and returns whether it is new, and whether its host restarted. */
     fun onReport(report: HostLoadReport, nowMs: Long): ReportStatus {
         if (report.host == self) return ReportStatus.OUTDATED
+        if (gone[report.host]?.leftIncarnation == report.incarnation) return ReportStatus.OUTDATED
         val peer = hosts.getOrPut(report.host) {
             Peer(KnownHost(report.host, report.profile), nowMs)
         }
@@ -61,10 +67,10 @@
         return status
     }
 
-    /** [host] shut down gracefully. */
-    fun onLeft(host: HostId) {
-        hosts -= host
-        gone += host
+    /** [host] shut down gracefully. Its earlier reports may still arrive and change nothing. */
+    fun onLeft(host: HostId, nowMs: Long) {
+        val peer = hosts.remove(host) ?: return
+        gone[host] = GoneHost(peer.known, nowMs, peer.incarnation)
     }
 
     /** Hosts that have been silent so long that their load no longer counts. */
@@ -73,10 +79,10 @@
 
     /** Removes and returns the hosts that have been silent so long that they count as gone. */
     fun forgetGone(nowMs: Long): List<HostId> {
-        val forgotten = hosts.filterValues { nowMs - it.seenAtMs >= GONE_MS }.keys.toList()
-        hosts -= forgotten.toSet()
-        gone += forgotten
-        return forgotten
+        val forgotten = hosts.filterValues { nowMs - it.seenAtMs >= GONE_MS }
+        hosts -= forgotten.keys
+        for ((host, peer) in forgotten) gone[host] = GoneHost(peer.known, nowMs, null)
+        return forgotten.keys.toList()
     }
 
     private fun isLive(peer: Peer, nowMs: Long) =
@@ -88,6 +94,13 @@
         var hasReported = false
     }
 
+    /** A host that is gone; [leftIncarnation] is that of a process that shut down gracefully. */
+    private class GoneHost(
+        val known: KnownHost,
+        val sinceMs: Long,
+        val leftIncarnation: IncarnationId?
+    )
+
     private companion object {
         /** Twice the longest report interval, plus a margin for lost datagrams, in ms. */
         const val SILENT_MS = 2_400L
@@ -103,6 +116,9 @@
          * limits; afterwards both sides of a partition would each use the full limits.
          */
         const val GONE_MS = 60_000L
+
+        /** Several times the period after which a silent host is gone, in ms. */
+        const val PLACE_KEPT_MS = 600_000L
     }
 }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
@@ -43,13 +43,19 @@
 internal data class HostGroup(val domain: String, val index: Int)
 
 /**
- * Divides the hosts into groups, so that the reports that a host sends and receives do not grow
- * with the number of hosts. A few hosts form one group; more are divided within failure domains.
+ * Divides the hosts into groups, so that most reports that a host sends and receives do not grow
+ * with the number of hosts; those that it relays do, at a tenth of the rate. A few hosts form one
+ * group; more are divided within failure domains. Hosts that have departed count for the division.
  *
  * Load pattern: over a hundred small hosts in front of as many endpoints.
  */
-internal class ReportTopology(private val self: KnownHost, others: Collection<KnownHost>) {
-    private val hosts = others + self
+internal class ReportTopology(
+    private val self: KnownHost,
+    others: Collection<KnownHost>,
+    departed: Collection<KnownHost> = emptyList()
+) {
+    private val hosts = others + departed + self
+    private val departedIds = departed.map { it.id }.toSet()
     private val groupCounts: Map<String, Int> = hosts.groupingBy { it.profile.domain }.eachCount()
         .mapValues { (_, count) -> (count + MAX_GROUP_HOSTS - 1) / MAX_GROUP_HOSTS }
 
@@ -62,8 +68,8 @@
         val groups = hosts.groupBy { groupOf(it) }
         val own = groups.getValue(ownGroup)
         val rank = own.filter { it === self || it.id in live }.sortedWith(rankOrder).indexOf(self)
-        val relays = (groups - ownGroup).values.map { relayIn(it, live).id }.toSet()
-        return ReportPlan(own.map { it.id }.toSet() - self.id, rank, relays)
+        val relays = (groups - ownGroup).values.mapNotNull { relayIn(it, live)?.id }.toSet()
+        return ReportPlan(own.map { it.id }.toSet() - self.id - departedIds, rank, relays)
     }
 
     /**
@@ -89,9 +95,10 @@
      * Returns the host of [group] that forwards the reports of this one, by rendezvous hashing: each
      * host of the group gets a share of the other hosts in proportion to its capacity.
      */
-    private fun relayIn(group: List<KnownHost>, live: Set<HostId>): KnownHost {
-        val candidates = group.filter { it.id in live }.ifEmpty { group }
-        return candidates.maxBy { relayScore(it) }
+    private fun relayIn(group: List<KnownHost>, live: Set<HostId>): KnownHost? {
+        val candidates = group.filter { it.id in live }
+            .ifEmpty { group.filter { it.id !in departedIds } }
+        return candidates.maxByOrNull { relayScore(it) }
     }
 
     private fun relayScore(candidate: KnownHost): Double {
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ReportTopologyTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ReportTopologyTest.kt
@@ -94,6 +94,39 @@
         }
     }
 
+    @Nested
+    inner class Departures {
+        /** 49 hosts of a domain form three groups, 48 form two. */
+        private val all = (1..145).map {
+            val domain = if (it <= 49) {
+                "a"
+            } else if (it <= 97) {
+                "b"
+            } else {
+                "c"
+            }
+            KnownHost(HostId("host-$it"), HostProfile(domain, 0.25))
+        }
+        private val left = all.first()
+        private val stayed = all - left
+
+        /** Guards against hosts that stop hearing each other, since one learned of a departure late. */
+        @Test
+        fun `a host that knows of a departure is in the same group as one that does not`() {
+            val live = stayed.map { it.id }.toSet()
+            for (self in stayed) {
+                val late = ReportTopology(self, all - self).plan(live - self.id)
+                val informed = ReportTopology(
+                    self,
+                    stayed - self,
+                    listOf(left)
+                ).plan(live - self.id)
+                assertEquals(late.members - left.id, informed.members)
+                assertEquals(late.relays, informed.relays)
+            }
+        }
+    }
+
     @Nested
     inner class Endpoints {
         @Test
