Go on exchanging load reports after an exception

Cause (found by the review): an exception other than an IOException ended one of the three coroutines that exchange reports, and the host was deaf or mute until its restart; a socket that fails at each call was read in a loop without a delay. The last report of a leaving host was sent once, while later load reports could still follow it. Change: each step is guarded, logged as report-failed and repeated after 200 ms. The last report is sent three times, and no load report follows it. Result: no test; read and compiled.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -19,7 +19,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
@@ -56,6 +58,9 @@
     @Volatile
     private var lastReport: HostLoadReport? = null
 
+    @Volatile
+    private var isLeaving = false
+
     /** Number of hosts whose address is known, including this one. */
     val hostCount: Int get() = addresses.size + 1
 
@@ -67,7 +72,7 @@
      */
     fun publish(report: HostLoadReport?, plan: ReportPlan) {
         this.plan = plan
-        if (report == null) return
+        if (report == null || isLeaving) return
         lastReport = report
         outgoing.trySend(PeerDatagram.LoadReport(report, isLeaving = false))
     }
@@ -90,21 +95,22 @@
         listen: SocketAddressSetting
     ) {
         socket = aSocket(selector).udp().bind(InetSocketAddress(listen.ip, listen.port))
-        scope.launch { receive() }
-        scope.launch { for (datagram in outgoing) sendToGroup(datagram) }
+        scope.launch { while (isActive) guard("receive") { receive() } }
+        scope.launch { for (datagram in outgoing) guard("send") { sendToGroup(datagram) } }
         scope.launch {
             while (isActive) {
                 delay(RELAY_INTERVAL_MS)
-                forwardReports()
+                guard("forward") { forwardReports() }
             }
         }
     }
 
     /** Reports to the other hosts that this one stops and has no requests in flight. */
     suspend fun sendLeaving() {
+        isLeaving = true
         val last = lastReport ?: return
         val report = last.copy(sequence = last.sequence + 1, loads = emptyMap())
-        sendToGroup(PeerDatagram.LoadReport(report, isLeaving = true))
+        repeat(LEAVING_COUNT) { sendToGroup(PeerDatagram.LoadReport(report, isLeaving = true)) }
         forwardReports()
     }
 
@@ -138,14 +144,19 @@
     }
 
     private suspend fun receive() {
-        while (true) {
-            val datagram = try {
-                socket.receive()
-            } catch (e: IOException) {
-                eventLog.event("report-not-received", "reason" to e.message)
-                continue
-            }
-            onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
+        val datagram = socket.receive()
+        onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
+    }
+
+    /** Runs [step]; logs its exception and waits a moment, so that the exchange of reports goes on. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun guard(name: String, step: suspend () -> Unit) {
+        try {
+            step()
+        } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
+            eventLog.event("report-failed", "step" to name, "reason" to "$e")
+            delay(FAILURE_DELAY_MS)
         }
     }
 
@@ -202,6 +213,12 @@
          */
         const val RELAY_INTERVAL_MS = 1_000L
 
+        /** Datagrams are lost now and then, and a host that left counts as silent until it is gone. */
+        const val LEAVING_COUNT = 3
+
+        /** A socket that fails at each call may not keep a thread busy, in ms. */
+        const val FAILURE_DELAY_MS = 200L
+
         /** Keeps a bundle below a few kilobytes; the report of one host takes about 300 bytes. */
         const val MAX_BUNDLE_REPORTS = 12
     }
