Refuse a request only if its arrival was not handled

Cause (found by the review): when writing the log line of a decision failed, a request that was already dispatched got a refusal as well, which would say not run. Change: the exception of the controller and that of carrying out an effect are told apart. Result: ForwardingLoopTest is green. No such exception was seen.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -90,10 +90,12 @@
     }
 
     private fun handle(input: ForwardingInput) {
+        var effects = emptyList<ForwardingEffect>()
         val isHandled = guard(input.javaClass.simpleName) {
-            for (effect in controller.handle(input, clock.nowMs())) perform(effect)
+            effects = controller.handle(input, clock.nowMs())
         }
         if (!isHandled) endWaiting(input)
+        for (effect in effects) guard("effect") { perform(effect) }
     }
 
     private fun perform(effect: ForwardingEffect) {
