Log the reset of a caller's connection as a departure

Cause (found by the review): a reset ended the request with end=answered and status 0 in the log, so departures could not be told from requests without an answer. Change: a reset counts as the end of the connection.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -8,6 +8,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.invokeOnCompletion
 import io.ktor.utils.io.isCompleted
+import java.io.IOException
 import kotlinx.coroutines.DisposableHandle
 import kotlinx.coroutines.delay
 
@@ -36,7 +37,11 @@
     override fun onClose(action: () -> Unit): DisposableHandle =
         reading.invokeOnCompletion { _ -> action() }
 
-    override suspend fun awaitClose() = source.awaitClose()
+    override suspend fun awaitClose() = try {
+        source.awaitClose()
+    } catch (_: IOException) {
+        // A reset ends the connection like a close.
+    }
 
     /**
      * A host that is behind with its work may not have read the end of the connection yet, so the
