Answer requests whose admission fails by an exception

Callers would see their connection close without an answer or a log line. Change: the connection logs the exception as request-failed and answers 502. Result: CallerConnectionTest, a request whose admission fails gets 502, is green; before, the exception left serve().

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -11,6 +11,8 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Serves the requests on one connection of a caller in sequence. */
@@ -72,6 +74,7 @@
         return respond(request, response, caller) && !source.isOverrun
     }
 
+    @Suppress("TooGenericExceptionCaught")
     private suspend fun respond(
         request: BufferedRequest,
         response: CallerResponse,
@@ -80,26 +83,38 @@
         state.activeRequests.incrementAndGet()
         try {
             state.awaitSynced()
-            when (val admitted = admission.admit(request)) {
-                is CallAdmission.Result.Rejected -> {
-                    context.eventLog.rejected(
-                        admitted.requestId,
-                        admitted.status,
-                        admitted.reason,
-                        state.routing?.revision?.value
-                    )
-                    response.writeLocalReply(admitted.status, admitted.headers)
-                }
-
-                is CallAdmission.Result.Admitted ->
-                    CallSession(context, admitted.call, request, response).serve(caller)
-            }
+            admitAndServe(request, response, caller)
+        } catch (e: RuntimeException) {
+            currentCoroutineContext().ensureActive()
+            val origin = e.stackTrace.firstOrNull()
+            context.eventLog.event("request-failed", "reason" to "$e", "at" to "$origin")
+            if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
         } finally {
             state.activeRequests.decrementAndGet()
         }
         return response.isConnectionReusable
     }
 
+    private suspend fun admitAndServe(
+        request: BufferedRequest,
+        response: CallerResponse,
+        caller: CallerSocket
+    ) = when (val admitted = admission.admit(request)) {
+        is CallAdmission.Result.Rejected -> {
+            val revision = state.routing?.revision?.value
+            context.eventLog.rejected(
+                admitted.requestId,
+                admitted.status,
+                admitted.reason,
+                revision
+            )
+            response.writeLocalReply(admitted.status, admitted.headers)
+        }
+
+        is CallAdmission.Result.Admitted ->
+            CallSession(context, admitted.call, request, response).serve(caller)
+    }
+
     /**
      * Waits for the first byte of a request; returns false at the idle timeout, at the end or when
      * idle connections are closed. A longer timeout that comes into force meanwhile extends the
@@ -158,6 +173,7 @@
         state.isStopping || source.isOverrun || head.headers.hasToken("Connection", "close")
 
     private companion object {
+        const val BAD_GATEWAY = 502
         const val REQUEST_TIMEOUT = 408
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.routing.CallerLimits
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.RequestHead
 import io.ktor.network.selector.SelectorManager
 import kotlin.random.Random
 import kotlin.test.AfterTest
@@ -23,6 +24,8 @@
     private val state = GatewayState().apply { areEndpointsLoaded = true }
     private val selector = SelectorManager(Dispatchers.IO)
 
+    private var admissionCodec: HeaderCodec = BareHeaderCodec
+
     @AfterTest
     fun stop() = selector.close()
 
@@ -46,7 +49,7 @@
         val connections = EndpointConnections(selector, clock) { 1 }
         val exchange = EndpointExchange(connections, BareHeaderCodec, clock)
         val context = SessionContext(loop, exchange, eventLog, metrics, clock) { false }
-        val admission = CallAdmission(BareHeaderCodec, state, clock, Random(1))
+        val admission = CallAdmission(admissionCodec, state, clock, Random(1))
         return CallerConnection(context, admission, state)
     }
 
@@ -63,6 +66,23 @@
         return received.lines().first()
     }
 
+    @Nested
+    inner class UnexpectedExceptions {
+        private val failingCodec = object : HeaderCodec by BareHeaderCodec {
+            override fun decodeRequest(head: RequestHead): RequestMetadata =
+                throw IllegalStateException("unexpected")
+        }
+
+        /** Guards against a connection that closes without an answer, with no line in the log. */
+        @Test
+        fun `a request whose admission fails gets 502`() {
+            configure(IDLE_MS)
+            admissionCodec = failingCodec
+
+            assertEquals("HTTP/1.1 502 Bad Gateway", statusLine { it.send(request()) })
+        }
+    }
+
     @Nested
     inner class IdleTimeout {
         /** Guards against a request that gets no answer, since it arrived with the idle timeout. */
