Blame a prompt part sooner if the answers had begun

Cause: A part was quarantined only after crashes 2 s or more apart, because endpoints that fail all at once must not quarantine a part.

Change: A broken attempt says whether the head of the answer had arrived. Three crashes of that kind, 0.5 s or more apart, quarantine a part; that leaves time for the news that the other parts of these requests were answered. Without that evidence the rule is as before.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -35,7 +35,7 @@
         val endpoint: EndpointId = attempt.endpoint.entry.id
         requests.onOwnCrash(call.fingerprint, endpoint)
         if (outcome.isConnectionLost && !attempt.hasStarted) {
-            parts.onCrash(call.prompt, endpoint, nowMs)
+            parts.onCrash(call.prompt, endpoint, outcome.isAnswerBegun, nowMs)
         }
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -97,10 +97,12 @@
      *
      * @property isConnectionLost whether the endpoint closed or reset the connection; false if it
      * sent nothing for too long or sent an invalid answer
+     * @property isAnswerBegun whether the head of an answer had arrived
      */
     public data class Broken(
         public val reason: String,
-        public val isConnectionLost: Boolean = false
+        public val isConnectionLost: Boolean = false,
+        public val isAnswerBegun: Boolean = false
     ) : AttemptOutcome
 }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
@@ -16,12 +16,21 @@
     public val answeredAgoMs: Long?
 )
 
-/** The crash of [endpoint], [agoMs] before the report was made. */
-public data class PartCrash(public val endpoint: EndpointId, public val agoMs: Long)
+/**
+ * The crash of [endpoint], [agoMs] before the report was made.
+ *
+ * @property isAnswerBegun whether a request with the part had the head of its answer; few of the
+ * requests that a crash breaks have that without an event, mostly the one that caused it
+ */
+public data class PartCrash(
+    public val endpoint: EndpointId,
+    public val agoMs: Long,
+    public val isAnswerBegun: Boolean
+)
 
 /** Crashes and answers of one part of a prompt, as far as this host knows them. */
 internal class PartRecord {
-    private class Crash(val endpoint: EndpointId, var atMs: Long) {
+    private class Crash(val endpoint: EndpointId, var isAnswerBegun: Boolean, var atMs: Long) {
         fun isSame(other: Crash): Boolean =
             endpoint == other.endpoint && abs(atMs - other.atMs) < SAME_CRASH_MS
     }
@@ -44,7 +53,14 @@
 
     /** Whether the part has crashed several endpoints, not all at once, without an answer. */
     val isSuspect: Boolean
-        get() = crashes.size >= QUARANTINE_CRASHES && spanMs >= QUARANTINE_SPAN_MS
+        get() {
+            val begunCount = crashes.count { it.isAnswerBegun }
+            val minSpanMs =
+                if (begunCount >= QUARANTINE_CRASHES) BEGUN_SPAN_MS else QUARANTINE_SPAN_MS
+            return hasEnoughCrashes && spanMs >= minSpanMs
+        }
+
+    val hasEnoughCrashes: Boolean get() = crashes.size >= QUARANTINE_CRASHES
 
     /** Time without a crash after which the part is probed; each failed probe doubles it. */
     val lapseMs: Long get() = maxOf(MIN_LAPSE_MS, 2 * spanMs)
@@ -53,14 +69,16 @@
      * Adds a crash of [endpoint] at [atMs] and returns whether that changed the record. Reports of
      * one crash by several hosts, or on several ways, count once; the earliest time is the exact one.
      */
-    fun addCrash(endpoint: EndpointId, atMs: Long): Boolean {
+    fun addCrash(endpoint: EndpointId, isAnswerBegun: Boolean, atMs: Long): Boolean {
         if (isRefuted(atMs)) return false
-        val crash = Crash(endpoint, atMs)
+        val crash = Crash(endpoint, isAnswerBegun, atMs)
         val known = crashes.find { it.isSame(crash) }
         if (known != null) {
+            val isNewEvidence = isAnswerBegun && !known.isAnswerBegun
+            known.isAnswerBegun = known.isAnswerBegun || isAnswerBegun
             known.atMs = minOf(known.atMs, atMs)
             crashes.sortBy { it.atMs }
-            return false
+            return isNewEvidence
         }
         crashes += crash
         crashes.sortBy { it.atMs }
@@ -97,18 +115,20 @@
     /** Whether the record is too old to matter. */
     fun isExpired(nowMs: Long): Boolean {
         val lastMs = maxOf(lastCrashAtMs, answeredAtMs)
-        return nowMs - lastMs >= if (isSuspect) MAX_QUARANTINE_MS else MAX_SUSPICION_MS
+        return nowMs - lastMs >= if (hasEnoughCrashes) MAX_QUARANTINE_MS else MAX_SUSPICION_MS
     }
 
     fun toSuspectedPart(part: PromptPartId, nowMs: Long): SuspectedPart = SuspectedPart(
         part,
-        crashes.map { PartCrash(it.endpoint, nowMs - it.atMs) },
+        crashes.map { PartCrash(it.endpoint, nowMs - it.atMs, it.isAnswerBegun) },
         (nowMs - answeredAtMs).takeIf { answeredAtMs != NEVER_MS }
     )
 
     /** Evidence for the log. */
     fun describe(nowMs: Long): String {
-        val endpoints = crashes.joinToString(",") { it.endpoint.value }
+        val endpoints = crashes.joinToString(",") {
+            if (it.isAnswerBegun) "${it.endpoint} begun" else "${it.endpoint}"
+        }
         val answered = if (answeredAtMs == NEVER_MS) "never" else "${nowMs - answeredAtMs} ms ago"
         return "crashes ${crashes.size} in $spanMs ms [$endpoints], answered $answered"
     }
@@ -126,11 +146,17 @@
          */
         const val QUARANTINE_SPAN_MS = 2_000L
 
+        /**
+         * The same if the answers had begun, which blames the requests themselves, in ms: time for
+         * the news that their other parts were answered.
+         */
+        const val BEGUN_SPAN_MS = 500L
+
         /**
          * Crashes kept and reported: the last one and the first ones, which may have put parts of
          * other requests under suspicion.
          */
-        const val MAX_CRASHES = 5
+        const val MAX_CRASHES = 8
 
         /** Longer than a report is delayed by a frozen host; an endpoint restarts meanwhile, in ms. */
         const val SAME_CRASH_MS = 10_000L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -69,8 +69,8 @@
         val connection = connections.acquire(endpoint, maxIdleMs)
             ?: return ExchangeResult(AttemptOutcome.NotSent("no connection"))
         var isReusable = false
+        val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
         try {
-            val attempt = Attempt(call, request, dispatch, relay, onResponseStarted, connection)
             val result = attempt.run()
             attempt.reusableHead?.let { head ->
                 isReusable = true
@@ -83,7 +83,9 @@
             throw e
         } catch (e: IOException) {
             val reason = e.message ?: e.javaClass.simpleName
-            return ExchangeResult(AttemptOutcome.Broken(reason, isConnectionLost(e)))
+            return ExchangeResult(
+                AttemptOutcome.Broken(reason, isConnectionLost(e), attempt.isAnswerBegun)
+            )
         } finally {
             if (!isReusable) connection.close()
         }
@@ -103,6 +105,10 @@
         var reusableHead: ResponseHead? = null
             private set
 
+        /** Whether the head of the answer has arrived. */
+        var isAnswerBegun = false
+            private set
+
         suspend fun run(): ExchangeResult = coroutineScope {
             val sending = launch { send() }
             try {
@@ -161,6 +167,7 @@
                     reader.readAll(MAX_RESPONSE_BYTES)
                     return@repeat
                 }
+                isAnswerBegun = true
                 val result = when {
                     metadata.isDeclined -> receiveDecline(head, reader)
 
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -65,7 +65,9 @@
             SuspectedPartDocument(
                 suspected.part.value,
                 suspected.answeredAgoMs,
-                suspected.crashes.map { PartCrashDocument(it.endpoint.value, it.agoMs) }
+                suspected.crashes.map {
+                    PartCrashDocument(it.endpoint.value, it.agoMs, it.isAnswerBegun)
+                }
             )
         }
     )
@@ -89,7 +91,9 @@
         suspectedParts = document.suspectedParts.map { suspected ->
             SuspectedPart(
                 PromptPartId(suspected.part),
-                suspected.crashes.map { PartCrash(EndpointId(it.endpoint), it.agoMs) },
+                suspected.crashes.map {
+                    PartCrash(EndpointId(it.endpoint), it.agoMs, it.isAnswerBegun)
+                },
                 suspected.answeredAgoMs
             )
         }
@@ -151,4 +155,4 @@
 
 @Serializable
 @CborArray
-private class PartCrashDocument(val endpoint: String, val agoMs: Long)
+private class PartCrashDocument(val endpoint: String, val agoMs: Long, val isAnswerBegun: Boolean)
