Keep a quarantine when the times of its crashes become exact

Cause: Hosts learn the time of a crash by reports of different delay and keep the earliest.

Change: A quarantined part stays quarantined as long as it has enough crashes since its last answer.

Result: `PartCrashHistoryTest`, "a more exact time of a crash does not end the quarantine", was red without the change: "Expected value to be true". All tests of core, wire, daemon and platform pass.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PartCrashHistory.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PartCrashHistory.kt
@@ -114,7 +114,10 @@
      * one with more crashes explains those of the other, which only ran beside it.
      */
     private fun judge(nowMs: Long) {
-        val suspects = records.filterValues { it.isSuspect }
+        // Better estimates of the times of crashes do not end a quarantine.
+        val suspects = records.filter { (part, record) ->
+            record.isSuspect || (part in quarantined && record.hasEnoughCrashes)
+        }
         val next = suspects.filterValues { record ->
             suspects.values.none { it.explains(record) }
         }.keys.toSet()
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PartCrashHistoryTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PartCrashHistoryTest.kt
@@ -177,6 +177,17 @@
             assertFalse(peer.isQuarantined(deadly, 2_300))
         }
 
+        /** Guards against a quarantine that ends since another host knows the crashes more exactly. */
+        @Test
+        fun `a more exact time of a crash does not end the quarantine`() {
+            val nowMs = crash(3)
+            assertTrue(history.isQuarantined(deadly, nowMs))
+            val earlier = listOf(PartCrash(endpoint(2), 50, false))
+            history.onPeerReport(listOf(SuspectedPart(PromptPartId(66), earlier, null)), nowMs)
+
+            assertTrue(history.isQuarantined(prompt(7, 66, 5), nowMs))
+        }
+
         @Test
         fun `an answer at one host releases the part at the others`() {
             val nowMs = crash(3)
