--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -101,10 +101,10 @@
         val connection = connections.acquire(endpoint, maxIdleMs)
             ?: return ExchangeResult(AttemptOutcome.NotSent("no connection"))
         var isReusable = false
+        val attempt = Attempt(call, request, dispatch, relay, listener, connection)
         val closing = caller.onClose { connection.abort() }
         try {
             caller.confirmOpen()
-            val attempt = Attempt(call, request, dispatch, relay, listener, connection)
             val result = attempt.run()
             closing.dispose()
             val reusableHead = attempt.reusableHead
@@ -127,7 +127,9 @@
         } catch (e: IOException) {
             if (caller.isClosed) throw CallerDisconnectedException()
             val reason = e.message ?: e.javaClass.simpleName
-            return ExchangeResult(AttemptOutcome.Broken(reason, isConnectionLost(e)))
+            return ExchangeResult(
+                AttemptOutcome.Broken(reason, isConnectionLost(e), attempt.isAnswerBegun)
+            )
         } finally {
             closing.dispose()
             if (!isReusable) connection.abort()
@@ -148,6 +150,10 @@
         var reusableHead: ResponseHead? = null
             private set
 
+        /** Whether the head of the answer has arrived. */
+        var isAnswerBegun = false
+            private set
+
         suspend fun run(): ExchangeResult = coroutineScope {
             val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
             try {
@@ -205,6 +211,7 @@
                     ResponseOwner.Unknown -> fail("response without a request id")
 
                     ResponseOwner.ThisRequest -> {
+                        isAnswerBegun = true
                         val isFramed = framing != BodyFraming.UntilClose
                         val result = receiveOwn(head, metadata, reader, isFramed)
                         if (isFramed && sending.isCompleted && it == 0) reusableHead = head
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -80,7 +80,9 @@
             SuspectedPartDocument(
                 suspected.part.value,
                 suspected.answeredAgoMs,
-                suspected.crashes.map { PartCrashDocument(it.endpoint.value, it.agoMs) }
+                suspected.crashes.map {
+                    PartCrashDocument(it.endpoint.value, it.agoMs, it.isAnswerBegun)
+                }
             )
         }
     )
@@ -104,7 +106,9 @@
         suspectedParts = document.suspectedParts.map { suspected ->
             SuspectedPart(
                 PromptPartId(suspected.part),
-                suspected.crashes.map { PartCrash(EndpointId(it.endpoint), it.agoMs) },
+                suspected.crashes.map {
+                    PartCrash(EndpointId(it.endpoint), it.agoMs, it.isAnswerBegun)
+                },
                 suspected.answeredAgoMs
             )
         }
@@ -166,4 +170,4 @@
 
 @Serializable
 @CborArray
-private class PartCrashDocument(val endpoint: String, val agoMs: Long)
+private class PartCrashDocument(val endpoint: String, val agoMs: Long, val isAnswerBegun: Boolean)
