--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakChecks.kt
@@ -98,8 +98,9 @@
         val wasPassedOn = lost.hasStatus || ran.isNotEmpty()
         val isCut = wasPassedOn || (lost.isRequestSent && tookMs > CLOSE_RACE_MS)
         val isTimeUp = request.endedAtMs - request.sentAtMs >= log.shortestTimeoutMs
-        val isBrokenOff = request.kind == RequestKind.CHAT && isDisturbed(RUNNERS, request)
-        val isBound = isUndisturbed(request) && !isBrokenOff && !isTimeUp
+        val isBrokenOff =
+            request.kind == RequestKind.CHAT && (isTimeUp || isDisturbed(RUNNERS, request))
+        val isBound = isUndisturbed(request) && !isBrokenOff
         return "cut without a whole answer after $tookMs ms".takeIf { isCut && isBound }
     }
 
