Note the close of a caller as soon as either side sees it

The session saw the end of the channel before the job that reads the socket was complete, which notes the time, so goneMs was missing. Change: the time is noted at whichever comes first, and the caller counts as closed from then on.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -29,18 +29,26 @@
     val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     init {
-        onClose { closedAtMs = clock.nowMs() }
+        onClose { markClosed() }
     }
 
-    override val isClosed: Boolean get() = reading.isCompleted
+    override val isClosed: Boolean get() = closedAtMs != null || reading.isCompleted
 
     override fun onClose(action: () -> Unit): DisposableHandle =
         reading.invokeOnCompletion { _ -> action() }
 
-    override suspend fun awaitClose() = try {
-        source.awaitClose()
-    } catch (_: IOException) {
-        // A reset ends the connection like a close.
+    override suspend fun awaitClose() {
+        try {
+            source.awaitClose()
+        } catch (_: IOException) {
+            // A reset ends the connection like a close.
+        }
+        markClosed()
+    }
+
+    /** The end is seen in the channel shortly before or after the job that reads is complete. */
+    private fun markClosed() {
+        if (closedAtMs == null) closedAtMs = clock.nowMs()
     }
 
     /**
