Say what grows with the hosts in the relaying of reports

Cause (found by the review): the comments said that reports do not grow with the number of hosts and take 300 bytes; relayed ones grow, and take up to 900.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
@@ -43,9 +43,9 @@
 internal data class HostGroup(val domain: String, val index: Int)
 
 /**
- * Divides the hosts into groups, so that most reports that a host sends and receives do not grow
- * with the number of hosts; those that it relays do, at a tenth of the rate. A few hosts form one
- * group; more are divided within failure domains. Hosts that have departed count for the division.
+ * Divides the hosts into groups. A few hosts form one group; more are divided within failure domains,
+ * so that the number of hosts to which one sends its reports is bounded. What a host relays grows
+ * with the number of hosts and is spread over all of them. Departed hosts count for the division.
  *
  * Load pattern: over a hundred small hosts in front of as many endpoints.
  */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -219,7 +219,7 @@
         /** A socket that fails at each call may not keep a thread busy, in ms. */
         const val FAILURE_DELAY_MS = 200L
 
-        /** Keeps a bundle below a few kilobytes; the report of one host takes about 300 bytes. */
-        const val MAX_BUNDLE_REPORTS = 12
+        /** Keeps a bundle below a few kilobytes; the report of one host takes 300 to 900 bytes. */
+        const val MAX_BUNDLE_REPORTS = 6
     }
 }
