--- /dev/null
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayRunnerFaultTest.kt
@@ -0,0 +1,151 @@
+package cowslipcart.systemtest
+
+import cowslipcart.standins.platform.RunnerFault
+import cowslipcart.standins.platform.RunnerServer
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Nested
+
+/** Tests gateway processes whose runners lose, repeat, break off or refuse answers. */
+class GatewayRunnerFaultTest {
+    private val cluster = GatewayCluster()
+    private val chat =
+        listOf("Token-Count" to "600,80", "Model" to "m", "Prompt-Prefix" to "a1:600")
+
+    @AfterTest
+    fun stop() = cluster.close()
+
+    private suspend fun startReadyGateway(): GatewayHandle {
+        cluster.publish()
+        return cluster.startGateway("gateway").also { it.awaitReady() }
+    }
+
+    @Nested
+    inner class RunnerFaults {
+        @Test
+        fun `a request that runs once is not repeated when its answer is lost`(): Unit =
+            runBlocking {
+                val runners = listOf("desk-1", "desk-2").map { cluster.startRunner(it, "desk") }
+                val gateway = startReadyGateway()
+                runners.forEach { it.faults += RunnerFault.AnswerLost }
+
+                assertEquals(502, gateway.send("/order/1").status)
+                assertEquals(1, runners.sumOf { it.runs.size })
+            }
+
+        @Test
+        fun `a read is repeated at another runner`(): Unit = runBlocking {
+            val runners = listOf("desk-1", "desk-2").map { cluster.startRunner(it, "desk") }
+            val gateway = startReadyGateway()
+            runners.forEach { it.faults += RunnerFault.Fails }
+            runners.first().faults.clear()
+
+            val answers = (1..2).map { gateway.send("/read/$it", "GET", null).status }
+            assertEquals(listOf(200, 200), answers)
+        }
+
+        @Test
+        fun `a stream that breaks within an event goes on at another runner`(): Unit = runBlocking {
+            val runners = listOf("model-1", "model-2").map { cluster.startRunner(it, "model") }
+            val gateway = startReadyGateway()
+            runners.forEach { it.faults += RunnerFault.BreakAt(5) }
+            runners.first().faults.clear()
+
+            repeat(2) {
+                val stream = gateway.send("/chat/$it", headers = chat)
+                val ids = Regex("id: (\\d+)").findAll(stream.body).map { it.groupValues[1] }
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids.toList())
+            }
+        }
+
+        /** Guards against a stream cut off inside an event that is forwarded as complete. */
+        @Test
+        fun `a stream that ends with its connection within an event is resumed`(): Unit =
+            runBlocking {
+                val ids = idsAfter(RunnerFault.Unframed(brokenEvent = 5))
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+            }
+
+        @Test
+        fun `a stream that ends with its connection after its last event is complete`(): Unit =
+            runBlocking {
+                val ids = idsAfter(RunnerFault.Unframed())
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+            }
+
+        @Test
+        fun `a stream without a length whose connection is reset is resumed`(): Unit = runBlocking {
+            val ids = idsAfter(RunnerFault.UnframedReset(5))
+            assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids)
+        }
+
+        /** Returns the ids in a stream whose first runner has [fault]. */
+        private suspend fun idsAfter(fault: RunnerFault): List<String> {
+            val runners = listOf("model-1", "model-2").map { cluster.startRunner(it, "model") }
+            val gateway = startReadyGateway()
+            gateway.send("/chat/1", headers = chat)
+            // The second request goes to the runner that holds its prompt.
+            val holder = runners.single { it.runs.isNotEmpty() }
+            holder.faults += fault
+            val stream = gateway.send("/chat/2", headers = chat)
+            assertTrue(holder.faults.isEmpty(), "expected a run with $fault")
+            return Regex("(?m)^id: (\\d+)$").findAll(stream.body).map { it.groupValues[1] }.toList()
+        }
+
+        @Test
+        fun `an extra answer on a keep-alive connection reaches no caller`(): Unit = runBlocking {
+            val desk = cluster.startRunner("desk-1", "desk")
+            val gateway = startReadyGateway()
+            desk.faults += RunnerFault.ExtraAnswer
+
+            repeat(3) {
+                val answer = gateway.send("/read/$it", "GET", null)
+                assertEquals(200, answer.status)
+                assertTrue(answer.body.startsWith("answer of desk-1 to a"))
+            }
+        }
+
+        @Test
+        fun `a request that a full runner refuses gets 503 and does not run`(): Unit = runBlocking {
+            val desk = cluster.startRunner("desk-1", "desk")
+            val gateway = startReadyGateway()
+            desk.faults += RunnerFault.Full
+
+            val answer = gateway.send("/order/1")
+            assertEquals(503, answer.status)
+            assertTrue(desk.runs.isEmpty())
+            assertTrue("Retry-After" in answer.headers)
+        }
+    }
+
+    @Nested
+    inner class RepeatedRefusals {
+        /** Guards against "not run" for an order that a runner has run. */
+        @Test
+        fun `an order that meets the refusal of an earlier one is not called refused`(): Unit =
+            runBlocking {
+                val desk = cluster.startRunner("desk-1", "desk")
+                val gateway = startReadyGateway()
+                desk.faults += listOf(RunnerFault.Full, RunnerFault.RepeatedRefusal(null))
+
+                assertEquals(503, gateway.send("/order/1").status)
+                assertEquals(502, gateway.send("/order/2").status)
+                assertEquals(1, desk.runs.size)
+            }
+
+        @Test
+        fun `an order is answered after the refusal of an earlier one that names it`(): Unit =
+            runBlocking {
+                val desk = cluster.startRunner("desk-1", "desk")
+                val gateway = startReadyGateway()
+                desk.faults += listOf(RunnerFault.Full, RunnerFault.RepeatedRefusal("earlier"))
+
+                assertEquals(503, gateway.send("/order/1").status)
+                assertEquals(200, gateway.send("/order/2").status)
+                assertEquals(1, desk.runs.size)
+            }
+    }
+}
