--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
@@ -29,8 +29,8 @@
 
     /**
      * Recomputes the groups and returns to which hosts this one sends its reports. Hosts that are
-     * gone keep their place in the groups for a while, since some hosts learn of it later, and those
-     * that divide the hosts differently don't reach each other.
+     * gone keep their place in the groups for a while, since some hosts learn of it later, and
+     * those that divide the hosts differently don't reach each other.
      */
     fun plan(nowMs: Long): ReportPlan {
         val departed = gone.values.filter { nowMs - it.sinceMs < PLACE_KEPT_MS }.map { it.known }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
@@ -67,7 +67,8 @@
 
     /**
      * Adds a crash of [endpoint] at [atMs] and returns whether that changed the record. Reports of
-     * one crash by several hosts, or on several ways, count once; the earliest time is the exact one.
+     * one crash by several hosts, or on several ways, count once; the earliest time is the exact
+     * one.
      */
     fun addCrash(endpoint: EndpointId, isAnswerBegun: Boolean, atMs: Long): Boolean {
         if (isRefuted(atMs)) return false
@@ -140,9 +141,9 @@
         const val QUARANTINE_CRASHES = 3
 
         /**
-         * Least time between the first and the last crash, in ms. Endpoints that fail together do so
-         * within less, and a harmless part is answered elsewhere meanwhile; news of a crash or of an
-         * answer takes up to 1.2 s by relays.
+         * Least time between the first and the last crash, in ms. Endpoints that fail together do
+         * so within less, and a harmless part is answered elsewhere meanwhile; news of a crash or
+         * of an answer takes up to 1.2 s by relays.
          */
         const val QUARANTINE_SPAN_MS = 2_000L
 
@@ -158,7 +159,9 @@
          */
         const val MAX_CRASHES = 8
 
-        /** Longer than a report is delayed by a frozen host; an endpoint restarts meanwhile, in ms. */
+        /**
+         * Longer than a report is delayed by a frozen host; an endpoint restarts meanwhile, in ms.
+         */
         const val SAME_CRASH_MS = 10_000L
 
         /** A part that crashes endpoints comes back within this time, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ReportPlan.kt
@@ -43,9 +43,10 @@
 internal data class HostGroup(val domain: String, val index: Int)
 
 /**
- * Divides the hosts into groups. A few hosts form one group; more are divided within failure domains,
- * so that the number of hosts to which one sends its reports is bounded. What a host relays grows
- * with the number of hosts and is spread over all of them. Departed hosts count for the division.
+ * Divides the hosts into groups. A few hosts form one group; more are divided within failure
+ * domains, so that the number of hosts to which one sends its reports is bounded. What a host
+ * relays grows with the number of hosts and is spread over all of them. Departed hosts count for
+ * the division.
  *
  * Load pattern: over a hundred small hosts in front of as many endpoints.
  */
@@ -92,8 +93,8 @@
         Math.floorMod(hash, groupCounts[domain] ?: 1)
 
     /**
-     * Returns the host of [group] that forwards the reports of this one, by rendezvous hashing: each
-     * host of the group gets a share of the other hosts in proportion to its capacity.
+     * Returns the host of [group] that forwards the reports of this one, by rendezvous hashing:
+     * each host of the group gets a share of the other hosts in proportion to its capacity.
      */
     private fun relayIn(group: List<KnownHost>, live: Set<HostId>): KnownHost? {
         val candidates = group.filter { it.id in live }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Main.kt
@@ -11,9 +11,12 @@
     val command = DaemonCommand()
     try {
         command.parse(args)
-    } catch (e: CliktError) {
+    } catch (e: UsageError) {
         command.echoFormattedHelp(e)
         // An unknown flag exits like an invalid value of a flag.
-        exitProcess(if (e is UsageError) EXIT_BAD_SETTINGS else e.statusCode)
+        exitProcess(EXIT_BAD_SETTINGS)
+    } catch (e: CliktError) {
+        command.echoFormattedHelp(e)
+        exitProcess(e.statusCode)
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -53,7 +53,8 @@
 
     /**
      * A host that is behind with its work may not have read the end of the connection yet, so the
-     * kernel is asked. Bytes that wait there are read first, since an end is found only behind them.
+     * kernel is asked. Bytes that wait there are read first, since an end is found only behind
+     * them.
      */
     override suspend fun confirmOpen() {
         val knownBytes = source.receivedBytes
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -194,7 +194,9 @@
         const val MS_PER_S = 1_000L
         const val PERCENT = 100L
 
-        /** Share of the stated timeout that is used, since the endpoint may close a little early. */
+        /**
+         * Share of the stated timeout that is used, since the endpoint may close a little early.
+         */
         const val IDLE_SAFETY_PERCENT = 60L
 
         /** Idle time for endpoints that state no timeout, in ms. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -160,7 +160,9 @@
                 Thread(task, "control").apply { isDaemon = true }
             }.asCoroutineDispatcher()
 
-        /** Interval of load reports, in ms; bounds the age of the loads on which other hosts decide. */
+        /**
+         * Interval of load reports, in ms; bounds the age of the loads on which other hosts decide.
+         */
         const val REPORT_INTERVAL_MS = 200L
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -130,7 +130,8 @@
 
     /**
      * Closes the listener and the idle connections of callers, so that a request that crosses the
-     * close ends at once. Requests that are being read are refused until all connections are closed.
+     * close ends at once. Requests that are being read are refused until all connections are
+     * closed.
      */
     private suspend fun closeCallerConnections(endMs: Long) {
         frontListener?.cancelAndJoin()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -38,8 +38,8 @@
 
 /**
  * Exchanges load reports and store updates with the other hosts of the group, in datagrams, and
- * forwards the load reports of some hosts of other groups to it. Lost datagrams are not resent, since load reports hold
- * totals and store updates cover the last seconds.
+ * forwards the load reports of some hosts of other groups to it. Lost datagrams are not resent,
+ * since load reports hold totals and store updates cover the last seconds.
  */
 internal class PeerReports(
     private val self: HostId,
@@ -148,7 +148,9 @@
         onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
     }
 
-    /** Runs [step]; logs its exception and waits a moment, so that the exchange of reports goes on. */
+    /**
+     * Runs [step]; logs its exception and waits a moment, so that the exchange of reports goes on.
+     */
     @Suppress("TooGenericExceptionCaught")
     private suspend fun guard(name: String, step: suspend () -> Unit) {
         try {
@@ -213,7 +215,9 @@
          */
         const val RELAY_INTERVAL_MS = 1_000L
 
-        /** Datagrams are lost now and then, and a host that left counts as silent until it is gone. */
+        /**
+         * Datagrams are lost now and then, and a host that left counts as silent until it is gone.
+         */
         const val LEAVING_COUNT = 3
 
         /** A socket that fails at each call may not keep a thread busy, in ms. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ReadProbe.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ReadProbe.kt
@@ -14,8 +14,8 @@
 }
 
 /**
- * Probe with a selector of its own. Ktor's selector answers only in its turn, and the coroutine that
- * reads the socket runs in its own.
+ * Probe with a selector of its own. Ktor's selector answers only in its turn, and the coroutine
+ * that reads the socket runs in its own.
  */
 internal class SelectorReadProbe : ReadProbe {
     private val selector = Selector.open()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -39,8 +39,8 @@
     private val bufferedCount: Int get() = end - start
 
     /**
-     * Waits for more bytes; returns false at the end of the connection. Throws an IOException if the
-     * connection was reset.
+     * Waits for more bytes; returns false at the end of the connection. Throws an IOException if
+     * the connection was reset.
      */
     suspend fun fill(): Boolean {
         // A read does not suspend, and so is not cancelled, while the peer sends fast enough.
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
@@ -35,8 +35,8 @@
     private val idleByPurpose = ConcurrentHashMap<String, Idle>()
 
     /**
-     * Sends [request] on the connection for [purpose]. Returns null if the connection fails or there
-     * is no response within [timeoutMs].
+     * Sends [request] on the connection for [purpose]. Returns null if the connection fails or
+     * there is no response within [timeoutMs].
      */
     public suspend fun send(purpose: String, request: HttpRequest, timeoutMs: Long): HttpResponse? {
         val server = address()
--- a/standins/src/main/kotlin/cowslipcart/standins/engine/EngineRequest.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/engine/EngineRequest.kt
@@ -29,7 +29,8 @@
  *
  * @property prefillTokens prompt tokens read so far, cached ones included
  * @property cachedTokens prompt tokens taken from the prefix cache
- * @property outputTokens tokens generated so far; the stream can be resumed from 0 up to this number
+ * @property outputTokens tokens generated so far; the stream can be resumed from
+ * 0 up to this number
  */
 public data class CancelledStream(
     public val id: RequestId,
--- a/standins/src/main/kotlin/cowslipcart/standins/http/ChatJson.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/ChatJson.kt
@@ -77,8 +77,8 @@
     private val createdS: Long
 ) {
     /**
-     * Returns null for a cancelled stream: it ends without a chunk, as an additional sequence number
-     * would leave a gap between the last token and the first one after a resume.
+     * Returns null for a cancelled stream: it ends without a chunk, as an additional sequence
+     * number would leave a gap between the last token and the first one after a resume.
      */
     fun build(item: StreamItem): ChunkJson? = when (item) {
         is StreamItem.Token -> ChunkJson(
--- a/standins/src/main/kotlin/cowslipcart/standins/http/EngineRuntime.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/http/EngineRuntime.kt
@@ -39,7 +39,9 @@
     data object Cancelled : StreamItem
 }
 
-/** Output of one run of a stream; [items] ends after the last item, or fails if the engine crashes. */
+/**
+ * Output of one run of a stream; [items] ends after the last item, or fails if the engine crashes.
+ */
 internal class StreamOutput(val id: RequestId, val prompt: ChatPrompt) {
     val channel = Channel<StreamItem>(Channel.UNLIMITED)
     val items: ReceiveChannel<StreamItem> get() = channel
--- a/standins/src/main/kotlin/cowslipcart/standins/load/LoadStatistics.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/load/LoadStatistics.kt
@@ -50,7 +50,9 @@
     @SerialName("check_failures_by_type") val checkFailuresByType: Map<String, Int>
 )
 
-/** Collects the outcomes of a group of requests. Answers with a fault are counted as answered too. */
+/**
+ * Collects the outcomes of a group of requests. Answers with a fault are counted as answered too.
+ */
 internal class LoadStatistics {
     private var offeredCount = 0
     private var answeredCount = 0
--- a/wire/src/test/kotlin/cowslipcart/wire/peer/PeerProtocolTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/peer/PeerProtocolTest.kt
@@ -126,7 +126,8 @@
 
         @Test
         fun `a frame of a host that knows version 1 only is read`() {
-            // {"v": 1, "f": "a", "m": bytes of ["ping-request", {"t": "b"}]}, as version 1 wrote it.
+            // {"v": 1, "f": "a", "m": bytes of ["ping-request", {"t": "b"}]}, as version 1 wrote
+            // it.
             val hex = "a361760161666161616d53826c70696e672d72657175657374a161746162"
 
             val decoded = decode(HexFormat.of().parseHex(hex)).getOrNull()
