Heed endpoints that leave or ask for a backoff in their answers

Cause: an endpoint that said in its answers that it leaves (`Server-Leaving`), or that refused with a time to stay away (`Retry-After`), got requests as before. Change: LeavingEndpoints keeps the leave of a start of an endpoint whatever the store lists, until a new start is listed; reports tell the other hosts of it as long as the store calls it ready. An endpoint in a backoff is no capacity: it is not chosen, its slots are not free, and if all back off the caller is told when to return. The returns of the hosts are spread over a quarter of the time, at most 300 ms. Unreadable values are logged, endless ones bounded at ten minutes. The stand-in of the runner, the emulator (EngineNotice) and the soak (SoakNotices) know both; the soak checks both from what runners got.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -42,13 +42,20 @@
 
     /**
      * Returns the retry delay for the caller of a refused request, in ms, or null if too little
-     * time is left for a retry. [jitter], from 0 to 1, spreads the retries.
+     * time is left for a retry. [jitter], from 0 to 1, spreads the retries. No endpoint takes the
+     * request before [earliestMs], so that the delay ends later if the caller can wait so long.
      */
-    fun retryAfterMs(call: ForwardedCall, jitter: Double, nowMs: Long): Long? {
+    fun retryAfterMs(
+        call: ForwardedCall,
+        jitter: Double,
+        nowMs: Long,
+        earliestMs: Long = nowMs
+    ): Long? {
         val remainingMs = call.deadlineAtMs - nowMs
         val longestMs = remainingMs / WAIT_DIVISOR
         if (longestMs < MIN_RETRY_AFTER_MS) return null
-        val shortestMs = maxOf(MIN_RETRY_AFTER_MS, longestMs / MIN_RETRY_DIVISOR)
+        val usualMs = maxOf(MIN_RETRY_AFTER_MS, longestMs / MIN_RETRY_DIVISOR)
+        val shortestMs = (earliestMs - nowMs).coerceIn(usualMs, longestMs)
         return shortestMs + ((longestMs - shortestMs) * jitter).toLong()
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -79,6 +79,13 @@
                 true
             }
 
+            is PlacementResult.BackingOff -> {
+                val isOver = result.untilMs > state.waitUntilMs || nowMs >= state.waitUntilMs
+                val afterMs = retryAfterMs(call, nowMs, result.untilMs)
+                if (isOver) end(state, RefusalReason.OVERLOADED, afterMs, nowMs)
+                isOver
+            }
+
             PlacementResult.Full -> {
                 val isOver = nowMs >= state.waitUntilMs
                 if (isOver) end(state, RefusalReason.OVERLOADED, retryAfterMs(call, nowMs), nowMs)
@@ -294,8 +301,9 @@
         known.effects += ForwardingEffect.Command(state.call, command, context)
     }
 
-    private fun retryAfterMs(call: ForwardedCall, nowMs: Long): Long? =
-        AdmissionRule.retryAfterMs(call, random.nextDouble(), nowMs)
+    /** Returns the retry delay for a caller; a retry before [earliestMs] can't be served. */
+    private fun retryAfterMs(call: ForwardedCall, nowMs: Long, earliestMs: Long = nowMs): Long? =
+        AdmissionRule.retryAfterMs(call, random.nextDouble(), nowMs, earliestMs)
 
     fun onCallClosed(id: CallId) {
         val state = calls[id] ?: return
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRegistry.kt
@@ -9,6 +9,7 @@
     private val byId = mutableMapOf<EndpointId, TrackedEndpoint>()
     private var byPool = mapOf<PoolId, List<TrackedEndpoint>>()
     private val peerLoads = mutableMapOf<HostId, Map<EndpointId, HostLoad>>()
+    private val leaving = LeavingEndpoints()
 
     fun inPool(pool: PoolId): List<TrackedEndpoint> = byPool[pool].orEmpty()
 
@@ -48,8 +49,12 @@
                 if (known.entry.isDraining != entry.isDraining) {
                     changes += change(entry.id, "endpoint-draining", "${entry.isDraining}")
                 }
+                if (known.isLeaving && !leaving.isLeaving(entry)) {
+                    changes += change(entry.id, "endpoint-restarted", "start ${entry.startedAtMs}")
+                }
                 known.entry = entry
             }
+            byId.getValue(entry.id).isLeaving = leaving.isLeaving(entry)
         }
         byPool = byId.values.groupBy { it.entry.pool }
         return changes
@@ -63,6 +68,22 @@
         for ((id, load) in loads) byId[id]?.onPeerLoad(host, load)
     }
 
+    /** Takes [endpoint] out of service; [source] says who learned of it. Returns the change. */
+    fun onLeaving(
+        endpoint: LeavingEndpoint,
+        source: String,
+        nowMs: Long
+    ): ForwardingEffect.LogStateChange? {
+        if (!leaving.add(endpoint, nowMs)) return null
+        byId[endpoint.id]?.let { it.isLeaving = leaving.isLeaving(it.entry) }
+        return change(endpoint.id, "endpoint-leaving", "told by $source")
+    }
+
+    /** The endpoints of which this host tells the others that they leave. */
+    fun leavingToReport(nowMs: Long): List<LeavingEndpoint> = leaving.toReport(nowMs) { id ->
+        byId[id]?.let { it.isLeaving && !it.entry.isDraining } ?: false
+    }
+
     private fun addPeerLoads(endpoint: TrackedEndpoint) {
         for ((host, loads) in peerLoads) {
             loads[endpoint.entry.id]?.let { endpoint.onPeerLoad(host, it) }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -164,6 +164,8 @@
  *
  * @property domain failure domain
  * @property slotCount requests that the endpoint runs at the same time
+ * @property startedAtMs wall-clock time of its start, which tells it from an earlier one; 0 if
+ * unknown
  */
 public data class EndpointEntry(
     public val id: EndpointId,
@@ -172,7 +174,8 @@
     public val port: Int,
     public val domain: String,
     public val slotCount: Int,
-    public val isDraining: Boolean
+    public val isDraining: Boolean,
+    public val startedAtMs: Long = 0
 ) {
     /** Whether the port exists and the number of slots is one that an endpoint can have. */
     public val isInRange: Boolean get() = port in PORTS && slotCount in SLOT_COUNTS
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -28,8 +28,10 @@
     random: Random
 ): ForwardingController = DefaultForwardingController(settings, random)
 
-private class DefaultForwardingController(settings: ForwardingSettings, random: Random) :
-    ForwardingController {
+private class DefaultForwardingController(
+    settings: ForwardingSettings,
+    private val random: Random
+) : ForwardingController {
     private val known = ForwardingState(settings)
     private val calls = CallScheduler(known, random)
 
@@ -50,6 +52,11 @@
             is ForwardingInput.EndpointsChanged ->
                 known.effects += known.endpoints.onEntries(input.entries)
 
+            is ForwardingInput.EndpointLeaving ->
+                onLeaving(input.endpoint, "its answer", nowMs)
+
+            is ForwardingInput.BackoffRequested -> onBackoffRequested(input, nowMs)
+
             is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
@@ -94,11 +101,30 @@
         known.endpoints.onTokenTimes(report.msPerToken)
         known.quotas.onPeerUse(report.host, report.unitsUsed, isRestarted)
         known.quarantine.onPeerReport(report, isRestarted, nowMs)
+        for (endpoint in report.leavingEndpoints) onLeaving(endpoint, report.host.value, nowMs)
         for (read in report.prefilledParts) {
             known.cacheIndex.record(listOf(PromptPart(read.part, 0)), read.endpoint, nowMs)
         }
     }
 
+    private fun onLeaving(endpoint: LeavingEndpoint, source: String, nowMs: Long) {
+        known.endpoints.onLeaving(endpoint, source, nowMs)?.let { known.effects += it }
+        known.reporter.onChange()
+    }
+
+    /** Spreads the return of the hosts over a while, as they may all have been refused at once. */
+    private fun onBackoffRequested(input: ForwardingInput.BackoffRequested, nowMs: Long) {
+        val endpoint = known.endpoints[input.endpoint] ?: return
+        val durationMs = input.durationMs.coerceIn(0, MAX_BACKOFF_MS)
+        val spreadMs = minOf(durationMs / RETURN_SPREAD_DIVISOR, MAX_RETURN_SPREAD_MS)
+        endpoint.onBackoffRequested(nowMs + durationMs + random.nextLong(spreadMs + 1))
+        known.effects += ForwardingEffect.LogStateChange(
+            input.endpoint.value,
+            "endpoint-backoff",
+            "asked for ${input.durationMs} ms, until ${endpoint.backoffUntilMs}"
+        )
+    }
+
     private fun onPeerLeft(host: HostId, nowMs: Long) {
         known.hostRegistry.onLeft(host, nowMs)
         known.endpoints.onPeerLoads(host, emptyMap())
@@ -117,6 +143,12 @@
     }
 
     private companion object {
+        /** Far above the time in which an overloaded endpoint recovers, in ms. */
+        const val MAX_BACKOFF_MS = 600_000L
+
+        /** The return after a backoff is spread over a quarter of it, at most 300 ms. */
+        const val RETURN_SPREAD_DIVISOR = 4
+        const val MAX_RETURN_SPREAD_MS = 300L
         const val IDLE_TICK_MS = 500L
 
         /** Short, because slots are freed by other hosts without a message to this one, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -38,6 +38,15 @@
         public val gapDurationMs: Long = 0
     ) : ForwardingInput
 
+    /** [endpoint] has said in an answer that it leaves. */
+    public data class EndpointLeaving(public val endpoint: LeavingEndpoint) : ForwardingInput
+
+    /** [endpoint] has refused a request of this host and wants no more for [durationMs]. */
+    public data class BackoffRequested(
+        public val endpoint: EndpointId,
+        public val durationMs: Long
+    ) : ForwardingInput
+
     /** The call ended; its slot and its place in the queue are released if it still has them. */
     public data class CallClosed(public val call: CallId) : ForwardingInput
 
@@ -108,6 +117,7 @@
  * @property prefilledParts prompt parts that endpoints have prefilled since the last report
  * @property crashes recent connections that broke while an endpoint ran a request
  * @property suspectedParts what the host knows of prompt parts that may crash endpoints
+ * @property leavingEndpoints endpoints of which the host has learned lately that they leave
  */
 public data class HostLoadReport(
     public val host: HostId,
@@ -119,7 +129,8 @@
     public val unitsUsed: Map<OrganisationId, Double>,
     public val prefilledParts: List<PrefilledPart>,
     public val crashes: List<CrashNotice>,
-    public val suspectedParts: List<SuspectedPart> = emptyList()
+    public val suspectedParts: List<SuspectedPart> = emptyList(),
+    public val leavingEndpoints: List<LeavingEndpoint> = emptyList()
 )
 
 /** [endpoint] has prefilled [part], so its prefix cache may hold it. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -46,7 +46,8 @@
             unitsUsed = quotas.unitsUsed(),
             prefilledParts = parts,
             crashes = quarantine.recentNotices,
-            suspectedParts = quarantine.takeSuspectedParts(nowMs)
+            suspectedParts = quarantine.takeSuspectedParts(nowMs),
+            leavingEndpoints = endpoints.leavingToReport(nowMs)
         )
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -15,7 +15,10 @@
     /** No endpoint has a slot for a request of this rank and size, or all would be too late. */
     data object Full : PlacementResult
 
-    /** The pool has no endpoint that is not draining and was not tried. */
+    /** All endpoints that were not tried want no requests before [untilMs]. */
+    data class BackingOff(val untilMs: Long) : PlacementResult
+
+    /** The pool has no endpoint in service that was not tried. */
     data object None : PlacementResult
 }
 
@@ -39,9 +42,11 @@
         topology: ReportTopology,
         nowMs: Long
     ): PlacementResult {
-        val usable = endpoints.filter { !it.entry.isDraining && it.entry.id !in tried }
-        if (usable.isEmpty()) return PlacementResult.None
-        if (freeShare(endpoints) < AdmissionRule.reservedShare(call)) {
+        val untried = endpoints.filter { it.isInService && it.entry.id !in tried }
+        if (untried.isEmpty()) return PlacementResult.None
+        val usable = untried.filter { !it.isBackingOff(nowMs) }
+        if (usable.isEmpty()) return PlacementResult.BackingOff(untried.minOf { it.backoffUntilMs })
+        if (freeShare(endpoints, nowMs) < AdmissionRule.reservedShare(call)) {
             return PlacementResult.Full
         }
         val healthy = usable.filter { !it.health.isEjected(nowMs) }.ifEmpty { usable }
@@ -147,12 +152,12 @@
     }
 }
 
-/** Share of the slots of [endpoints] that are free, without draining endpoints; 0 without slots. */
-internal fun freeShare(endpoints: Collection<TrackedEndpoint>): Double {
+/** Share of the slots of [endpoints] that are free, of those that take work; 0 without slots. */
+internal fun freeShare(endpoints: Collection<TrackedEndpoint>, nowMs: Long): Double {
     var slots = 0L
     var free = 0L
     for (endpoint in endpoints) {
-        if (endpoint.entry.isDraining) continue
+        if (!endpoint.isInService || endpoint.isBackingOff(nowMs)) continue
         slots += endpoint.entry.slotCount
         free += endpoint.freeSlots.coerceAtLeast(0)
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
@@ -24,6 +24,13 @@
  * hosts, its speed and its health.
  */
 internal class TrackedEndpoint(var entry: EndpointEntry) {
+    /** Whether it has said in an answer that it leaves. */
+    var isLeaving = false
+
+    /** Time on the monotonic clock until which it wants no requests from this host. */
+    var backoffUntilMs = Long.MIN_VALUE
+        private set
+
     private val loadByPeer = mutableMapOf<HostId, HostLoad>()
 
     /** Load of this host. */
@@ -37,6 +44,17 @@
     val health = EndpointHealth()
     val speed = EndpointSpeed()
 
+    /** Whether it may get new requests, now or after a backoff. */
+    val isInService: Boolean get() = !entry.isDraining && !isLeaving
+
+    /** Whether it wants no requests from this host at [nowMs]. */
+    fun isBackingOff(nowMs: Long): Boolean = nowMs < backoffUntilMs
+
+    /** It wants no requests from this host until [untilMs]; an earlier wish may last longer. */
+    fun onBackoffRequested(untilMs: Long) {
+        backoffUntilMs = maxOf(backoffUntilMs, untilMs)
+    }
+
     /** Free slots; negative if requests are queued at the endpoint. */
     val freeSlots: Int get() = entry.slotCount - total.running
 
--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -132,7 +132,7 @@
         val mayHaveExpired = isStoreLost || nowMs - storeRecoveredAtMs < EXPIRY_GRACE_MS
         return listed.values
             .filter { it.deletedAt == null || (mayHaveExpired && !it.record.entry.isDraining) }
-            .map { it.record.entry }
+            .map { it.record.entry.copy(startedAtMs = it.record.startedAtMs) }
     }
 
     /** When the store recovered from its last outage; null if the grace period is over. */
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -22,7 +22,7 @@
 import kotlin.random.Random
 
 /** A controller with one pool and a clock that the test sets. */
-internal class ForwardingFixture(isFirstStart: Boolean = true) {
+internal class ForwardingFixture(isFirstStart: Boolean = true, seed: Int = 1) {
     val controller = createForwardingController(
         ForwardingSettings(
             host = HostId("host-1"),
@@ -32,7 +32,7 @@
             retryBudgetShare = 0.2,
             retryBudgetSlack = 100
         ),
-        Random(1)
+        Random(seed)
     )
     var nowMs = 0L
     private var lastCall = 0L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.CallCommand
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingInput
+import cowslipcart.core.forwarding.LeavingEndpoint
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.daemon.control.RuntimeClock
 import kotlinx.coroutines.CoroutineScope
@@ -170,6 +171,26 @@
         override fun onResponseStarted() =
             context.loop.submit(ForwardingInput.ResponseStarted(call.id, command.attempt))
 
+        override fun onLeaving() {
+            val endpoint = command.endpoint
+            val leaving = LeavingEndpoint(endpoint.id, endpoint.startedAtMs)
+            context.loop.submit(ForwardingInput.EndpointLeaving(leaving))
+        }
+
+        override fun onBackoff(request: BackoffRequest) {
+            val endpoint = command.endpoint.id
+            when (request) {
+                BackoffRequest.None -> Unit
+
+                is BackoffRequest.For -> context.loop.submit(
+                    ForwardingInput.BackoffRequested(endpoint, request.durationMs)
+                )
+
+                is BackoffRequest.Unreadable ->
+                    context.eventLog.unreadableBackoff(call, endpoint.value, request.text)
+            }
+        }
+
         override fun onStalled() {
             context.loop.submit(ForwardingInput.AttemptStalled(call.id, command.attempt))
             if (isStallLogged) return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -171,6 +171,7 @@
             repeat(MAX_MISMATCHED_RESPONSES) {
                 val head = withInactivityTimeout("no response") { readHead() }
                 val metadata = headerCodec.decodeResponse(head)
+                if (metadata.isLeaving) listener.onLeaving()
                 val framing = HeadParser.responseFraming(head, request.head.method)
                 val reader = BodyReader(connection.source, framing)
                 val isFirstOnConnection = it == 0 && connection.useCount == 0
@@ -204,7 +205,7 @@
             reader: BodyReader,
             isFramed: Boolean
         ): ExchangeResult = when {
-            metadata.isDeclined -> receiveDecline(head, reader)
+            metadata.isDeclined -> receiveDecline(head, metadata, reader)
             head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
             isRelayed(head, metadata) -> receiveStream(head, reader, isFramed)
             else -> receiveComplete(head, metadata, reader)
@@ -230,7 +231,12 @@
             fail("more than $MAX_INTERIM_RESPONSES interim responses")
         }
 
-        private suspend fun receiveDecline(head: ResponseHead, reader: BodyReader): ExchangeResult {
+        private suspend fun receiveDecline(
+            head: ResponseHead,
+            metadata: ResponseMetadata,
+            reader: BodyReader
+        ): ExchangeResult {
+            listener.onBackoff(metadata.backoff)
             reader.skipAll(MAX_DECLINE_BYTES)
             val reason = when (head.status) {
                 WRONG_ENDPOINT_STATUS -> DeclineReason.WRONG_ENDPOINT
@@ -244,6 +250,7 @@
             metadata: ResponseMetadata,
             reader: BodyReader
         ): ExchangeResult {
+            listener.onBackoff(metadata.backoff)
             val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
@@ -26,6 +26,12 @@
     /** The endpoint has started to respond. */
     fun onResponseStarted()
 
+    /** The endpoint has said that it leaves. */
+    fun onLeaving()
+
+    /** The endpoint has refused the request, and may want no more for a while. */
+    fun onBackoff(request: BackoffRequest)
+
     /** The endpoint is silent. The attempt goes on unless it is replaced. */
     fun onStalled()
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -120,6 +120,8 @@
 
             is ForwardingInput.ResponseStarted,
             is ForwardingInput.AttemptStalled,
+            is ForwardingInput.EndpointLeaving,
+            is ForwardingInput.BackoffRequested,
             is ForwardingInput.CallClosed,
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -71,6 +71,14 @@
         "events" to events
     )
 
+    /** Writes that [endpoint] asked for a backoff of [text], which can't be read. */
+    fun unreadableBackoff(call: ForwardedCall, endpoint: String, text: String) = event(
+        "backoff-unreadable",
+        "request" to call.requestId.value,
+        "endpoint" to endpoint,
+        "value" to text.take(MAX_VALUE_LENGTH)
+    )
+
     /**
      * Writes and counts the end of a request.
      *
@@ -170,5 +178,8 @@
         /** Three lines for each of 100 requests a second, ten times the usual rate of a host. */
         const val MAX_LINES_PER_S = 300
         const val MS_PER_S = 1_000L
+
+        /** Longer values of headers are cut. */
+        const val MAX_VALUE_LENGTH = 100
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
@@ -58,9 +58,24 @@
  * @property requestId request that the response belongs to; null if not stated
  * @property isSigned whether the response carries the endpoint's signature
  * @property isDeclined whether the endpoint states that it did not execute the request
+ * @property isLeaving whether the endpoint states that it leaves
+ * @property backoff how long the endpoint wants no requests from this host
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
     public val isSigned: Boolean,
-    public val isDeclined: Boolean
+    public val isDeclined: Boolean,
+    public val isLeaving: Boolean = false,
+    public val backoff: BackoffRequest = BackoffRequest.None
 )
+
+/** Whether an endpoint wants no requests from this host for a while. */
+public sealed interface BackoffRequest {
+    public data object None : BackoffRequest
+
+    /** The endpoint wants no requests for [durationMs]. */
+    public data class For(public val durationMs: Long) : BackoffRequest
+
+    /** The endpoint states a time that can't be read. */
+    public data class Unreadable(public val text: String) : BackoffRequest
+}
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SilentListener.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SilentListener.kt
@@ -8,5 +8,9 @@
 
     override fun onResponseStarted() = Unit
 
+    override fun onLeaving() = Unit
+
+    override fun onBackoff(request: BackoffRequest) = Unit
+
     override fun onStalled() = Unit
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
@@ -33,6 +33,12 @@
     private var isStepping = false
     private var nowUs = 0.0
 
+    /** Whether its answers say that it leaves. */
+    var isLeaving = false
+
+    /** Time until which it refuses all requests. */
+    var backoffUntilMs = 0L
+
     /** Number of sequences that hold a slot. */
     val runningCount: Int get() = running.size
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -104,12 +104,15 @@
 
     private fun submit(attempt: Attempt, engine: EmulatedEngine) {
         if (isEnded || current !== attempt) return
+        run.notices.onArrival(attempt.host, engine)
         val sequence = EmulatedSequence(promptTokens, outputTokens) { isLast ->
             run.queue.scheduleIn(run.workload.networkMs) { onEvent(attempt, isLast) }
         }
         attempt.engine = engine
         attempt.sequence = sequence
-        if (!engine.submit(sequence)) {
+        val isRefused = nowMs < engine.backoffUntilMs
+        if (isRefused) run.notices.tellBackoff(attempt.host, engine)
+        if (isRefused || !engine.submit(sequence)) {
             val declined = AttemptOutcome.Declined(DeclineReason.FULL)
             run.send(
                 attempt.host,
@@ -121,6 +124,7 @@
     private fun onEvent(attempt: Attempt, isLast: Boolean) {
         if (isEnded || current !== attempt) return
         if (attempt.eventCount++ == 0) {
+            attempt.engine?.let { run.notices.tellLeaving(attempt.host, it) }
             val started = ForwardingInput.ResponseStarted(attempt.call.id, attempt.number)
             run.send(attempt.host, started)
         }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
@@ -28,6 +28,7 @@
  *
  * @property share earned worth of all requests divided by their total worth
  * @property worstWindows mean share of the two arrival windows of 2 s with the lowest share
+ * @property unheededNotices requests that reached an engine although it wanted none
  */
 @Serializable
 public data class GatewayResult(
@@ -35,7 +36,8 @@
     public val seed: Long,
     public val share: Double,
     public val worstWindows: Double,
-    public val kinds: List<KindResult>
+    public val kinds: List<KindResult>,
+    public val unheededNotices: Int = 0
 )
 
 /** Counts of requests of one kind by their end, and their earned share of worth. */
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -48,6 +48,7 @@
         workload.engines.speeds.withIndex().associate { (index, speed) ->
             EndpointId("e$index") to EmulatedEngine(workload.engines, speed, queue)
         }
+    val notices = EmulatedNotices(this)
     private val requestsByCall = mutableMapOf<CallId, EmulatedRequest>()
     val routes: Map<RequestKind, Route> = workload.kinds.associateWith { toRoute(it) }
 
@@ -74,8 +75,10 @@
         workload.kinds.forEach {
             scheduleArrivals(it, Random(seed xor it.name.hashCode().toLong()))
         }
+        notices.start(workload.notices)
         queue.run { queue.nowMs < workload.durationMs || openRequestCount > 0 }
         return summarize(workload, seed, outcomes)
+            .copy(unheededNotices = notices.unheededCount)
     }
 
     fun randomHost(): EmulatedHost = hosts.random(random)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
@@ -28,7 +28,8 @@
     public val networkMs: Long,
     public val engines: EngineSheet,
     public val kinds: List<RequestKind>,
-    public val bursts: List<Burst> = emptyList()
+    public val bursts: List<Burst> = emptyList(),
+    public val notices: List<EngineNotice> = emptyList()
 )
 
 /**
@@ -110,6 +111,19 @@
     public val kind: String? = null
 )
 
+/**
+ * What an engine says in its answers from [atMs] on.
+ *
+ * @property engine index of the engine
+ * @property backoffMs time for which it refuses all requests and wants none; 0 if it leaves instead
+ */
+@Serializable
+public data class EngineNotice(
+    public val engine: Int,
+    public val atMs: Long,
+    public val backoffMs: Long = 0
+)
+
 /** Parses the text of a workload file for gateways. */
 public fun parseGatewayWorkload(text: String): Either<WorkloadError, GatewayWorkload> = try {
     val workload = Yaml.default.decodeFromString(GatewayWorkload.serializer(), text)
--- a/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
@@ -56,6 +56,38 @@
         }
     }
 
+    /**
+     * Guards against requests for engines that leave or want none, and against a burst that is
+     * worse served than the capacity that is left allows.
+     */
+    @Nested
+    inner class Notices {
+        private val notices = listOf(
+            EngineNotice(engine = 0, atMs = 3_000),
+            EngineNotice(engine = 1, atMs = 4_000, backoffMs = 3_000),
+            EngineNotice(engine = 3, atMs = 6_000, backoffMs = 2_000),
+            EngineNotice(engine = 4, atMs = 9_000)
+        )
+
+        @Test
+        fun `engines that leave or back off under load get nothing`() {
+            for (name in listOf("playsafe-scale", "hamasaki-scale", "playsafe-calm")) {
+                val workload = load(name).copy(notices = notices)
+                val result = runGatewayWorkload(workload, seed = 1)
+                assertEquals(0, result.unheededNotices, name)
+            }
+        }
+
+        @Test
+        fun `a calm day with engines that back off in turn refuses nothing urgent`() {
+            val inTurn = (0..5).map { EngineNotice(it, atMs = 2_000L + 2_000 * it, 1_500) }
+            val workload = load("hamasaki-calm").copy(notices = inTurn)
+            val result = runGatewayWorkload(workload, seed = 1)
+            assertEquals(0, kind(result, 0).refused)
+            assertTrue(result.share > 0.85, "found ${result.share}")
+        }
+    }
+
     @Nested
     inner class ShippedFiles {
         @Test
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/RunnerServer.kt
@@ -18,6 +18,13 @@
     /** Refuses the request with status 503 and `Not-Executed`, for want of a free slot. */
     public data object Full : RunnerFault
 
+    /**
+     * Refuses the request like [Full] and asks its caller to send nothing for a while.
+     *
+     * @property retryAfter value of the header `Retry-After`, in seconds
+     */
+    public data class AsksBackoff(public val retryAfter: String) : RunnerFault
+
     /** Runs the request and sends nothing until the caller closes the connection or sends more. */
     public data object Hang : RunnerFault
 
@@ -93,6 +100,12 @@
     }
 }
 
+/** A runner refused the request [id] and asked for no more for [retryAfter] seconds. */
+public class BackoffRefusal(public val id: String, public val retryAfter: String) {
+    /** When the runner had read the request. */
+    public val at: TimeSource.Monotonic.ValueTimeMark = TimeSource.Monotonic.markNow()
+}
+
 /**
  * Stand-in for a runner of the platform, on a free loopback port. Requests with a `Token-Count`
  * header get a stream of events, other requests a plain answer. `Work-Ms` states how long a run
@@ -105,9 +118,16 @@
     /** Requests that were executed, in order of arrival. */
     public val runs: MutableList<RunRequest> = Collections.synchronizedList(mutableListOf())
 
+    /** Requests that were refused by [RunnerFault.AsksBackoff], in order of arrival. */
+    public val backoffs: MutableList<BackoffRefusal> = Collections.synchronizedList(mutableListOf())
+
     /** Faults of the next requests, oldest first; lock this object to access it. */
     public val faults: ArrayDeque<RunnerFault> = ArrayDeque()
 
+    /** Whether all answers state that the runner is about to leave. */
+    @Volatile
+    public var isLeaving: Boolean = false
+
     /** IP and port. */
     public val address: String = "127.0.0.1:${server.localPort}"
 
@@ -144,7 +164,8 @@
         val request = readRequest(connection.input) ?: return false
         val fault = synchronized(faults) { faults.removeFirstOrNull() } ?: RunnerFault.None
         if (request.headers["expect-instance"] != id) {
-            val headers = "Attempt-Id: ${request.id}\r\nNot-Executed: 1\r\nInstance-Id: $id\r\n"
+            val headers = "Attempt-Id: ${request.id}\r\nNot-Executed: 1\r\nInstance-Id: $id\r\n" +
+                leavingHeader()
             connection.output.answer(WRONG_INSTANCE, headers, "")
             return true
         }
@@ -152,6 +173,11 @@
             connection.output.refuse(request.id)
             return true
         }
+        if (fault is RunnerFault.AsksBackoff) {
+            backoffs += BackoffRefusal(request.id, fault.retryAfter)
+            connection.output.refuse(request.id, "Retry-After: ${fault.retryAfter}\r\n")
+            return true
+        }
         runs += request
         val end = try {
             run(request, fault, connection)
@@ -167,7 +193,8 @@
     }
 
     private fun run(request: RunRequest, fault: RunnerFault, connection: RunnerConnection): RunEnd {
-        val sealHeaders = "Attempt-Id: ${request.id}\r\nResponse-Seal: seal-$id-${request.id}\r\n"
+        val sealHeaders = "Attempt-Id: ${request.id}\r\nResponse-Seal: seal-$id-${request.id}\r\n" +
+            leavingHeader()
         if (fault == RunnerFault.AnswerLost) return RunEnd.Broken
         if (fault == RunnerFault.Hang) {
             connection.input.read()
@@ -274,8 +301,13 @@
     }
 
     /** Refuses the request [id] as the runner is full; null leaves the id out. */
-    private fun OutputStream.refuse(id: String?) =
-        answer(503, id?.let { "Attempt-Id: $it\r\n" }.orEmpty() + "Not-Executed: 1\r\n", "")
+    private fun OutputStream.refuse(id: String?, headers: String = "") {
+        val idHeader = id?.let { "Attempt-Id: $it\r\n" }.orEmpty()
+        val all = "${idHeader}Not-Executed: 1\r\n$headers${leavingHeader()}"
+        answer(UNAVAILABLE, all, "")
+    }
+
+    private fun leavingHeader(): String = if (isLeaving) "Server-Leaving: 1\r\n" else ""
 
     private fun OutputStream.answer(status: Int, headers: String, body: String) {
         write(
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
@@ -40,6 +40,8 @@
         val callers = (1..CALLER_COUNT).map { startCaller(it) { isStopped } } +
             (1..surplus).map { startCaller(CALLER_COUNT + it) { areFaultsOver } }
         val active = mutableListOf<Thread>()
+        val notices = SoakNotices(runners, log, Random(seed * NOTICE_SEED_STEP))
+        active += thread { notices.run(faultMs) }
         while (log.nowMs() < faultMs) {
             TimeUnit.MILLISECONDS.sleep(random.nextLong(MIN_INTERVAL_MS, MAX_INTERVAL_MS))
             active += start(disruptions.next())
@@ -51,7 +53,8 @@
         TimeUnit.MILLISECONDS.sleep(QUIET_MS)
         isStopped = true
         callers.forEach { it.join() }
-        return SoakChecks(log, runs()).findViolations() + failures
+        return SoakChecks(log, runs()).findViolations() +
+            SoakNoticeChecks(log, runs(), backoffs()).findViolations() + failures
     }
 
     override fun close() {
@@ -100,6 +103,13 @@
         }
     }
 
+    private fun backoffs(): List<SoakBackoff> = runners.flatMap { runner ->
+        synchronized(runner.server.backoffs) { runner.server.backoffs.toList() }.map {
+            val forMs = (it.retryAfter.toDouble() * MS_PER_S).toLong()
+            SoakBackoff(it.id, runner.id, log.timeOf(it.at), forMs)
+        }
+    }
+
     /** Applies a disruption on a new thread. */
     private fun start(disrupt: () -> Unit): Thread = thread {
         try {
@@ -129,6 +139,10 @@
         private const val MAX_CALLERS = 100
         private const val RUNNERS_PER_SERVICE = 3
         private const val EVENT_GAP_MS = 15L
+
+        /** Keeps the series of notices apart from that of the disruptions. */
+        private const val NOTICE_SEED_STEP = 31L
+        private const val MS_PER_S = 1_000
         private const val MIN_INTERVAL_MS = 100L
         private const val MAX_INTERVAL_MS = 600L
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakDisruptions.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakDisruptions.kt
@@ -120,9 +120,11 @@
 
     private fun pause(gateway: ProxiedGateway, durationMs: Long) = synchronized(gateway) {
         val end = log.beginDisturbance("pause for $durationMs ms", gateway.name)
+        log.onInterruption(gateway.name)
         gateway.handle.process.pause()
         TimeUnit.MILLISECONDS.sleep(durationMs)
         gateway.handle.process.resume()
+        log.onInterruption(gateway.name)
         end()
     }
 
@@ -131,8 +133,10 @@
         synchronized(gateway) {
             val end = fault?.let { log.beginDisturbance(it, gateway.name) }
             if (end == null) log.note("${gateway.name}: stop")
+            log.onInterruption(gateway.name)
             signal(gateway.handle.process)
             gateway.handle.process.awaitExit()
+            log.onInterruption(gateway.name)
             if (end == null) log.note("${gateway.name}: stopped")
             gateway.handle = system.cluster.startGateway(gateway.name, gateway.storeLink.port)
             runBlocking { gateway.handle.awaitReady() }
@@ -209,7 +213,7 @@
     /** Drains the runner for the rest of the soak, if another runner of its service remains. */
     private fun drain(runner: ProxiedRunner): Unit = synchronized(system.runners) {
         val others = system.runners.filter { it.service == runner.service && it !== runner }
-        if (others.all { it.id in log.drainingSinceMs } || runner.id in log.drainingSinceMs) return
+        if (others.all { log.isLeaving(it.id) } || runner.id in log.drainingSinceMs) return
         system.writeState(runner, "draining")
         log.drainingSinceMs[runner.id] = log.nowMs()
         log.note("${runner.id}: draining")
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/SoakLog.kt
@@ -43,6 +43,9 @@
     val end: RunEnd?
 )
 
+/** A runner refused the request [id] at [atMs] and wanted no more of its gateway for [forMs]. */
+internal class SoakBackoff(val id: String, val runner: String, val atMs: Long, val forMs: Long)
+
 /** Requests, faults and changes of a soak, recorded by several threads. */
 internal class SoakLog {
     private class Span(val fromMs: Long, @Volatile var untilMs: Long)
@@ -58,6 +61,24 @@
     /** When each runner was marked as draining, by runner id. */
     val drainingSinceMs: MutableMap<String, Long> = ConcurrentHashMap()
 
+    /** Since when the answers of runners state that they leave, by runner id. */
+    val leavingSinceMs: MutableMap<String, Long> = ConcurrentHashMap()
+
+    /** Whether [runner] takes no new requests, by its record or by its answers. */
+    fun isLeaving(runner: String): Boolean = runner in drainingSinceMs || runner in leavingSinceMs
+
+    /** When the processes of gateways ended or were paused; they may forget what they knew. */
+    private val interruptions: MutableMap<String, MutableList<Long>> = ConcurrentHashMap()
+
+    /** Records that the process of [gateway] ends, or is paused or goes on, now. */
+    fun onInterruption(gateway: String) {
+        interruptions.computeIfAbsent(gateway) { CopyOnWriteArrayList() } += nowMs()
+    }
+
+    /** Whether the process of [gateway] ran without a break from [fromMs] to [untilMs]. */
+    fun isUninterrupted(gateway: String, fromMs: Long, untilMs: Long): Boolean =
+        interruptions[gateway].orEmpty().none { it in fromMs..untilMs }
+
     /** When the second API key was removed; null while it is valid. */
     @Volatile
     var keyRemovedAtMs: Long? = null
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -9,6 +9,7 @@
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.LeavingEndpoint
 import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
@@ -19,6 +20,7 @@
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.wire.WireError
+import cowslipcart.wire.peer.completePeerCbor
 import cowslipcart.wire.peer.peerCbor
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -38,8 +40,13 @@
     private val UNREAD_TOKENS = -1_000_000_000_000L..1_000_000_000_000L
 
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
-    fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray =
-        peerCbor.encodeToByteArray(LoadReportDocument.serializer(), toDocument(report, isLeaving))
+    fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray {
+        val cbor = if (report.leavingEndpoints.isEmpty()) peerCbor else completePeerCbor
+        return cbor.encodeToByteArray(
+            LoadReportDocument.serializer(),
+            toDocument(report, isLeaving)
+        )
+    }
 
     fun decode(bytes: ByteArray): Either<WireError, PeerDatagram> {
         val document = peerCbor.decodeFromByteArray(LoadReportDocument.serializer(), bytes)
@@ -84,7 +91,8 @@
                     PartCrashDocument(it.endpoint.value, it.agoMs, it.isAnswerBegun)
                 }
             )
-        }
+        },
+        report.leavingEndpoints.map { LeavingEndpointDocument(it.id.value, it.startedAtMs) }
     )
 
     private fun toReport(document: LoadReportDocument) = HostLoadReport(
@@ -111,6 +119,9 @@
                 },
                 suspected.answeredAgoMs
             )
+        },
+        leavingEndpoints = document.leavingEndpoints.map {
+            LeavingEndpoint(EndpointId(it.endpoint), it.startedAtMs)
         }
     )
 }
@@ -119,7 +130,8 @@
  * Array form of [HostLoadReport]. The order of the fields is part of the protocol.
  *
  * @property reads prompt parts that endpoints have read lately
- * @property suspectedParts left out if empty; reports of earlier versions have none
+ * @property suspectedParts left out, as all later fields, if these are empty; reports of earlier
+ * versions have none of them
  */
 @Serializable
 @CborArray
@@ -136,7 +148,8 @@
     val uses: List<UnitUsageDocument>,
     val reads: List<PrefilledPartDocument>,
     val crashes: List<CrashNoticeDocument>,
-    val suspectedParts: List<SuspectedPartDocument> = emptyList()
+    val suspectedParts: List<SuspectedPartDocument> = emptyList(),
+    val leavingEndpoints: List<LeavingEndpointDocument> = emptyList()
 )
 
 @Serializable
@@ -160,6 +173,10 @@
 @CborArray
 private class CrashNoticeDocument(val number: Long, val fingerprint: String, val endpoint: String)
 
+@Serializable
+@CborArray
+private class LeavingEndpointDocument(val endpoint: String, val startedAtMs: Long)
+
 @Serializable
 @CborArray
 private class SuspectedPartDocument(
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.LeavingEndpoint
 import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
@@ -86,6 +87,17 @@
             assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
         }
 
+        @Test
+        fun `leaving endpoints survive a round trip, with suspected parts and without`() {
+            val leaving = listOf(LeavingEndpoint(id, 1_733_400_000_000), LeavingEndpoint(id, 0))
+            for (parts in listOf(emptyList(), suspectedParts)) {
+                val full = report.copy(suspectedParts = parts, leavingEndpoints = leaving)
+                val sample = PeerDatagram.LoadReport(full, false)
+
+                assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+            }
+        }
+
         /** Guards against a report that is divided on its way, beside 300 bytes. */
         @Test
         fun `the largest list of suspected parts takes less than a datagram`() {
