End stalls that send bytes now and then, or hide behind other streams

Cause: a stream counted as alive with each byte, so one whose endpoint sent a byte now and then was never replaced (StalledStreamTest: the caller got 2 of 3 events). An endpoint that answered on any other connection counted as active, so a connection that fell silent for good kept its request until its time was up (GatewayRunnerFaultTest, SilentConnections: no event within 4 s). Change: only complete events are progress. An endpoint that is active elsewhere gets a quarter more time, not all. Events that were read but not forwarded when an attempt is replaced are taken from the next one. A stream whose events have no ids is not continued elsewhere, which would join two runs. A success with neither a body nor a length is broken. Bytes that wait in the kernel are read before an idle connection is closed.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -53,7 +53,7 @@
     private suspend fun serveNext(caller: CallerSocket): Boolean {
         val source = caller.source
         val writer = caller.writer
-        if (!awaitRequest(source)) return false
+        if (!awaitRequest(caller)) return false
         val limits = limits
         val response: CallerResponse
         val request: BufferedRequest
@@ -121,7 +121,8 @@
      * wait, since callers reuse a connection within the timeout that they know; a shorter one
      * applies to the next wait.
      */
-    private suspend fun awaitRequest(source: ByteSource): Boolean {
+    private suspend fun awaitRequest(caller: CallerSocket): Boolean {
+        val source = caller.source
         val startMs = context.clock.nowMs()
         var timeoutMs = limits.idleTimeoutMs
         while (true) {
@@ -131,14 +132,24 @@
             }
             // Bytes that arrive with the timeout or the close are a request, whose caller waits.
             if (source.hasBytes) return true
-            if (isOpen != null) return isOpen
+            if (isOpen != null) return isOpen || awaitUnread(caller)
             if (limits.idleTimeoutMs <= timeoutMs) break
             timeoutMs = limits.idleTimeoutMs
         }
+        if (awaitUnread(caller)) return true
         context.eventLog.event("caller-connection-idle", "idleMs" to timeoutMs)
         return false
     }
 
+    /**
+     * Reads what waits in the kernel before a connection is closed: its caller has sent a request,
+     * and closing would reset the connection. Returns whether there was anything.
+     */
+    private suspend fun awaitUnread(caller: CallerSocket): Boolean {
+        if (caller.isClosed || !caller.hasUnreadBytes()) return false
+        return withTimeoutOrNull(UNREAD_MS) { caller.source.awaitByte() } ?: false
+    }
+
     private suspend fun readHead(source: ByteSource, limits: CallerLimits): RequestHead {
         val bytes = source.readHead(limits.headerBytes) ?: throw CallerDisconnectedException()
         val head = HeadParser.parseRequest(bytes)
@@ -179,6 +190,9 @@
         const val TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
 
+        /** Time in which a busy host reads what has arrived in the kernel, in ms. */
+        const val UNREAD_MS = 200L
+
         /** Time limit for receiving a body, in ms. */
         const val BODY_TIMEOUT_MS = 30_000L
         val CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".toByteArray()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -66,6 +66,9 @@
         if (isClosed) throw CallerDisconnectedException()
     }
 
+    /** Whether bytes wait in the kernel that were not read yet. */
+    fun hasUnreadBytes(): Boolean = probe.isReadable(socket)
+
     fun close() = socket.close()
 
     private companion object {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -208,7 +208,7 @@
             metadata.isDeclined -> receiveDecline(head, metadata, reader)
             head.headers["Content-Encoding"] != null -> fail("unsupported content encoding")
             isRelayed(head, metadata) -> receiveStream(head, reader, isFramed)
-            else -> receiveComplete(head, metadata, reader)
+            else -> receiveComplete(head, metadata, reader, isFramed)
         }
 
         /**
@@ -248,12 +248,14 @@
         private suspend fun receiveComplete(
             head: ResponseHead,
             metadata: ResponseMetadata,
-            reader: BodyReader
+            reader: BodyReader,
+            isFramed: Boolean
         ): ExchangeResult {
             listener.onBackoff(metadata.backoff)
             val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
+            if (isSuccess && !isFramed && body.isEmpty()) fail("neither a body nor its length")
             if (relay.isStarted) fail("response is no stream although events were forwarded")
             if (head.status in NOT_EXECUTED_STATUSES) fail("status ${head.status} without decline")
             val response = BufferedResponse(head, body)
@@ -280,35 +282,44 @@
         ): ExchangeResult {
             relay.begin(head)
             var hasEvent = false
-            while (true) {
-                val piece = withInactivityTimeout("stream stalled") { reader.next() } ?: break
-                val isEventComplete = relay.onBytes(piece)
-                if (isEventComplete && !hasEvent) listener.onResponseStarted()
-                hasEvent = hasEvent || isEventComplete
+            while (withInactivityTimeout("stream stalled") { readEvents(reader) }) {
+                relay.forward()
+                if (!hasEvent) listener.onResponseStarted()
+                hasEvent = true
             }
             relay.finish(isFramed)
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true))
         }
 
         /**
-         * Runs [read] and reports a stall if the endpoint sends nothing for too long. This needs
-         * another attempt to be left, and the endpoint to be inactive on all connections of this
-         * host. An active endpoint has only queued the request; a retry elsewhere would process
-         * its prompt twice.
+         * Reads until at least one event is complete; returns false at the end of the stream. Bytes
+         * that complete no event are no progress.
+         */
+        private suspend fun readEvents(reader: BodyReader): Boolean {
+            while (true) {
+                val piece = reader.next() ?: return false
+                if (relay.add(piece)) return true
+            }
+        }
+
+        /**
+         * Runs [read] and reports a stall if it takes too long. This needs another attempt to be
+         * left. An endpoint that is active on other connections of this host has most likely only
+         * queued the request, and a retry elsewhere would process its prompt twice; it gets more
+         * time, but not for ever, since single connections can fall silent for good.
          */
         private suspend fun <T> withInactivityTimeout(failure: String, read: suspend () -> T): T {
             val limitMs = inactivityTimeoutMs()
             if (limitMs == null) return read().also { activity.onBytes(endpoint.id) }
             return supervisorScope {
                 val reading = async { read() }
-                var waitMs: Long = limitMs
-                var result = awaitOrReplace(reading, waitMs, failure)
+                var waitedMs: Long = limitMs
+                var result = awaitOrReplace(reading, limitMs, failure)
                 while (result == null) {
-                    if (!activity.isActive(endpoint.id)) {
-                        listener.onStalled()
-                        waitMs = STALL_REPEAT_MS
-                    }
-                    result = awaitOrReplace(reading, waitMs, failure)
+                    val isPatient = waitedMs < limitMs + limitMs / EXTENSION_DIVISOR
+                    if (!isPatient || !activity.isActive(endpoint.id)) listener.onStalled()
+                    result = awaitOrReplace(reading, STALL_REPEAT_MS, failure)
+                    waitedMs += STALL_REPEAT_MS
                 }
                 activity.onBytes(endpoint.id)
                 result.value
@@ -389,5 +400,8 @@
          * Interval at which a stall is reported again, since another endpoint may be free, in ms.
          */
         private const val STALL_REPEAT_MS = 200L
+
+        /** An endpoint that is active on other connections gets a quarter more time. */
+        private const val EXTENSION_DIVISOR = 4
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -21,6 +21,9 @@
     private var splitter = EventSplitter()
     private var head: ResponseHead? = null
 
+    /** Complete events that were not looked at yet. */
+    private var received = emptyList<StreamEvent>()
+
     /** Id of the last event that was forwarded; null if none. */
     var lastEventId: Long? = null
         private set
@@ -38,20 +41,33 @@
     /** Whether an event was forwarded. */
     val isStarted: Boolean get() = eventCount > 0
 
-    /** Starts the stream of an attempt; an incomplete event of the previous one is dropped. */
+    /**
+     * Starts the stream of an attempt; what the previous one left unforwarded is dropped. Throws
+     * [EventOrderException] if events without ids were forwarded, as a stream can't go on then.
+     */
     fun begin(next: ResponseHead) {
+        if (isStarted && lastEventId == null) {
+            throw EventOrderException("expected a stream with event ids, found one without")
+        }
         if (head == null || !isStarted) head = next
         splitter = EventSplitter()
+        received = emptyList()
+    }
+
+    /** Takes bytes of the stream; returns whether they complete an event. */
+    fun add(bytes: ByteArray): Boolean {
+        received = received + splitter.add(bytes)
+        return received.isNotEmpty()
     }
 
     /**
-     * Forwards the events that [bytes] complete, and returns whether there are any, forwarded
-     * before or now. Throws [EventOrderException] if one is missing.
+     * Forwards the complete events that were not forwarded before. Throws [EventOrderException] if
+     * one is missing.
      */
-    suspend fun onBytes(bytes: ByteArray): Boolean {
-        val completed = splitter.add(bytes)
-        val events = completed.filter { isNext(it) }
-        if (events.isEmpty()) return completed.isNotEmpty()
+    suspend fun forward() {
+        val events = received.filter { isNext(it) }
+        received = emptyList()
+        if (events.isEmpty()) return
         val nowMs = clock.nowMs()
         if (eventCount == 0) firstEventAtMs = nowMs
         eventCount += events.size
@@ -59,7 +75,6 @@
         events.last().id?.let { lastEventId = it }
         val joined = events.map { it.bytes }.reduce { all, next -> all + next }
         response.writeStreamed(checkNotNull(head), joined)
-        return true
     }
 
     /**
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StalledStreamTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StalledStreamTest.kt
@@ -73,7 +73,40 @@
         }
     }
 
+    @Nested
+    inner class Trickle {
+        /** Sends event 1, and then the bytes of event 2 so slowly that it never ends. */
+        private fun trickle(socket: Socket) {
+            socket.readRequest(0)
+            if (requestCount.incrementAndGet() > 1) return finish(socket)
+            socket.send(STREAM_HEAD + event(1))
+            val bytes = event(2)
+            // The gateway closes the connection when another endpoint takes over.
+            runCatching {
+                for (index in 0 until LONG_SILENCE_MS / TRICKLE_GAP_MS) {
+                    socket.send(bytes.substring(index.toInt() % bytes.length).take(1))
+                    Thread.sleep(TRICKLE_GAP_MS)
+                }
+            }
+        }
+
+        private fun finish(socket: Socket) =
+            socket.send(STREAM_HEAD + event(1) + event(2) + event(END) + "0\r\n\r\n")
+
+        /** Guards against a stalled stream that counts as sound for a byte now and then. */
+        @Test
+        fun `another endpoint takes over a stream whose endpoint sends a byte now and then`() {
+            val first = ScriptedEndpoint({ trickle(it) })
+            val second = ScriptedEndpoint({ trickle(it) })
+            first.use { second.use { assertComplete(response(first, second)) } }
+            assertEquals(2, requestCount.get())
+        }
+    }
+
     private companion object {
+        /** Time between two bytes of an event that never ends, in ms. */
+        const val TRICKLE_GAP_MS = 200L
+
         /** Exceeds the time after which a stream counts as stalled, in ms. */
         const val SILENCE_MS = 2_000L
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
@@ -24,6 +24,11 @@
 
     private fun event(id: Int) = "id: $id\ndata: x\n\n".toByteArray()
 
+    private suspend fun StreamRelay.receive(bytes: ByteArray) {
+        add(bytes)
+        forward()
+    }
+
     private suspend fun written(): String {
         channel.flushAndClose()
         return channel.readRemaining().readByteArray().decodeToString()
@@ -34,9 +39,9 @@
         @Test
         fun `an incomplete event of a failed attempt is not forwarded`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1) + "id: 2\ndata".toByteArray())
+            relay.receive(event(1) + "id: 2\ndata".toByteArray())
             relay.begin(head("second"))
-            relay.onBytes(event(2))
+            relay.receive(event(2))
             relay.finish(isFramed = true)
 
             val text = written()
@@ -47,9 +52,9 @@
         @Test
         fun `the response keeps the head of the first endpoint`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1))
+            relay.receive(event(1))
             relay.begin(head("second"))
-            relay.onBytes(event(2))
+            relay.receive(event(2))
 
             val text = written()
             assertTrue("Seal: first" in text)
@@ -60,19 +65,46 @@
         fun `the head of an endpoint that failed before its first event is dropped`() = runTest {
             relay.begin(head("first"))
             relay.begin(head("second"))
-            relay.onBytes(event(1))
+            relay.receive(event(1))
 
             assertTrue("Seal: second" in written())
         }
     }
 
+    @Nested
+    inner class Replaced {
+        /** Guards against events that count as forwarded although their attempt was replaced. */
+        @Test
+        fun `events that were not forwarded before a replacement are taken from the next one`() =
+            runTest {
+                relay.begin(head("first"))
+                relay.receive(event(1))
+                relay.add(event(2))
+                relay.begin(head("second"))
+                assertEquals(1, relay.lastEventId)
+                relay.receive(event(2) + event(3))
+
+                val ids = Regex("id: (\\d)").findAll(written()).map { it.groupValues[1] }
+                assertEquals(listOf("1", "2", "3"), ids.toList())
+            }
+
+        /** Guards against pieces of two runs in one stream. */
+        @Test
+        fun `a stream without event ids is not continued by another endpoint`() = runTest {
+            relay.begin(head("first"))
+            relay.receive("data: x\n\n".toByteArray())
+
+            assertFailsWith<EventOrderException> { relay.begin(head("second")) }
+        }
+    }
+
     @Nested
     inner class End {
         /** Guards against a stream cut off inside an event that is forwarded as complete. */
         @Test
         fun `a stream that ends with its connection inside an event is broken`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1) + "id: 2\ndata".toByteArray())
+            relay.receive(event(1) + "id: 2\ndata".toByteArray())
 
             assertFailsWith<IncompleteStreamException> { relay.finish(isFramed = false) }
             val text = written()
@@ -91,7 +123,7 @@
         @Test
         fun `a stream that ends with its connection after an event is complete`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1) + event(2))
+            relay.receive(event(1) + event(2))
             relay.finish(isFramed = false)
 
             assertTrue(written().endsWith("0\r\n\r\n"))
@@ -101,7 +133,7 @@
         @Test
         fun `bytes after the last event of a stream with chunks are forwarded`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1) + ": end".toByteArray())
+            relay.receive(event(1) + ": end".toByteArray())
             relay.finish(isFramed = true)
 
             assertTrue("5\r\n: end\r\n0\r\n\r\n" in written())
@@ -113,8 +145,8 @@
         @Test
         fun `an event that was already forwarded is dropped`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1) + event(2))
-            relay.onBytes(event(2) + event(3))
+            relay.receive(event(1) + event(2))
+            relay.receive(event(2) + event(3))
 
             assertEquals(1, Regex("id: 2").findAll(written()).count())
         }
@@ -122,9 +154,9 @@
         @Test
         fun `a missing event is a failure`() = runTest {
             relay.begin(head("first"))
-            relay.onBytes(event(1))
+            relay.receive(event(1))
 
-            assertFailsWith<EventOrderException> { relay.onBytes(event(3)) }
+            assertFailsWith<EventOrderException> { relay.receive(event(3)) }
         }
     }
 }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayRunnerFaultTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayRunnerFaultTest.kt
@@ -6,6 +6,10 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 
@@ -18,6 +22,15 @@
     @AfterTest
     fun stop() = cluster.close()
 
+    private companion object {
+        /** A stream takes twelve times as long. */
+        const val EVENT_GAP_MS = 50L
+
+        /** Streams that keep a runner busy for longer than the time limit of a stream. */
+        const val BUSY_STREAMS = 20
+        const val BUSY_GAP_MS = 250L
+    }
+
     private suspend fun startReadyGateway(): GatewayHandle {
         cluster.publish()
         return cluster.startGateway("gateway").also { it.awaitReady() }
@@ -121,6 +134,33 @@
         }
     }
 
+    /** Guards against a request whose connection falls silent for good while others go on. */
+    @Nested
+    inner class SilentConnections {
+        @Test
+        fun `another runner takes over although the runner answers on other connections`(): Unit =
+            runBlocking {
+                val runners = listOf("model-1", "model-2")
+                    .map { cluster.startRunner(it, "model", EVENT_GAP_MS) }
+                val gateway = startReadyGateway()
+                gateway.send("/chat/1", headers = chat)
+                val holder = runners.single { it.runs.isNotEmpty() }
+                synchronized(holder.faults) { holder.faults += RunnerFault.Hang }
+                val silent = async(Dispatchers.IO) { gateway.send("/chat/2", headers = chat) }
+                val others = List(BUSY_STREAMS) { number ->
+                    async(Dispatchers.IO) {
+                        delay(number * BUSY_GAP_MS)
+                        gateway.send("/chat/busy-$number", headers = chat)
+                    }
+                }
+
+                val stream = silent.await()
+                others.awaitAll()
+                val ids = Regex("id: (\\d+)").findAll(stream.body).map { it.groupValues[1] }
+                assertEquals((1..RunnerServer.EVENT_COUNT).map { "$it" }, ids.toList())
+            }
+    }
+
     @Nested
     inner class RepeatedRefusals {
         /** Guards against "not run" for an order that a runner has run. */
