Keep deleted endpoints deleted when a host regains the store

Change: StoreOutage. An outage is a gap in what a host knows of the table, longer than one failed call makes, by its own reads or by the updates of others; and only entries whose deletion became known at its end, or in the two seconds after it, may have expired.

--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointFeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointFeed.kt
@@ -25,9 +25,10 @@
         asOfMs: Long,
         nowMs: Long
     ) {
-        listing.onSnapshot(changes, end)
+        listing.onStoreAnswered(freshness.asOfMs, nowMs)
+        listing.onSnapshot(changes, end, nowMs)
         batches.clear()
-        onAnswered(end, asOfMs, nowMs)
+        onRead(end, asOfMs, nowMs)
     }
 
     /** Applies the changes from [from] to [next], current at [asOfMs] and received at [nowMs]. */
@@ -38,8 +39,9 @@
         asOfMs: Long,
         nowMs: Long
     ) {
-        addBatch(from, listing.onChanges(changes), nowMs)
-        onAnswered(next, asOfMs, nowMs)
+        listing.onStoreAnswered(freshness.asOfMs, nowMs)
+        addBatch(from, listing.onChanges(changes, nowMs), nowMs)
+        onRead(next, asOfMs, nowMs)
     }
 
     /** A read failed; the next one may start at [retryAtMs]. */
@@ -48,6 +50,12 @@
         freshness.onFailed(retryAtMs)
     }
 
+    /** Time as of which the replica is complete, on the monotonic clock. */
+    public val asOfMs: Long get() = freshness.asOfMs
+
+    /** The host was suspended for an unknown time, so the replica may be old. */
+    public fun onSuspended(): Unit = freshness.onSuspended()
+
     /** Changes that were not read yet have been trimmed from the log. */
     public fun onTrimmed(): Unit = freshness.onTrimmed()
 
@@ -58,17 +66,17 @@
     public fun onUpdate(update: StoreUpdate.Endpoints, nowMs: Long): Boolean {
         val known = next ?: return false
         if (known < update.from) return false
+        val knownAsOfMs = freshness.asOfMs
+        update.recoveredForMs?.let { listing.onRecoveredElsewhere(nowMs - it, knownAsOfMs) }
         if (update.next > known) {
             val unknown = update.changes.filter {
                 it.offset >= known || it.precedesDeletion(update)
             }
-            addBatch(known, listing.onChanges(unknown), nowMs)
+            addBatch(known, listing.onChanges(unknown, nowMs), nowMs)
             freshness.onRead(update.next, nowMs - update.ageMs)
         } else {
             freshness.onUpdate(update, nowMs)
         }
-        listing.onStoreAnswered(nowMs)
-        update.recoveredForMs?.let { listing.onRecoveredElsewhere(nowMs - it) }
         return true
     }
 
@@ -110,8 +118,7 @@
         batches += Batch(nowMs, from, changes)
     }
 
-    private fun onAnswered(end: LogOffset, asOfMs: Long, nowMs: Long) {
-        listing.onStoreAnswered(nowMs)
+    private fun onRead(end: LogOffset, asOfMs: Long, nowMs: Long) {
         listing.compact(nowMs)
         freshness.onRead(end, asOfMs)
     }
--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -27,7 +27,8 @@
  * The endpoints that may take work, by their records in the store. A record that an endpoint wrote
  * before the known one is ignored, wherever it is in the log, unless [CONFIRMING_RECORDS] of them
  * follow each other: then the known one, with numbers too large, is not by the endpoint. Entries
- * that expire around an outage of the store are kept for [EXPIRY_GRACE_MS] after its end.
+ * that may have expired in an outage of the store are kept for [EXPIRY_GRACE_MS] after its end;
+ * those that were deleted before stay deleted.
  */
 public class EndpointListing {
     /** [overruled] is a record with larger numbers that is not by the endpoint; null if none. */
@@ -38,6 +39,16 @@
     ) {
         /** Offset of the deletion of its key; null if the key exists. */
         var deletedAt: LogOffset? = null
+            private set
+
+        /** When this host learned of the deletion. */
+        var deletionKnownAtMs = 0L
+            private set
+
+        fun onDeleted(offset: LogOffset, nowMs: Long) {
+            deletedAt = offset
+            deletionKnownAtMs = nowMs
+        }
 
         /** The last of the records that followed in the log although they seem older. */
         var lastOlder: EndpointChange? = null
@@ -45,35 +56,33 @@
     }
 
     private val listed = mutableMapOf<EndpointId, KnownEndpoint>()
-    private var isStoreLost = false
-    private var storeRecoveredAtMs = Long.MIN_VALUE / 2
+    private val outage = StoreOutage()
 
     /** A call to the store failed. */
-    public fun onStoreLost() {
-        isStoreLost = true
-    }
+    public fun onStoreLost(): Unit = outage.onFailed()
 
-    /** A call to the store succeeded at [nowMs]. */
-    public fun onStoreAnswered(nowMs: Long) {
-        if (isStoreLost) storeRecoveredAtMs = nowMs
-        isStoreLost = false
-    }
+    /**
+     * A call to the store succeeded at [nowMs]; before, the table was known as of [knownAsOfMs]. To
+     * be called before its result is applied.
+     */
+    public fun onStoreAnswered(knownAsOfMs: Long, nowMs: Long): Unit =
+        outage.onAnswered(knownAsOfMs, nowMs)
 
     /**
-     * Applies changes in log order. Returns those that another listing needs to reach the same
-     * state: heartbeats that change nothing are left out, and a deletion comes with the last record
-     * before it, so that an older record that arrives late is recognised.
+     * Applies changes in log order at [nowMs]. Returns those that another listing needs to reach
+     * the same state: heartbeats that change nothing are left out, and a deletion comes with the
+     * last record before it, so that an older record that arrives late is recognised.
      */
-    public fun onChanges(changes: List<EndpointChange>): List<EndpointChange> =
-        changes.flatMap { onChange(it) }
+    public fun onChanges(changes: List<EndpointChange>, nowMs: Long): List<EndpointChange> =
+        changes.flatMap { onChange(it, nowMs) }
 
-    private fun onChange(change: EndpointChange): List<EndpointChange> {
+    private fun onChange(change: EndpointChange, nowMs: Long): List<EndpointChange> {
         val known = listed[change.id]
         if (known != null && change.offset <= known.offset) return emptyList()
         val record = change.record
         if (record == null) {
             if (known == null || known.deletedAt != null) return emptyList()
-            known.deletedAt = change.offset
+            known.onDeleted(change.offset, nowMs)
             return listOf(changeTo(change.id, known), change)
         }
         var overruled = known?.overruled
@@ -118,39 +127,38 @@
     }
 
     /** Applies the newest records of all endpoints; [end] was the end of the log at the read. */
-    public fun onSnapshot(changes: List<EndpointChange>, end: LogOffset) {
-        onChanges(changes.sortedBy { it.offset })
+    public fun onSnapshot(changes: List<EndpointChange>, end: LogOffset, nowMs: Long) {
+        onChanges(changes.sortedBy { it.offset }, nowMs)
         val present = changes.filter { it.record != null }.map { it.id }.toSet()
         for ((id, known) in listed) {
             val isMissing = id !in present && known.offset < end
-            if (isMissing && known.deletedAt == null) known.deletedAt = end
+            if (isMissing && known.deletedAt == null) known.onDeleted(end, nowMs)
         }
     }
 
     /** Endpoints that may take work, or are draining, at [nowMs]. */
-    public fun entries(nowMs: Long): List<EndpointEntry> {
-        val mayHaveExpired = isStoreLost || nowMs - storeRecoveredAtMs < EXPIRY_GRACE_MS
-        return listed.values
-            .filter { it.deletedAt == null || (mayHaveExpired && !it.record.entry.isDraining) }
-            .map { it.record.entry.copy(startedAtMs = it.record.startedAtMs) }
-    }
+    public fun entries(nowMs: Long): List<EndpointEntry> = listed.values
+        .filter { it.deletedAt == null || mayHaveExpired(it, nowMs) }
+        .map { it.record.entry.copy(startedAtMs = it.record.startedAtMs) }
+
+    private fun mayHaveExpired(known: KnownEndpoint, nowMs: Long): Boolean =
+        !known.record.entry.isDraining && outage.mayHaveExpired(known.deletionKnownAtMs, nowMs)
 
     /** When the store recovered from its last outage; null if the grace period is over. */
-    public fun recoveredAtMs(nowMs: Long): Long? =
-        storeRecoveredAtMs.takeIf { !isStoreLost && nowMs - it < EXPIRY_GRACE_MS }
+    public fun recoveredAtMs(nowMs: Long): Long? = outage.recoveredAtMs(nowMs)
 
-    /** For another host the store recovered at [atMs]. */
-    public fun onRecoveredElsewhere(atMs: Long) {
-        storeRecoveredAtMs = maxOf(storeRecoveredAtMs, atMs)
-    }
+    /**
+     * For another host the store recovered at [atMs]; this one knew the table as of [knownAsOfMs].
+     */
+    public fun onRecoveredElsewhere(atMs: Long, knownAsOfMs: Long): Unit =
+        outage.onRecoveredElsewhere(atMs, knownAsOfMs)
 
     /** Time until entries that expired in an outage no longer count, in ms; 0 if there is none. */
-    public fun graceRemainingMs(nowMs: Long): Long =
-        if (isStoreLost) 0 else maxOf(0, storeRecoveredAtMs + EXPIRY_GRACE_MS - nowMs)
+    public fun graceRemainingMs(nowMs: Long): Long = outage.graceRemainingMs(nowMs)
 
     /** Removes deleted endpoints if there are many, unless the grace period still needs them. */
     public fun compact(nowMs: Long) {
-        if (isStoreLost || nowMs - storeRecoveredAtMs < EXPIRY_GRACE_MS) return
+        if (outage.graceRemainingMs(nowMs) > 0) return
         if (listed.size > MAX_ENDPOINTS) listed.values.removeIf { it.deletedAt != null }
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
@@ -13,14 +13,16 @@
  * @property firstMaxAgeMs age at which the host of rank 0 reads again
  */
 public class TableFreshness(private val firstMaxAgeMs: Long) {
-    private var asOfMs = NEVER_MS
+    /** Time as of which the replica is complete, on the monotonic clock. */
+    public var asOfMs: Long = NEVER_MS
+        private set
     private var retryAtMs = NEVER_MS
 
     /** Offset of the next change to read; null if a snapshot has to be read. */
     public var next: LogOffset? = null
         private set
 
-    /** The replica is complete up to [next], as of [asOfMs]. */
+    /** The replica is complete up to [next] as of [asOfMs]. */
     public fun onRead(next: LogOffset, asOfMs: Long) {
         this.next = next
         this.asOfMs = maxOf(this.asOfMs, asOfMs)
@@ -32,6 +34,12 @@
         next = null
     }
 
+    /** The host was suspended for an unknown time, so the replica may be old. */
+    public fun onSuspended() {
+        asOfMs = NEVER_MS
+        retryAtMs = NEVER_MS
+    }
+
     /** A read failed and may be repeated at [atMs]. */
     public fun onFailed(atMs: Long) {
         retryAtMs = atMs
--- a/core/src/test/kotlin/cowslipcart/core/store/EndpointFeedTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/store/EndpointFeedTest.kt
@@ -86,6 +86,82 @@
         }
     }
 
+    /**
+     * Guards against requests to endpoints that have left: their entries came back for two seconds
+     * on all hosts whenever one of them had lost the store, or one call had failed.
+     */
+    @Nested
+    inner class Outages {
+        private val other = EndpointFeed()
+
+        private fun deletion(offset: Long) = change(offset, null)
+
+        @Test
+        fun `one failed call delays no deletion`() {
+            start(reader)
+            reader.onFailed(retryAtMs = 700)
+            reader.read(1, listOf(deletion(1)), atMs = 1_100)
+
+            assertTrue(reader.entries(1_100).isEmpty())
+        }
+
+        @Test
+        fun `an endpoint that was deleted before an outage does not come back`() {
+            start(reader)
+            reader.read(1, listOf(deletion(1)), atMs = 900)
+            reader.onFailed(retryAtMs = 2_000)
+            assertTrue(reader.entries(1_800).isEmpty())
+            reader.read(2, emptyList(), atMs = 9_000)
+
+            assertTrue(reader.entries(9_000).isEmpty())
+        }
+
+        @Test
+        fun `the return of one host to the store brings back no endpoint`() {
+            start(reader, member, other)
+            reader.read(1, listOf(deletion(1)), atMs = 900)
+            assertTrue(member.onUpdate(assertNotNull(reader.update(900)), 900))
+            other.onFailed(retryAtMs = 1_000)
+            for (atMs in 1_800L..8_100 step 900) {
+                reader.read(2, emptyList(), atMs)
+                assertTrue(member.onUpdate(assertNotNull(reader.update(atMs)), atMs))
+            }
+            other.read(1, listOf(deletion(1)), atMs = 8_500)
+            assertTrue(member.onUpdate(assertNotNull(other.update(8_500)), 8_500))
+
+            assertTrue(member.entries(8_500).isEmpty())
+        }
+
+        @Test
+        fun `the return of one host to the store delays no deletion`() {
+            start(reader, member, other)
+            other.onFailed(retryAtMs = 1_000)
+            for (atMs in 900L..8_100 step 900) {
+                reader.read(1, emptyList(), atMs)
+                assertTrue(member.onUpdate(assertNotNull(reader.update(atMs)), atMs))
+            }
+            other.read(1, emptyList(), atMs = 8_500)
+            assertTrue(member.onUpdate(assertNotNull(other.update(8_500)), 8_500))
+            reader.read(1, listOf(deletion(1)), atMs = 9_000)
+            assertTrue(member.onUpdate(assertNotNull(reader.update(9_000)), 9_000))
+
+            assertTrue(member.entries(9_000).isEmpty())
+        }
+
+        @Test
+        fun `entries that expired in an outage stay for two seconds on all hosts`() {
+            start(reader, member)
+            reader.onFailed(retryAtMs = 1_000)
+            reader.read(1, listOf(deletion(1)), atMs = 6_000)
+            assertTrue(member.onUpdate(assertNotNull(reader.update(6_000)), 6_000))
+
+            for (feed in listOf(reader, member)) {
+                assertEquals(1, feed.entries(7_900).size)
+                assertTrue(feed.entries(8_100).isEmpty())
+            }
+        }
+    }
+
     @Nested
     inner class MaxAge {
         @Test
--- a/core/src/test/kotlin/cowslipcart/core/store/EndpointListingTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/store/EndpointListingTest.kt
@@ -29,6 +29,11 @@
         LogOffset(offset)
     )
 
+    private fun EndpointListing.onChanges(changes: List<EndpointChange>) = onChanges(changes, 0)
+
+    private fun EndpointListing.onSnapshot(changes: List<EndpointChange>, end: LogOffset) =
+        onSnapshot(changes, end, 0)
+
     private fun delete(offset: Long) = EndpointChange(id, null, LogOffset(offset))
 
     @Nested
@@ -143,8 +148,8 @@
         fun `an entry that expired in an outage stays for two seconds after its end`() {
             listing.onChanges(listOf(change(5, heartbeat = 2)))
             listing.onStoreLost()
-            listing.onStoreAnswered(20_000)
-            listing.onChanges(listOf(delete(6)))
+            listing.onStoreAnswered(0, 20_000)
+            listing.onChanges(listOf(delete(6)), 20_000)
 
             assertEquals(1, listing.entries(21_900).size)
             assertTrue(listing.entries(22_100).isEmpty())
