Send nothing by an outdated list of endpoints

Change: EndpointListAge. A suspended machine, whose monotonic clock stood still, is noticed by its wall clock and reads at once. A timeout that is noticed late is a lag of the host, not an outage. The list of hosts is read also while the own record can't be written.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -66,6 +66,7 @@
             end(state, RefusalReason.QUARANTINED, null, nowMs)
             return true
         }
+        if (known.listAge.isOutdated(nowMs)) return endIfOver(state, nowMs)
         val inPool = endpoints.inPool(call.pool)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
@@ -86,17 +87,23 @@
                 isOver
             }
 
-            PlacementResult.Full -> {
-                val isOver = nowMs >= state.waitUntilMs
-                if (isOver) end(state, RefusalReason.OVERLOADED, retryAfterMs(call, nowMs), nowMs)
-                isOver
-            }
+            PlacementResult.Full -> endIfOver(state, nowMs)
         }
     }
 
+    /** Ends [state] if it may not wait longer; returns false if it waits on. */
+    private fun endIfOver(state: CallState, nowMs: Long): Boolean {
+        val isOver = nowMs >= state.waitUntilMs
+        val afterMs = retryAfterMs(state.call, nowMs)
+        if (isOver) end(state, RefusalReason.OVERLOADED, afterMs, nowMs)
+        return isOver
+    }
+
     private fun dispatch(state: CallState, selected: PlacementResult.Found, nowMs: Long) {
         startAttempt(state, selected, nowMs)
-        emitCommand(state, CallCommand.Dispatch(selected.endpoint.entry, state.sentCount), nowMs)
+        val untilMs = known.listAge.validUntilMs
+        val dispatch = CallCommand.Dispatch(selected.endpoint.entry, state.sentCount, untilMs)
+        emitCommand(state, dispatch, nowMs)
     }
 
     private fun startAttempt(state: CallState, selected: PlacementResult.Found, nowMs: Long) {
@@ -148,6 +155,12 @@
 
             is AttemptOutcome.NotSent -> onNotSent(state, attempt, nowMs)
 
+            is AttemptOutcome.Withheld -> {
+                state.sentCount--
+                state.tried -= attempt.endpoint.entry.id
+                if (state.inFlight.isEmpty()) requeue(state, nowMs)
+            }
+
             is AttemptOutcome.Broken -> {
                 onUnanswered(state, attempt, outcome, nowMs)
                 retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
@@ -227,7 +240,9 @@
             WorkKind.Idempotent -> {
                 val selected = selectForStalled(state, nowMs) ?: return
                 startAttempt(state, selected, nowMs)
-                val hedge = CallCommand.Hedge(selected.endpoint.entry, state.sentCount)
+                val untilMs = known.listAge.validUntilMs
+                val hedge =
+                    CallCommand.Hedge(selected.endpoint.entry, state.sentCount, untilMs)
                 emitCommand(state, hedge, nowMs)
             }
 
@@ -243,6 +258,7 @@
 
     /** Returns an endpoint that can answer in time, and spends a retry; null if there is none. */
     private fun selectForStalled(state: CallState, nowMs: Long): PlacementResult.Found? {
+        if (known.listAge.isOutdated(nowMs)) return null
         val call = state.call
         val inPool = endpoints.inPool(call.pool)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -89,9 +89,12 @@
     /** The endpoint stated that it did not run the request. */
     public data class Declined(public val reason: DeclineReason) : AttemptOutcome
 
-    /** No byte of the request was sent. */
+    /** No byte of the request was sent, since there was no connection. */
     public data class NotSent(public val reason: String) : AttemptOutcome
 
+    /** No byte of the request was sent, since the decision to send it was out of date. */
+    public data object Withheld : AttemptOutcome
+
     /**
      * The connection or the answer broke after the request was sent; it may have run.
      *
@@ -134,18 +137,27 @@
     public sealed interface Send : CallCommand {
         public val endpoint: EndpointEntry
         public val attempt: Int
+
+        /** Time on the monotonic clock after which the request may not be sent any more. */
+        public val validUntilMs: Long
     }
 
     /**
      * Send the request. During an attempt, which has stalled, this replaces it: its connection is
      * closed first.
      */
-    public data class Dispatch(override val endpoint: EndpointEntry, override val attempt: Int) :
-        Send
+    public data class Dispatch(
+        override val endpoint: EndpointEntry,
+        override val attempt: Int,
+        override val validUntilMs: Long = Long.MAX_VALUE
+    ) : Send
 
     /** Send the request beside the attempt in flight, which goes on; the first answer counts. */
-    public data class Hedge(override val endpoint: EndpointEntry, override val attempt: Int) :
-        Send
+    public data class Hedge(
+        override val endpoint: EndpointEntry,
+        override val attempt: Int,
+        override val validUntilMs: Long = Long.MAX_VALUE
+    ) : Send
 
     /**
      * Answer without an endpoint. The request has not run and will not run.
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -52,6 +52,9 @@
             is ForwardingInput.EndpointsChanged ->
                 known.effects += known.endpoints.onEntries(input.entries)
 
+            is ForwardingInput.EndpointsKnown ->
+                known.listAge.onKnown(input.asOfMs, input.isStoreLost)
+
             is ForwardingInput.EndpointLeaving ->
                 onLeaving(input.endpoint, "its answer", nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -56,6 +56,14 @@
     /** The complete list of endpoints that may take work or are draining. */
     public data class EndpointsChanged(public val entries: List<EndpointEntry>) : ForwardingInput
 
+    /**
+     * The list of endpoints is complete as of [asOfMs] of the monotonic clock.
+     *
+     * @property isStoreLost whether the store did not answer the last read
+     */
+    public data class EndpointsKnown(public val asOfMs: Long, public val isStoreLost: Boolean) :
+        ForwardingInput
+
     /** A load report of another host arrived. */
     public data class PeerReported(public val report: HostLoadReport) : ForwardingInput
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -6,6 +6,7 @@
 internal class ForwardingState(val settings: ForwardingSettings) {
     val cacheIndex = PrefixCacheIndex()
     val endpoints = EndpointRegistry(cacheIndex)
+    val listAge = EndpointListAge()
     val hostRegistry = HostRegistry(settings.host, settings.profile)
     val quotas = QuotaRegistry(if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE)
     val quarantine = CrashQuarantine(settings.host)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -228,6 +228,7 @@
         is AttemptOutcome.Answered -> if (outcome.isSuccess) "success" else "failure"
         is AttemptOutcome.Declined -> "declined: ${outcome.reason}"
         is AttemptOutcome.NotSent -> "not-sent: ${outcome.reason}"
+        is AttemptOutcome.Withheld -> "withheld"
         is AttemptOutcome.Broken -> "broken: ${outcome.reason}"
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -74,6 +74,9 @@
         val closing = caller.onClose { connection.abort() }
         try {
             caller.confirmOpen()
+            if (clock.nowMs() > dispatch.validUntilMs) {
+                return ExchangeResult(AttemptOutcome.Withheld)
+            }
             val result = attempt.run()
             closing.dispose()
             val reusableHead = attempt.reusableHead
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -24,6 +24,7 @@
  * The control thread of the gateway. It alone accesses the [ForwardingController]; traffic
  * coroutines submit inputs and receive commands through channels.
  *
+ * @property onSuspended called when the machine was suspended, before further inputs are handled
  * @property publish receives the load report of this host, null if there is none yet, and the plan
  * that says to which hosts it goes
  */
@@ -33,6 +34,7 @@
     private val eventLog: GatewayEventLog,
     private val metrics: GatewayMetrics,
     private val dispatcher: CoroutineDispatcher = controlThread(),
+    private val onSuspended: () -> Unit = {},
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
@@ -43,6 +45,7 @@
 
     private val messages = Channel<Message>(Channel.UNLIMITED)
     private val commandsByCall = ConcurrentHashMap<CallId, Channel<CallCommand>>()
+    private val suspension = SuspensionDetector(clock)
     private var nextReportAtMs = 0L
     private var nextTickAtMs = 0L
 
@@ -71,7 +74,9 @@
         scope.launch(dispatcher) {
             while (isActive) {
                 val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
-                when (val message = messages.receiveOrNull(waitMs)) {
+                val next = messages.receiveOrNull(waitMs)
+                checkSuspension()
+                when (val message = next) {
                     null -> Unit
 
                     is Message.Input -> {
@@ -89,6 +94,15 @@
         }
     }
 
+    private fun checkSuspension() {
+        val suspendedMs = suspension.takeSuspendedMs()
+        if (suspendedMs == 0L) return
+        eventLog.event("suspended", "forMs" to suspendedMs)
+        // The list of endpoints is as old as it was, and the time of the suspension.
+        handle(ForwardingInput.EndpointsKnown(Long.MIN_VALUE / 2, isStoreLost = false))
+        onSuspended()
+    }
+
     private fun handle(input: ForwardingInput) {
         var effects = emptyList<ForwardingEffect>()
         val isHandled = guard(input.javaClass.simpleName) {
@@ -125,6 +139,7 @@
             is ForwardingInput.CallClosed,
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
+            is ForwardingInput.EndpointsKnown,
             is ForwardingInput.PeerReported,
             is ForwardingInput.PeerLeft,
             ForwardingInput.Tick -> Unit
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -64,6 +64,7 @@
         clock,
         eventLog,
         metrics,
+        onSuspended = { follower?.onSuspended() },
         publish = peers::publish
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
@@ -149,6 +150,9 @@
 
         override fun onEndpoints(entries: List<EndpointEntry>) = this@Gateway.onEndpoints(entries)
 
+        override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) =
+            loop.submit(ForwardingInput.EndpointsKnown(asOfMs, isStoreLost))
+
         override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -18,6 +18,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
@@ -25,6 +26,8 @@
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 
 /** Decodes the records of a platform's store. Returns null for a record that is not valid. */
 public interface RecordDecoder {
@@ -41,6 +44,12 @@
 
     fun onEndpoints(entries: List<EndpointEntry>)
 
+    /**
+     * The endpoints are known as of [asOfMs] on the monotonic clock; [isStoreLost] if the store did
+     * not answer the last read.
+     */
+    fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean)
+
     fun onHosts(hosts: Map<HostId, HostRecord>)
 }
 
@@ -70,6 +79,7 @@
     private val endpointUpdates = updateChannel<StoreUpdate.Endpoints>()
     private val configurationUpdates = updateChannel<StoreUpdate.Configuration>()
     private var entries: List<EndpointEntry>? = null
+    private val suspensions = Channel<Unit>(Channel.CONFLATED)
     private val unreadable = UnreadableRecords { key ->
         eventLog.event("record-unreadable", "key" to key)
     }
@@ -80,9 +90,8 @@
             while (isActive) guard(StoreTable.CONFIGURATION) { followConfiguration() }
         }
         scope.launch { while (isActive) guard(StoreTable.ENDPOINTS) { followEndpoints() } }
-        scope.launch {
-            while (isActive) guard(StoreTable.HOSTS) { registerAndListHosts(self, record) }
-        }
+        scope.launch { guard(StoreTable.HOSTS) { register(self, record) } }
+        scope.launch { while (isActive) guard(StoreTable.HOSTS) { listHosts() } }
     }
 
     /** Runs [step]; logs its exception and pauses, so that the table is followed further. */
@@ -112,18 +121,42 @@
         }
     }
 
+    /** The machine was suspended: what this host knows may be old. Never blocks. */
+    fun onSuspended() {
+        suspensions.trySend(Unit)
+    }
+
     private val endpointHealth = StoreHealth(StoreTable.ENDPOINTS, eventLog)
 
+    /** Whether the store itself, not a lag of this host, is why the last read failed. */
+    private var isStoreLost = false
+
     /** Waits for an update of the endpoints, or reads them if none arrives in time. */
     private suspend fun followEndpoints() {
         val waitMs = endpoints.untilReadMs(publisher.groupRank, clock.nowMs())
-        val update = endpointUpdates.receiveOrNull(waitMs)
-        if (update == null) {
-            readEndpoints()
-        } else {
-            endpoints.onUpdate(update, clock.nowMs())
+        when (val event = awaitEndpointEvent(waitMs)) {
+            EndpointEvent.Due -> readEndpoints()
+            EndpointEvent.Suspended -> endpoints.onSuspended()
+            is EndpointEvent.Updated -> endpoints.onUpdate(event.update, clock.nowMs())
         }
-        if (endpoints.next != null) notifyEndpoints()
+        if (endpoints.next == null) return
+        notifyEndpoints()
+        listener.onEndpointsKnown(endpoints.asOfMs, isStoreLost)
+    }
+
+    private sealed interface EndpointEvent {
+        data object Due : EndpointEvent
+
+        data object Suspended : EndpointEvent
+
+        class Updated(val update: StoreUpdate.Endpoints) : EndpointEvent
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun awaitEndpointEvent(waitMs: Long): EndpointEvent = select {
+        suspensions.onReceive { EndpointEvent.Suspended }
+        endpointUpdates.onReceive { EndpointEvent.Updated(it) }
+        onTimeout(waitMs) { EndpointEvent.Due }
     }
 
     private fun notifyEndpoints() {
@@ -137,18 +170,21 @@
         val from = endpoints.next
         val sentAtMs = clock.nowMs()
         val table = StoreTable.ENDPOINTS
+        val timeoutMs = responseTimeoutMs(endpointHealth)
         val result = if (from == null) {
             store.newest(table).onRight {
                 endpoints.onSnapshot(decodeEndpoints(it.records), it.end, sentAtMs, clock.nowMs())
             }
         } else {
-            store.changes(table, from, 0, responseTimeoutMs(endpointHealth)).onRight {
+            store.changes(table, from, 0, timeoutMs).onRight {
                 val changes = decodeEndpoints(it.records)
                 endpoints.onChanges(changes, from, it.next, sentAtMs, clock.nowMs())
             }
         }
         val error = result.leftOrNull()
         endpointHealth.onCall(error)
+        val isPunctual = clock.nowMs() - sentAtMs <= timeoutMs + MAX_LAG_MS
+        isStoreLost = error is StoreError.Unavailable && isPunctual
         when (error) {
             null -> endpoints.update(clock.nowMs())?.let { publisher.publish(it) }
 
@@ -241,13 +277,20 @@
         return delayMs / 2 + random.nextLong(delayMs / 2)
     }
 
-    /** Writes the address of this host to the store, then reads those of the others repeatedly. */
-    private suspend fun registerAndListHosts(self: HostId, record: HostRecord) {
+    /** Writes the address of this host to the store. */
+    private suspend fun register(self: HostId, record: HostRecord) {
         val health = StoreHealth(StoreTable.HOSTS, eventLog)
         val value = record.encode()
         while (store.put(StoreTable.HOSTS, self.value, value).reportTo(health) == null) {
             delay(retryDelayMs(health))
         }
+    }
+
+    /**
+     * Reads the addresses of the other hosts repeatedly, also while that of this one is unknown.
+     */
+    private suspend fun listHosts() {
+        val health = StoreHealth(StoreTable.HOSTS, eventLog)
         var intervalMs = FIRST_HOSTS_INTERVAL_MS
         while (clock.nowMs() >= 0) {
             val snapshot = store.newest(StoreTable.HOSTS).reportTo(health)
@@ -302,6 +345,9 @@
         const val FIRST_RETRY_DELAY_MS = 200L
         const val MAX_DOUBLINGS = 2
 
+        /** A timeout that is noticed later shows that this host is behind with its work, in ms. */
+        const val MAX_LAG_MS = 200L
+
         /** Each update covers the last seconds, so the newest ones suffice. */
         const val UPDATE_CAPACITY = 8
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
@@ -14,6 +14,7 @@
 import java.net.Socket
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlinx.coroutines.Dispatchers
@@ -34,13 +35,14 @@
     private fun outcomeOf(
         kind: WorkKind,
         bodyBytes: Int,
+        validUntilMs: Long = Long.MAX_VALUE,
         script: (Socket) -> Unit
     ): AttemptOutcome = ScriptedEndpoint(script).use { endpoint ->
         runBlocking(Dispatchers.IO) {
             val head = RequestHead("POST", "/a/", Headers(emptyList()))
             val request = BufferedRequest(head, ByteArray(bodyBytes))
             val response = CallerResponse(ByteChannel(), isHeadRequest = false) { false }
-            val dispatch = CallCommand.Dispatch(endpoint.entry("e"), 1)
+            val dispatch = CallCommand.Dispatch(endpoint.entry("e"), 1, validUntilMs)
             val relay = StreamRelay(response, clock)
             val call = sampleCall(kind, clock.nowMs())
             exchange.run(call, request, dispatch, relay, OpenCaller, SilentListener).outcome
@@ -115,6 +117,21 @@
         }
     }
 
+    @Nested
+    inner class OutOfDate {
+        /** Guards against a request that a delayed host sends by an outdated decision. */
+        @Test
+        fun `a request whose decision is out of date is not sent`() {
+            var receivedBytes = 0
+            val outcome = outcomeOf(WorkKind.AtMostOnce, bodyBytes = 10, validUntilMs = -1) {
+                receivedBytes = runCatching { it.getInputStream().readAllBytes().size }
+                    .getOrDefault(0)
+            }
+            assertEquals(AttemptOutcome.Withheld, outcome)
+            assertEquals(0, receivedBytes)
+        }
+    }
+
     private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
 
     private companion object {
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -26,6 +26,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
@@ -111,6 +112,8 @@
     private val store = FakeStore()
     private var entries = emptyList<EndpointEntry>()
     private val entriesSeenAtMs = mutableListOf<Long>()
+    private var knownAsOfMs = -1L
+    private var wasStoreLost = false
 
     private fun TestScope.follow(
         publisher: StoreUpdatePublisher = this@StoreFollowerTest.publisher
@@ -124,6 +127,11 @@
                 entriesSeenAtMs += currentTime
             }
 
+            override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) {
+                knownAsOfMs = asOfMs
+                wasStoreLost = isStoreLost
+            }
+
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
         val eventLog = GatewayEventLog(clock, GatewayMetrics())
@@ -169,6 +177,45 @@
         }
     }
 
+    /** Guards against a host that acts on endpoints as they were before it was delayed. */
+    @Nested
+    inner class Age {
+        @Test
+        fun `the age of the endpoints is told with each read`() = runTest {
+            store.write("ready")
+            follow()
+            delay(START_MS)
+            assertTrue(currentTime - knownAsOfMs <= MAX_AGE_MS, "known as of $knownAsOfMs")
+            assertFalse(wasStoreLost)
+        }
+
+        @Test
+        fun `a store that does not answer is told apart from a host that is behind`() = runTest {
+            store.write("ready")
+            follow()
+            delay(START_MS)
+            store.unansweredReads = 1
+            while (store.unansweredReads > 0) delay(10)
+            delay(RESPONSE_MS)
+            assertTrue(wasStoreLost)
+            delay(START_MS)
+            assertFalse(wasStoreLost)
+        }
+
+        @Test
+        fun `a host that was suspended reads at once`() = runTest {
+            store.write("ready")
+            val follower = follow()
+            delay(START_MS)
+            while (store.readCount == 0) delay(10)
+            delay(10)
+            store.write("draining")
+            follower.onSuspended()
+            delay(10)
+            assertTrue(entries.single().isDraining)
+        }
+    }
+
     /** Guards against a host that keeps the state of one moment until it is restarted. */
     @Nested
     inner class Exceptions {
@@ -339,6 +386,11 @@
     }
 
     private companion object {
+        /** A host at rank 0 reads again at this age, in ms. */
+        const val MAX_AGE_MS = 910L
+
+        /** Time after which a read counts as unanswered, and some more, in ms. */
+        const val RESPONSE_MS = 550L
         const val NETWORK_MS = 3L
 
         /** Time after the first reads and right after a read of the endpoints, in ms. */
