Send each new configuration to the group instead of letting all hosts read it

Each change of the configuration or of a key was announced by the first host of a group and then read by all others. Change: ConfigurationFeed. The update of the first host holds the configuration, compressed, for 2.5 s; the others apply it, and read themselves if it does not come or is too large for a datagram (11 KB). The long poll follows the time within which a change has to be in force: 0.8 s for 2 s, as before, 1.8 s for 3 s. The table of hosts is read at the start and 1.5 s later, then every 30 s (before: 0.5, 2 and 8 s). An update with a configuration can't be read by hosts of an older build, which read themselves then.

--- a/core/src/main/kotlin/cowslipcart/core/store/StoreUpdate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/StoreUpdate.kt
@@ -28,7 +28,15 @@
         public val recoveredForMs: Long?
     ) : StoreUpdate
 
-    /** The table of configurations ends at [next]. */
-    public data class Configuration(override val next: LogOffset, override val ageMs: Long) :
-        StoreUpdate
+    /**
+     * The table of configurations ends at [next].
+     *
+     * @property record the newest configuration, for some time after it was read; null later, or if
+     * it is too large to be sent
+     */
+    public data class Configuration(
+        override val next: LogOffset,
+        override val ageMs: Long,
+        public val record: TableRecord? = null
+    ) : StoreUpdate
 }
--- a/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
@@ -11,8 +11,12 @@
  * changes matter.
  *
  * @property firstMaxAgeMs age at which the host of rank 0 reads again
+ * @property longestMaxAgeMs age at which any host reads; the host of rank 1 does so a little sooner
  */
-public class TableFreshness(private val firstMaxAgeMs: Long) {
+public class TableFreshness(
+    private val firstMaxAgeMs: Long,
+    private val longestMaxAgeMs: Long = LONGEST_MAX_AGE_MS
+) {
     /** Time as of which the replica is complete, on the monotonic clock. */
     public var asOfMs: Long = NEVER_MS
         private set
@@ -67,15 +71,15 @@
 
     private fun maxAgeMs(groupRank: Int): Long = when (groupRank) {
         0 -> firstMaxAgeMs
-        1 -> SECOND_MAX_AGE_MS
-        else -> LONGEST_MAX_AGE_MS
+        1 -> longestMaxAgeMs - SECOND_LEAD_MS
+        else -> longestMaxAgeMs
     }
 
     private companion object {
         const val NEVER_MS = Long.MIN_VALUE / 2
 
-        /** The first host reads at an age of 900 ms at the latest; its update takes some ms. */
-        const val SECOND_MAX_AGE_MS = 1_000L
+        /** By how much the second host reads before all others, which its update then reaches. */
+        const val SECOND_LEAD_MS = 100L
 
         /**
          * A change has to be in force after 2 s. A read at this age that times out after 0.5 s and
--- /dev/null
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -0,0 +1,113 @@
+package cowslipcart.daemon.gateway
+
+import cowslipcart.core.store.ConfigurationFeed
+import cowslipcart.core.store.KeyedStore
+import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreTable
+import cowslipcart.core.store.StoreUpdate
+import cowslipcart.core.store.TableRecord
+import cowslipcart.daemon.control.RuntimeClock
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+
+/** Components that the followers of all tables use. */
+internal class StoreFollowing(
+    val store: KeyedStore,
+    val decoder: RecordDecoder,
+    val listener: StoreListener,
+    val publisher: StoreUpdatePublisher,
+    val eventLog: GatewayEventLog,
+    val clock: RuntimeClock
+) {
+    val unreadable = UnreadableRecords { key ->
+        eventLog.event("record-unreadable", "key" to key)
+    }
+}
+
+/**
+ * Follows the table of configurations. The host at rank 0 reads it with a long poll and publishes
+ * what it read; the others take that, and read themselves only if it does not come.
+ */
+internal class ConfigurationFollower(
+    private val following: StoreFollowing,
+    private val health: StoreHealth,
+    private val feed: ConfigurationFeed
+) {
+    private val clock get() = following.clock
+    private val updates =
+        Channel<StoreUpdate.Configuration>(UPDATE_CAPACITY, BufferOverflow.DROP_OLDEST)
+
+    /** Queues an update that another host read from the store; never blocks. */
+    fun onUpdate(update: StoreUpdate.Configuration) {
+        updates.trySend(update)
+    }
+
+    /** Waits for an update, or reads the table if none arrives in time. */
+    suspend fun followOnce() {
+        val rank = following.publisher.groupRank
+        val untilReadMs = feed.untilReadMs(rank, clock.nowMs())
+        val update = if (untilReadMs == 0L) {
+            updates.tryReceive().getOrNull()
+        } else {
+            updates.receiveOrNull(untilReadMs)
+        }
+        if (update != null && isCurrentAfter(update)) return
+        read(if (update == null && rank == 0) feed.waitMs else 0)
+    }
+
+    /** Applies what this host lacks of [update]; returns whether nothing is left to read. */
+    private fun isCurrentAfter(update: StoreUpdate.Configuration): Boolean {
+        val missing = feed.missingIn(update)
+        if (missing != null && notifyRouting(listOf(missing)) != null) {
+            feed.onApplied(update, clock.nowMs())
+        }
+        return feed.onUpdate(update, clock.nowMs())
+    }
+
+    private suspend fun read(waitMs: Long) {
+        val from = feed.next
+        val sentAtMs = clock.nowMs()
+        val table = StoreTable.CONFIGURATION
+        val error = if (from == null) {
+            following.store.newest(table).onRight {
+                feed.onRead(it.end, notifyRouting(it.records), sentAtMs, clock.nowMs())
+            }.leftOrNull()
+        } else {
+            val timeoutMs = health.responseTimeoutMs
+            following.store.changes(table, from, waitMs, timeoutMs).onRight {
+                // Without a change, the store answers only after the whole long poll.
+                val waitedMs = if (it.next == from) waitMs else 0
+                val nowMs = clock.nowMs()
+                val asOfMs = minOf(sentAtMs + waitedMs, nowMs)
+                feed.onRead(it.next, notifyRouting(it.records), asOfMs, nowMs)
+            }.leftOrNull()
+        }
+        health.onCall(error)
+        when (error) {
+            null -> feed.update(clock.nowMs())?.let { following.publisher.publish(it) }
+            StoreError.Trimmed -> feed.onTrimmed()
+            is StoreError.Unavailable -> feed.onFailed(clock.nowMs() + health.retryDelayMs())
+        }
+    }
+
+    /** Tells the listener of the configurations in [records] and returns the last valid one. */
+    private fun notifyRouting(records: List<TableRecord>): TableRecord? {
+        var newest: TableRecord? = null
+        for (record in records) {
+            val value = record.value ?: continue
+            val table = following.decoder.decodeRouting(record.key, value)
+            if (table == null) {
+                following.unreadable.report(StoreTable.CONFIGURATION, record)
+            } else {
+                newest = record
+                following.listener.onRouting(table)
+            }
+        }
+        return newest
+    }
+
+    private companion object {
+        /** Each update holds all that is needed, so the newest ones suffice. */
+        const val UPDATE_CAPACITY = 8
+    }
+}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -35,6 +35,7 @@
  * @property peer UDP address that other hosts send their reports to
  * @property metricsPort port of the metrics on the IP address of [front]; null for no metrics
  * @property shutdownMs time from the stop signal until the platform kills the process
+ * @property configurationBoundMs time within which a changed configuration has to be in force
  */
 public data class GatewaySettings(
     public val forwarding: ForwardingSettings,
@@ -42,7 +43,8 @@
     public val ready: SocketAddressSetting,
     public val peer: SocketAddressSetting,
     public val metricsPort: Int?,
-    public val shutdownMs: Long
+    public val shutdownMs: Long,
+    public val configurationBoundMs: Long
 )
 
 /** Forwards requests of callers to the endpoints that a platform's store lists. */
@@ -101,7 +103,9 @@
             }
         }
         val instrumented = InstrumentedStore(store, metrics)
-        follower = StoreFollower(instrumented, decoder, listener, peers, eventLog, clock, random)
+        val following =
+            StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock)
+        follower = StoreFollower(following, settings.configurationBoundMs, random)
             .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { evictIdleConnections() }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -116,11 +116,21 @@
 
     /** Sends [datagram] to the group, and a load report to its relays in the other groups. */
     private suspend fun sendToGroup(datagram: PeerDatagram) {
-        val bytes = DatagramCodec.encode(datagram)
+        val encoded = DatagramCodec.encode(datagram)
+        val isTooLarge = encoded.size > MAX_DATAGRAM_BYTES
+        val bytes = if (isTooLarge) DatagramCodec.encode(shortened(datagram)) else encoded
         send(bytes, plan.members)
         if (datagram is PeerDatagram.LoadReport) send(bytes, plan.relays)
     }
 
+    /**
+     * Leaves out a configuration that is too large for a datagram; the others read it themselves.
+     */
+    private fun shortened(datagram: PeerDatagram): PeerDatagram {
+        val update = (datagram as? PeerDatagram.Update)?.update as? StoreUpdate.Configuration
+        return if (update == null) datagram else PeerDatagram.Update(update.copy(record = null))
+    }
+
     /** Forwards the new reports of other groups to this one. */
     private suspend fun forwardReports() {
         val reports = relayBuffer.drain()
@@ -223,6 +233,9 @@
         /** A socket that fails at each call may not keep a thread busy, in ms. */
         const val FAILURE_DELAY_MS = 200L
 
+        /** A datagram is lost if any of its packets is, here up to eight. */
+        const val MAX_DATAGRAM_BYTES = 11_000
+
         /** Keeps a bundle below a few kilobytes; the report of one host takes 300 to 900 bytes. */
         const val MAX_BUNDLE_REPORTS = 6
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -4,18 +4,15 @@
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
-import cowslipcart.core.model.LogOffset
 import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.store.ConfigurationFeed
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointFeed
 import cowslipcart.core.store.EndpointRecord
-import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.StoreError
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.StoreUpdate
-import cowslipcart.core.store.TableFreshness
 import cowslipcart.core.store.TableRecord
-import cowslipcart.daemon.control.RuntimeClock
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -66,28 +63,33 @@
  * store and publishes its reads; the others read it themselves only if these updates stop.
  */
 internal class StoreFollower(
-    private val store: KeyedStore,
-    private val decoder: RecordDecoder,
-    private val listener: StoreListener,
-    private val publisher: StoreUpdatePublisher,
-    private val eventLog: GatewayEventLog,
-    private val clock: RuntimeClock,
+    private val following: StoreFollowing,
+    configurationBoundMs: Long,
     private val random: Random
 ) {
+    private val store = following.store
+    private val listener = following.listener
+    private val publisher = following.publisher
+    private val eventLog = following.eventLog
+    private val clock = following.clock
     private val endpoints = EndpointFeed()
-    private val configuration = TableFreshness(CONFIGURATION_MAX_AGE_MS)
-    private val endpointUpdates = updateChannel<StoreUpdate.Endpoints>()
-    private val configurationUpdates = updateChannel<StoreUpdate.Configuration>()
+    private val endpointHealth = healthOf(StoreTable.ENDPOINTS)
+    private val endpointUpdates =
+        Channel<StoreUpdate.Endpoints>(UPDATE_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val configuration = ConfigurationFollower(
+        following,
+        healthOf(StoreTable.CONFIGURATION),
+        ConfigurationFeed(configurationBoundMs)
+    )
     private var entries: List<EndpointEntry>? = null
     private val suspensions = Channel<Unit>(Channel.CONFLATED)
-    private val unreadable = UnreadableRecords { key ->
-        eventLog.event("record-unreadable", "key" to key)
-    }
+
+    private fun healthOf(table: StoreTable) = StoreHealth(table, following.eventLog, random)
 
     /** Starts following the store, and registers [self] with [record] in it. */
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
         scope.launch {
-            while (isActive) guard(StoreTable.CONFIGURATION) { followConfiguration() }
+            while (isActive) guard(StoreTable.CONFIGURATION) { configuration.followOnce() }
         }
         scope.launch { while (isActive) guard(StoreTable.ENDPOINTS) { followEndpoints() } }
         scope.launch { guard(StoreTable.HOSTS) { register(self, record) } }
@@ -109,7 +111,7 @@
                 "reason" to "$e",
                 "at" to "$origin"
             )
-            delay(FIRST_RETRY_DELAY_MS)
+            delay(StoreHealth.FIRST_RETRY_DELAY_MS)
         }
     }
 
@@ -117,7 +119,7 @@
     fun onUpdate(update: StoreUpdate) {
         when (update) {
             is StoreUpdate.Endpoints -> endpointUpdates.trySend(update)
-            is StoreUpdate.Configuration -> configurationUpdates.trySend(update)
+            is StoreUpdate.Configuration -> configuration.onUpdate(update)
         }
     }
 
@@ -126,8 +128,6 @@
         suspensions.trySend(Unit)
     }
 
-    private val endpointHealth = StoreHealth(StoreTable.ENDPOINTS, eventLog)
-
     /** Whether the store itself, not a lag of this host, is why the last read failed. */
     private var isStoreLost = false
 
@@ -170,7 +170,7 @@
         val from = endpoints.next
         val sentAtMs = clock.nowMs()
         val table = StoreTable.ENDPOINTS
-        val timeoutMs = responseTimeoutMs(endpointHealth)
+        val timeoutMs = endpointHealth.responseTimeoutMs
         val result = if (from == null) {
             store.newest(table).onRight {
                 endpoints.onSnapshot(decodeEndpoints(it.records), it.end, sentAtMs, clock.nowMs())
@@ -191,7 +191,7 @@
             StoreError.Trimmed -> endpoints.onTrimmed()
 
             is StoreError.Unavailable -> endpoints.onFailed(
-                clock.nowMs() + retryDelayMs(endpointHealth)
+                clock.nowMs() + endpointHealth.retryDelayMs()
             )
         }
     }
@@ -199,90 +199,19 @@
     private fun decodeEndpoints(records: List<TableRecord>): List<EndpointChange> =
         records.map { record ->
             val id = EndpointId(record.key)
-            val decoded = record.value?.let { decoder.decodeEndpoint(id, it) }
+            val decoded = record.value?.let { following.decoder.decodeEndpoint(id, it) }
             if (decoded == null && record.value != null) {
-                unreadable.report(StoreTable.ENDPOINTS, record)
+                following.unreadable.report(StoreTable.ENDPOINTS, record)
             }
             EndpointChange(id, decoded, record.offset)
         }
 
-    private val configurationHealth = StoreHealth(StoreTable.CONFIGURATION, eventLog)
-
-    /**
-     * Waits for an update of the configuration, or reads it if none arrives in time. The host at
-     * rank 0 reads with a long poll.
-     */
-    private suspend fun followConfiguration() {
-        val rank = publisher.groupRank
-        val waitMs = configuration.untilReadMs(rank, clock.nowMs())
-        val update = if (waitMs == 0L) {
-            configurationUpdates.tryReceive().getOrNull()
-        } else {
-            configurationUpdates.receiveOrNull(waitMs)
-        }
-        if (update != null && configuration.onUpdate(update, clock.nowMs())) return
-        readConfiguration(if (update == null && rank == 0) CONFIGURATION_WAIT_MS else 0)
-    }
-
-    private suspend fun readConfiguration(waitMs: Long) {
-        val from = configuration.next
-        val sentAtMs = clock.nowMs()
-        val table = StoreTable.CONFIGURATION
-        val result: Either<StoreError, Unit> = if (from == null) {
-            store.newest(table).map {
-                notifyRouting(it.records)
-                configuration.onRead(it.end, sentAtMs)
-            }
-        } else {
-            store.changes(table, from, waitMs, responseTimeoutMs(configurationHealth)).map {
-                notifyRouting(it.records)
-                // Without a change, the store answers only after the whole long poll.
-                val waitedMs = if (it.next == from) waitMs else 0
-                configuration.onRead(it.next, minOf(sentAtMs + waitedMs, clock.nowMs()))
-            }
-        }
-        val error = result.leftOrNull()
-        configurationHealth.onCall(error)
-        when (error) {
-            null -> configuration.next?.let {
-                val ageMs = configuration.ageMs(clock.nowMs())
-                publisher.publish(StoreUpdate.Configuration(it, ageMs))
-            }
-
-            StoreError.Trimmed -> configuration.onTrimmed()
-
-            is StoreError.Unavailable ->
-                configuration.onFailed(clock.nowMs() + retryDelayMs(configurationHealth))
-        }
-    }
-
-    private fun notifyRouting(records: List<TableRecord>) {
-        for (record in records) {
-            val value = record.value ?: continue
-            val table = decoder.decodeRouting(record.key, value)
-            if (table == null) {
-                unreadable.report(StoreTable.CONFIGURATION, record)
-            } else {
-                listener.onRouting(table)
-            }
-        }
-    }
-
-    /** Doubles after each failure, so that a slow store does not time out for ever. */
-    private fun responseTimeoutMs(health: StoreHealth): Long =
-        RESPONSE_TIMEOUT_MS shl minOf(health.failures, MAX_DOUBLINGS)
-
-    private fun retryDelayMs(health: StoreHealth): Long {
-        val delayMs = FIRST_RETRY_DELAY_MS shl minOf(health.failures - 1, MAX_DOUBLINGS)
-        return delayMs / 2 + random.nextLong(delayMs / 2)
-    }
-
     /** Writes the address of this host to the store. */
     private suspend fun register(self: HostId, record: HostRecord) {
-        val health = StoreHealth(StoreTable.HOSTS, eventLog)
+        val health = healthOf(StoreTable.HOSTS)
         val value = record.encode()
         while (store.put(StoreTable.HOSTS, self.value, value).reportTo(health) == null) {
-            delay(retryDelayMs(health))
+            delay(health.retryDelayMs())
         }
     }
 
@@ -290,15 +219,16 @@
      * Reads the addresses of the other hosts repeatedly, also while that of this one is unknown.
      */
     private suspend fun listHosts() {
-        val health = StoreHealth(StoreTable.HOSTS, eventLog)
+        val health = healthOf(StoreTable.HOSTS)
         var intervalMs = FIRST_HOSTS_INTERVAL_MS
         while (clock.nowMs() >= 0) {
             val snapshot = store.newest(StoreTable.HOSTS).reportTo(health)
             if (snapshot != null) {
                 listener.onHosts(decodeHosts(snapshot.records))
-                intervalMs = minOf(intervalMs * HOSTS_INTERVAL_GROWTH, MAX_HOSTS_INTERVAL_MS)
             }
             delay(if (snapshot == null) HOSTS_RETRY_MS else intervalMs)
+            val nextMs = minOf(intervalMs * HOSTS_INTERVAL_GROWTH, MAX_HOSTS_INTERVAL_MS)
+            if (snapshot != null) intervalMs = nextMs
         }
     }
 
@@ -310,41 +240,20 @@
     private fun decodeHosts(records: List<TableRecord>): Map<HostId, HostRecord> =
         records.mapNotNull { record ->
             val decoded = record.value?.let { HostRecord.decode(it) }
-            if (decoded == null) unreadable.report(StoreTable.HOSTS, record)
+            if (decoded == null) following.unreadable.report(StoreTable.HOSTS, record)
             decoded?.let { HostId(record.key) to it }
         }.toMap()
 
-    private fun <T> updateChannel() = Channel<T>(UPDATE_CAPACITY, BufferOverflow.DROP_OLDEST)
-
     private companion object {
         /**
-         * Duration of the long poll by the host at rank 0, in ms. The others read the store
-         * themselves if they receive no update for a little longer.
+         * Interval between the first two reads of the table of hosts, in ms. By then the hosts that
+         * start together have written their records; later ones are known by their reports.
          */
-        const val CONFIGURATION_WAIT_MS = 800L
-
-        /**
-         * Age at which the first host of a group reads the configuration again, in ms. It limits
-         * the calls a second if the store ignores the long poll.
-         */
-        const val CONFIGURATION_MAX_AGE_MS = 50L
-
-        /** A response takes 4 ms, and close to 400 ms when the store is slow. */
-        const val RESPONSE_TIMEOUT_MS = 500L
-
-        /**
-         * Interval between reads of the table of hosts, in ms. It starts short to find hosts that
-         * start together, and grows with each read, since later hosts are known by their reports.
-         */
-        const val FIRST_HOSTS_INTERVAL_MS = 500L
-        const val HOSTS_INTERVAL_GROWTH = 4
+        const val FIRST_HOSTS_INTERVAL_MS = 1_500L
+        const val HOSTS_INTERVAL_GROWTH = 20
         const val MAX_HOSTS_INTERVAL_MS = 30_000L
         const val HOSTS_RETRY_MS = 1_000L
 
-        /** Delay after the first failed call, in ms; doubles up to 800 ms. */
-        const val FIRST_RETRY_DELAY_MS = 200L
-        const val MAX_DOUBLINGS = 2
-
         /** A timeout that is noticed later shows that this host is behind with its work, in ms. */
         const val MAX_LAG_MS = 200L
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -136,15 +136,10 @@
         }
         val eventLog = GatewayEventLog(clock, GatewayMetrics())
         val record = HostRecord(SocketAddressSetting("127.0.0.1", 1), HostProfile("a", 1.0))
-        return StoreFollower(
-            store,
-            StateDecoder,
-            listener,
-            publisher,
-            eventLog,
-            clock,
-            Random(3)
-        ).also { it.start(backgroundScope, HostId("h"), record) }
+        val following = StoreFollowing(store, StateDecoder, listener, publisher, eventLog, clock)
+        return StoreFollower(following, configurationBoundMs = 2_000, Random(3)).also {
+            it.start(backgroundScope, HostId("h"), record)
+        }
     }
 
     /** Drains the endpoint; returns the time until the follower reports that, in ms. */
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
@@ -9,10 +9,12 @@
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreUpdate
+import cowslipcart.core.store.TableRecord
 import cowslipcart.wire.peer.peerCbor
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborArray
 
 /**
@@ -20,13 +22,20 @@
  * [SerializationException] for malformed bytes.
  */
 internal object StoreUpdateCodec {
+    /** Larger than any configuration that the platform's store takes. */
+    private const val MAX_RECORD_BYTES = 4 * 1_024 * 1_024
+
     fun encode(update: StoreUpdate): ByteArray =
         peerCbor.encodeToByteArray(StoreUpdateDocument.serializer(), toDocument(update))
 
     fun decode(bytes: ByteArray): StoreUpdate {
         val document = peerCbor.decodeFromByteArray(StoreUpdateDocument.serializer(), bytes)
         val next = LogOffset(document.next)
-        val from = document.from ?: return StoreUpdate.Configuration(next, document.ageMs)
+        val from = document.from ?: return StoreUpdate.Configuration(
+            next,
+            document.ageMs,
+            document.record?.let { toTableRecord(it) }
+        )
         return StoreUpdate.Endpoints(
             LogOffset(from),
             next,
@@ -38,7 +47,14 @@
 
     private fun toDocument(update: StoreUpdate): StoreUpdateDocument = when (update) {
         is StoreUpdate.Configuration ->
-            StoreUpdateDocument(update.next.value, update.ageMs, null, null, emptyList())
+            StoreUpdateDocument(
+                update.next.value,
+                update.ageMs,
+                null,
+                null,
+                emptyList(),
+                update.record?.let { toDocument(it) }
+            )
 
         is StoreUpdate.Endpoints -> StoreUpdateDocument(
             update.next.value,
@@ -55,6 +71,17 @@
         )
     }
 
+    private fun toDocument(record: TableRecord): ConfigurationRecordDocument? {
+        val value = record.value ?: return null
+        return ConfigurationRecordDocument(record.key, record.offset.value, value.deflate())
+    }
+
+    private fun toTableRecord(document: ConfigurationRecordDocument) = TableRecord(
+        document.key,
+        document.deflated.inflate(MAX_RECORD_BYTES),
+        LogOffset(document.offset)
+    )
+
     private fun toDocument(record: EndpointRecord): EndpointRecordDocument {
         val entry = record.entry
         return EndpointRecordDocument(
@@ -93,10 +120,24 @@
     }
 }
 
+/**
+ * Configuration that a host read.
+ *
+ * @property deflated its bytes as the store holds them, compressed
+ */
+@Serializable
+@CborArray
+private class ConfigurationRecordDocument(
+    val key: String,
+    val offset: Long,
+    @ByteString val deflated: ByteArray
+)
+
 /**
  * Array form of [StoreUpdate]. The order of the fields is part of the protocol.
  *
  * @property from offset from which endpoint changes are complete; null for the configuration table
+ * @property record newest configuration; left out if there is none
  */
 @Serializable
 @CborArray
@@ -105,7 +146,8 @@
     val ageMs: Long,
     val from: Long?,
     val regainedForMs: Long?,
-    val changes: List<EndpointChangeDocument>
+    val changes: List<EndpointChangeDocument>,
+    val record: ConfigurationRecordDocument? = null
 )
 
 @Serializable
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -20,6 +20,7 @@
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreUpdate
+import cowslipcart.core.store.TableRecord
 import java.util.HexFormat
 import kotlin.random.Random
 import kotlin.test.Test
@@ -87,6 +88,31 @@
             assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
         }
 
+        @Test
+        fun `a configuration survives a round trip, compressed`() {
+            val value = "a route of the configuration, ".repeat(5_000).toByteArray()
+            val record = TableRecord("config", value, LogOffset(8))
+            val update = StoreUpdate.Configuration(LogOffset(9), ageMs = 4, record)
+            val bytes = DatagramCodec.encode(PeerDatagram.Update(update))
+            val decoded = DatagramCodec.decode(bytes).getOrNull() as PeerDatagram.Update
+            val found = (decoded.update as StoreUpdate.Configuration).record
+
+            assertTrue(bytes.size < value.size / 10, "${bytes.size} bytes")
+            assertEquals(value.toList(), found?.value?.toList())
+            assertEquals(LogOffset(8), found?.offset)
+        }
+
+        /** Guards against a few bytes that fill the memory of a host. */
+        @Test
+        fun `a configuration beyond all limits is not expanded`() {
+            val value = ByteArray(20_000_000)
+            val record = TableRecord("config", value, LogOffset(8))
+            val update = StoreUpdate.Configuration(LogOffset(9), ageMs = 4, record)
+            val bytes = DatagramCodec.encode(PeerDatagram.Update(update))
+
+            assertTrue(DatagramCodec.decode(bytes).isLeft())
+        }
+
         @Test
         fun `leaving endpoints survive a round trip, with suspected parts and without`() {
             val leaving = listOf(LeavingEndpoint(id, 1_733_400_000_000), LeavingEndpoint(id, 0))
