--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ResponseOwnershipTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ResponseOwnershipTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
 
@@ -60,6 +61,36 @@
             assertEquals("answer of r2", second.response?.body?.decodeToString())
         }
 
+        /** Guards against the answer of the request before, sent again after the next one came. */
+        @Test
+        fun `a second copy of an earlier answer is skipped and the answer follows`() =
+            withEndpoint({ request ->
+                if (request.id != "r1") write(response(200, "r1", "answer of r1"))
+                write(response(200, request.id, "answer of ${request.id}"))
+            }) {
+                repeat(3) {
+                    val id = "r${it + 1}"
+                    assertEquals("answer of $id", run(id).response?.body?.decodeToString())
+                }
+                assertEquals(listOf("r1", "r2", "r3"), endpoint.received)
+            }
+
+        /** Guards against the same copy, sent while the connection rests. */
+        @Test
+        fun `a connection on which a second copy arrived is not used again`() = withEndpoint(
+            { request ->
+                write(response(200, request.id, "answer of ${request.id}"))
+                flush()
+                write(response(200, request.id, "answer of ${request.id}"))
+            }
+        ) {
+            repeat(3) {
+                val id = "r${it + 1}"
+                assertEquals("answer of $id", run(id).response?.body?.decodeToString())
+                delay(SETTLE_MS)
+            }
+        }
+
         @Test
         fun `a refusal without an id after a response to another request does not count`() =
             withEndpoint({
@@ -86,4 +117,9 @@
             assertEquals(full, run("r1").outcome)
         }
     }
+
+    private companion object {
+        /** Time in which bytes arrive on a connection that rests, in ms. */
+        const val SETTLE_MS = 30L
+    }
 }
