--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -20,15 +20,13 @@
         final Http.Head head;
         final byte[] body;
         final OutputStream out;
-        final InputStream in;
-        final int numberOnConnection;
+        private final Socket socket;
 
-        Run(Http.Head head, byte[] body, OutputStream out, InputStream in, int numberOnConnection) {
+        Run(Http.Head head, byte[] body, OutputStream out, Socket socket) {
             this.head = head;
             this.body = body;
             this.out = out;
-            this.in = in;
-            this.numberOnConnection = numberOnConnection;
+            this.socket = socket;
         }
 
         String id() {
@@ -40,6 +38,12 @@
             return "Attempt-Id: " + id() + "\r\nResponse-Seal: seal-" + id() + "\r\n";
         }
 
+        /** Resets the connection, so that the answer is lost. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         void answer(int status, byte[] body) throws IOException {
             out.write(Http.bytes("HTTP/1.1 " + status + " Status\r\n" + sealed() + "Content-Length: " + body.length + "\r\n\r\n"));
             out.write(body);
@@ -115,7 +119,7 @@
         try (socket) {
             InputStream in = Http.buffered(new LitInput(socket.getInputStream()));
             OutputStream out = socket.getOutputStream();
-            for (int number = 0; ; number++) {
+            while (true) {
                 Http.Head head = Http.readHead(in);
                 if (head == null) return;
                 byte[] body = Http.readBody(in, head);
@@ -124,7 +128,7 @@
                     continue;
                 }
                 ran.add(head.get("attempt-id"));
-                if (!work.run(new Run(head, body, out, in, number))) return;
+                if (!work.run(new Run(head, body, out, socket))) return;
             }
         }
     }
