Suspend writes to peers that take nothing

Cause: what the kernel does not take at once went to Ktor's write channel, whose writer repeats the write while bytes are left, also if the kernel takes none. Evidence: in a thread dump during the outage both threads of Dispatchers.IO were runnable in the socket's write below CIOWriter, with 3.0 and 3.3 s of processor time in a process 7 s old. Answers to callers that read nothing, the status address and messages between daemons went the same way. Change: SocketSink writes to the socket and suspends until the selector reports that it takes more, so a wait holds no thread. It has no buffer of its own: a request is active until the kernel has its whole answer. Complete answers are written apart from the deadline, since the buffer did that before.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -58,7 +58,7 @@
 /** One daemon process: the control loop and the I/O around it. */
 internal class Daemon private constructor(
     private val settings: Settings,
-    selector: SelectorManager,
+    private val selector: SelectorManager,
     private val peerSocket: ServerSocket
 ) {
     private val log = LoggerFactory.getLogger(Daemon::class.java)
@@ -106,7 +106,9 @@
     /** Starts the control loop, both servers and all pollers; returns the bound ports. */
     suspend fun start(): BoundPorts {
         registerGauges()
-        val peerServer = PeerServer(host, handshake, metrics, versions) { controlLoop.submit(it) }
+        val peerServer = PeerServer(host, handshake, metrics, versions, selector) {
+            controlLoop.submit(it)
+        }
         peerServer.start(scope, peerSocket)
         controlLoop.start(scope, effectRunner())
         streams.start()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -7,6 +7,8 @@
 import cowslipcart.core.forwarding.LeavingEndpoint
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.ByteSink
+import io.ktor.network.sockets.Socket
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Deferred
@@ -27,7 +29,8 @@
     val eventLog: GatewayEventLog,
     val metrics: GatewayMetrics,
     val clock: RuntimeClock,
-    val probe: ReadProbe
+    val probe: ReadProbe,
+    val openSink: (Socket) -> ByteSink
 )
 
 /** Executes the commands of the control thread for one request, and responds to its caller. */
@@ -41,6 +44,9 @@
     private val relay = StreamRelay(response, context.clock)
     private var lastResponse: BufferedResponse? = null
 
+    /** Complete response of an endpoint that the caller gets. */
+    private var answer: BufferedResponse? = null
+
     /** The attempts in flight, oldest first. */
     private val running = mutableListOf<RunningAttempt>()
 
@@ -59,8 +65,15 @@
             if (caller.isClosed) throw CallerDisconnectedException()
             context.loop.submit(ForwardingInput.Arrived(call))
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
-            withTimeoutOrNull(remainingMs) { cancelOnDisconnect(caller) { followCommands(caller) } }
-                ?: onTimeout()
+            val isInTime = withTimeoutOrNull(remainingMs) {
+                cancelOnDisconnect(caller) { followCommands(caller) }
+                true
+            } ?: false
+            val answer = answer
+            when {
+                answer != null -> deliver(answer, caller)
+                !isInTime -> onTimeout()
+            }
         } catch (e: CallerDisconnectedException) {
             end = "caller-left"
             throw e
@@ -99,7 +112,11 @@
             monitor.cancel()
         }
 
-    /** Carries out commands until the caller has its response; stops all attempts then. */
+    /** Writes a response that is complete, also if the caller takes it later than the deadline. */
+    private suspend fun deliver(answer: BufferedResponse, caller: CallerMonitor) =
+        cancelOnDisconnect(caller) { response.writeComplete(answer.head, answer.body) }
+
+    /** Carries out commands until the response is certain; stops all attempts then. */
     private suspend fun followCommands(caller: CallerMonitor): Unit = coroutineScope {
         do {
             val isOver = select {
@@ -112,7 +129,7 @@
         coroutineContext.cancelChildren()
     }
 
-    /** Carries out [command]; returns whether the caller has its response. */
+    /** Carries out [command]; returns whether the response is certain. */
     private suspend fun CoroutineScope.onCommand(
         command: CallCommand,
         caller: CallerMonitor
@@ -143,8 +160,8 @@
         }
     }
 
-    /** Forwards the response of [attempt]; returns whether the caller has its response. */
-    private suspend fun CoroutineScope.onAttemptEnded(
+    /** Takes the response of [attempt]; returns whether the caller gets it. */
+    private fun CoroutineScope.onAttemptEnded(
         attempt: RunningAttempt,
         result: ExchangeResult,
         caller: CallerMonitor
@@ -153,7 +170,7 @@
         lastResponse = result.response
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
-        if (isDone) result.response?.let { response.writeComplete(it.head, it.body) }
+        if (isDone) answer = result.response
         report(outcome, attempt.command, attempt.startMs)
         val next = replacement
         replacement = null
@@ -254,7 +271,7 @@
 
             failure != null -> {
                 end = "endpoint-failure"
-                response.writeComplete(failure.head, failure.body)
+                answer = failure
             }
 
             else -> {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -2,14 +2,13 @@
 
 import cowslipcart.core.routing.CallerLimits
 import cowslipcart.daemon.http1.BodyReader
+import cowslipcart.daemon.http1.ByteSink
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.HeadParser
 import cowslipcart.daemon.http1.MalformedMessageException
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.TooLongException
-import cowslipcart.daemon.http1.send
 import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
@@ -26,7 +25,7 @@
 
     /** Serves [socket] until one side closes it. */
     suspend fun serve(socket: Socket) {
-        val caller = CallerSocket(socket, context.probe, context.clock)
+        val caller = CallerSocket(socket, context.openSink(socket), context.probe, context.clock)
         state.openConnections.incrementAndGet()
         try {
             while (serveNext(caller)) Unit
@@ -35,15 +34,15 @@
         } catch (e: IOException) {
             context.eventLog.event("caller-connection-lost", "reason" to e.message)
         } finally {
-            closeQuietly(caller.writer)
+            closeQuietly(caller.sink)
             caller.close()
             state.openConnections.decrementAndGet()
         }
     }
 
-    private suspend fun closeQuietly(writer: ByteWriteChannel) {
+    private suspend fun closeQuietly(sink: ByteSink) {
         try {
-            writer.flushAndClose()
+            sink.finish()
         } catch (e: IOException) {
             context.eventLog.event("caller-close-failed", "reason" to e.message)
         }
@@ -52,24 +51,24 @@
     /** Serves one request; returns whether the connection can carry another one. */
     private suspend fun serveNext(caller: CallerSocket): Boolean {
         val source = caller.source
-        val writer = caller.writer
+        val sink = caller.sink
         if (!awaitRequest(caller)) return false
         val limits = limits
         val response: CallerResponse
         val request: BufferedRequest
         try {
             val head = withTimeoutOrNull(limits.headerTimeoutMs) { readHead(source, limits) }
-                ?: return rejectAndClose(writer, REQUEST_TIMEOUT, "header-timeout")
-            response = CallerResponse(writer, head.method == "HEAD") { mustClose(head, source) }
-            request = BufferedRequest(head, readBody(source, writer, head, limits))
+                ?: return rejectAndClose(sink, REQUEST_TIMEOUT, "header-timeout")
+            response = CallerResponse(sink, head.method == "HEAD") { mustClose(head, source) }
+            request = BufferedRequest(head, readBody(source, sink, head, limits))
         } catch (e: MalformedMessageException) {
-            return rejectAndClose(writer, BAD_REQUEST, e.message ?: "malformed")
+            return rejectAndClose(sink, BAD_REQUEST, e.message ?: "malformed")
         } catch (e: TooLongException) {
             val status = when (e) {
                 is TooLongException.OfBody -> TOO_LARGE
                 is TooLongException.OfHead -> HEADERS_TOO_LARGE
             }
-            return rejectAndClose(writer, status, e.message.orEmpty())
+            return rejectAndClose(sink, status, e.message.orEmpty())
         }
         return respond(request, response, caller) && !source.isOverrun
     }
@@ -159,24 +158,20 @@
 
     private suspend fun readBody(
         source: ByteSource,
-        writer: ByteWriteChannel,
+        sink: ByteSink,
         head: RequestHead,
         limits: CallerLimits
     ): ByteArray {
         val reader = BodyReader(source, HeadParser.requestFraming(head))
-        if (head.headers.hasToken("Expect", "100-continue")) writer.send(CONTINUE)
+        if (head.headers.hasToken("Expect", "100-continue")) sink.send(CONTINUE)
         val body = withTimeoutOrNull(BODY_TIMEOUT_MS) { reader.readAll(limits.bodyBytes) }
         return body ?: throw IOException("body not received within $BODY_TIMEOUT_MS ms")
     }
 
     /** Rejects a request whose bytes can't be read to the end, so the connection must close. */
-    private suspend fun rejectAndClose(
-        writer: ByteWriteChannel,
-        status: Int,
-        reason: String
-    ): Boolean {
+    private suspend fun rejectAndClose(sink: ByteSink, status: Int, reason: String): Boolean {
         context.eventLog.rejected(null, status, reason, state.routing?.revision?.value)
-        CallerResponse(writer, isHeadRequest = false) { true }.writeLocalReply(status, close = true)
+        CallerResponse(sink, isHeadRequest = false) { true }.writeLocalReply(status, close = true)
         return false
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
@@ -1,11 +1,10 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.daemon.http1.ByteSink
 import cowslipcart.daemon.http1.HOP_BY_HOP_HEADERS
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.ResponseHead
-import cowslipcart.daemon.http1.send
-import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import java.util.Locale
 import kotlinx.coroutines.CancellationException
@@ -29,7 +28,7 @@
  * @property mustClose whether the connection has to be closed after the response
  */
 internal class CallerResponse(
-    private val writer: ByteWriteChannel,
+    private val sink: ByteSink,
     private val isHeadRequest: Boolean,
     private val mustClose: () -> Boolean
 ) {
@@ -99,7 +98,7 @@
 
     private suspend fun sendToCaller(message: ByteArray) {
         try {
-            writer.send(message)
+            sink.send(message)
         } catch (_: IOException) {
             throw CallerDisconnectedException()
         } catch (_: CancellationException) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerSocket.kt
@@ -1,11 +1,10 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.ByteSink
 import cowslipcart.daemon.http1.ByteSource
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.invokeOnCompletion
 import io.ktor.utils.io.isCompleted
 import java.io.IOException
@@ -15,6 +14,7 @@
 /** The connection of a caller. */
 internal class CallerSocket(
     private val socket: Socket,
+    val sink: ByteSink,
     private val probe: ReadProbe,
     private val clock: RuntimeClock
 ) : CallerMonitor {
@@ -26,7 +26,6 @@
         private set
 
     val source = ByteSource(channel)
-    val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
 
     init {
         onClose { markClosed() }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -6,18 +6,15 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.ResponseHead
+import cowslipcart.daemon.http1.SocketSink
 import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writeFully
 import java.io.IOException
 import java.net.StandardSocketOptions
-import java.nio.ByteBuffer
 import java.nio.channels.ClosedChannelException
 import java.nio.channels.SocketChannel
 import kotlinx.coroutines.withTimeoutOrNull
@@ -25,8 +22,7 @@
 /** An open TCP connection to an endpoint or to a server of the platform. */
 internal class ServerConnection(private val socket: Socket, private val selector: SelectorManager) {
     private val channel = (socket as Selectable).channel as SocketChannel
-    private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
-    private var isWriterUsed = false
+    private val sink = SocketSink(socket, selector)
     private val reader = socket.openReadChannel()
     val source = ByteSource(reader)
 
@@ -37,21 +33,14 @@
      * Sends [bytes]. What the kernel accepts at once is sent before this function suspends, so that
      * a check that was made right before holds for it.
      */
-    suspend fun send(bytes: ByteArray) {
-        val sentCount = if (isWriterUsed) 0 else channel.write(ByteBuffer.wrap(bytes))
-        if (sentCount == bytes.size) return
-        isWriterUsed = true
-        writer.writeFully(bytes, sentCount, bytes.size)
-        writer.flush()
-    }
+    suspend fun send(bytes: ByteArray) = sink.send(bytes)
 
     /**
-     * Closes the connection. Bytes that wait in either channel are dropped: the socket would stay
-     * open until they are read, or sent.
+     * Closes the connection. Bytes that wait in the channel are dropped: the socket would stay open
+     * until they are read.
      */
     fun close() {
         val cause = IOException("connection closed by this host")
-        writer.cancel(cause)
         reader.cancel(cause)
         socket.close()
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.http1.SocketSink
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -77,7 +78,8 @@
         eventLog,
         metrics,
         clock,
-        SelectorReadProbe()
+        SelectorReadProbe(),
+        openSink = { SocketSink(it, selector) }
     )
 
     private var follower: StoreFollower? = null
@@ -96,10 +98,10 @@
         peers.start(scope, selector, settings.peer)
         frontListener =
             accept(settings.front) { CallerConnection(context, admission, state).serve(it) }
-        accept(settings.ready) { StatusConnection(state, metrics, eventLog).serve(it) }
+        accept(settings.ready) { StatusConnection(state, metrics, eventLog, selector).serve(it) }
         settings.metricsPort?.let { port ->
             accept(settings.front.copy(port = port)) {
-                StatusConnection(state, metrics, eventLog).serve(it)
+                StatusConnection(state, metrics, eventLog, selector).serve(it)
             }
         }
         val instrumented = InstrumentedStore(store, metrics)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StatusConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StatusConnection.kt
@@ -4,29 +4,30 @@
 import cowslipcart.daemon.http1.HeadParser
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.MessageWriter
-import cowslipcart.daemon.http1.send
+import cowslipcart.daemon.http1.SocketSink
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import java.io.IOException
 
 /** Serves readiness checks of the load balancer and scrapes of metrics. */
 internal class StatusConnection(
     private val state: GatewayState,
     private val metrics: GatewayMetrics,
-    private val eventLog: GatewayEventLog
+    private val eventLog: GatewayEventLog,
+    private val selector: SelectorManager
 ) {
     /** Serves [socket] until the peer closes it. */
     suspend fun serve(socket: Socket) {
         try {
             socket.use { open ->
                 val source = ByteSource(open.openReadChannel())
-                val writer = open.openWriteChannel(autoFlush = false)
+                val sink = SocketSink(open, selector)
                 while (true) {
                     val bytes = source.readHead(MAX_HEAD_BYTES) ?: break
-                    writer.send(responseTo(HeadParser.parseRequest(bytes).path))
+                    sink.send(responseTo(HeadParser.parseRequest(bytes).path))
                 }
-                writer.flushAndClose()
+                sink.finish()
             }
         } catch (e: IOException) {
             eventLog.event("status-connection-lost", "reason" to e.message)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/MessageWriter.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/MessageWriter.kt
@@ -1,8 +1,5 @@
 package cowslipcart.daemon.http1
 
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.writeFully
-
 /** Encodes message heads and chunks of bodies. */
 internal object MessageWriter {
     /** Encodes the head of a request, including the empty line that ends it. */
@@ -48,9 +45,3 @@
         504 to "Gateway Timeout"
     )
 }
-
-/** Writes [bytes] and flushes the channel. */
-internal suspend fun ByteWriteChannel.send(bytes: ByteArray) {
-    writeFully(bytes)
-    flush()
-}
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerConnection.kt
@@ -2,13 +2,12 @@
 
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.Metrics
+import cowslipcart.daemon.http1.SocketSink
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -72,11 +71,11 @@
 
     private suspend fun writeFrames(socket: Socket, first: ByteArray) {
         val reader = socket.openReadChannel()
-        val writer = socket.openWriteChannel(autoFlush = false)
+        val writer = FrameWriter(SocketSink(socket, selector))
         withTimeout(CONNECT_TIMEOUT_MS) { authenticate(reader, writer) }
         var frame: ByteArray? = first
         while (frame != null) {
-            writer.writeFrame(frame)
+            writer.write(frame)
             metrics.peerFrames.labelValues("sent").inc()
             metrics.peerBytes.labelValues("sent").inc((frame.size + LENGTH_BYTES).toLong())
             frame = frames.tryReceive().getOrNull()
@@ -87,12 +86,12 @@
         }
     }
 
-    private suspend fun authenticate(reader: ByteReadChannel, writer: ByteWriteChannel) {
+    private suspend fun authenticate(reader: ByteReadChannel, writer: FrameWriter) {
         val serverNonce = reader.readFrame()
         val clientNonce = handshake.newNonce()
-        writer.writeFrame(self.value.encodeToByteArray())
-        writer.writeFrame(clientNonce)
-        writer.writeFrame(handshake.clientProof(serverNonce, clientNonce, self.value))
+        writer.write(self.value.encodeToByteArray())
+        writer.write(clientNonce)
+        writer.write(handshake.clientProof(serverNonce, clientNonce, self.value))
         writer.flush()
         val serverHost = reader.readFrame().decodeToString()
         val expected = handshake.serverProof(serverNonce, clientNonce, serverHost)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.http1.SocketSink
 import cowslipcart.wire.WireError
 import cowslipcart.wire.peer.EnvelopePeerCodec
 import cowslipcart.wire.peer.PeerProtocol
@@ -13,9 +14,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import java.io.IOException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
@@ -31,6 +30,7 @@
     private val handshake: Handshake,
     private val metrics: Metrics,
     private val versions: PeerVersions,
+    private val selector: SelectorManager,
     private val inbox: PeerInbox
 ) {
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
@@ -55,7 +55,7 @@
             socket.use {
                 address = socket.remoteAddress.toString()
                 val reader = it.openReadChannel()
-                val writer = it.openWriteChannel(autoFlush = false)
+                val writer = FrameWriter(SocketSink(it, selector))
                 val peer = withTimeout(HANDSHAKE_TIMEOUT_MS) { authenticate(reader, writer) }
                 if (peer == null) {
                     metrics.peerErrors.labelValues("authentication").inc()
@@ -76,9 +76,9 @@
     }
 
     /** Returns the authenticated host, or null if its proof is wrong. */
-    private suspend fun authenticate(reader: ByteReadChannel, writer: ByteWriteChannel): HostId? {
+    private suspend fun authenticate(reader: ByteReadChannel, writer: FrameWriter): HostId? {
         val serverNonce = handshake.newNonce()
-        writer.writeFrame(serverNonce)
+        writer.write(serverNonce)
         writer.flush()
         val host = reader.readFrame().decodeToString()
         val clientNonce = reader.readFrame()
@@ -86,17 +86,13 @@
         if (!handshake.isEqual(handshake.clientProof(serverNonce, clientNonce, host), proof)) {
             return null
         }
-        writer.writeFrame(self.value.encodeToByteArray())
-        writer.writeFrame(handshake.serverProof(serverNonce, clientNonce, self.value))
+        writer.write(self.value.encodeToByteArray())
+        writer.write(handshake.serverProof(serverNonce, clientNonce, self.value))
         writer.flush()
         return HostId(host)
     }
 
-    private suspend fun readFrames(
-        peer: HostId,
-        reader: ByteReadChannel,
-        writer: ByteWriteChannel
-    ) {
+    private suspend fun readFrames(peer: HostId, reader: ByteReadChannel, writer: FrameWriter) {
         while (true) {
             val frame = reader.readFrame()
             metrics.peerFrames.labelValues("received").inc()
@@ -118,10 +114,10 @@
         }
     }
 
-    private suspend fun reportError(peer: HostId, error: WireError, writer: ByteWriteChannel) {
+    private suspend fun reportError(peer: HostId, error: WireError, writer: FrameWriter) {
         metrics.peerErrors.labelValues("decode").inc()
         log.warn("message of peer {} cannot be decoded: {}", peer, error.message)
-        writer.writeFrame(EnvelopePeerCodec.encodeError(self, error))
+        writer.write(EnvelopePeerCodec.encodeError(self, error))
         writer.flush()
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -6,6 +6,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.RequestHead
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.openWriteChannel
 import kotlin.random.Random
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -48,7 +49,9 @@
         val loop = ForwardingLoop(IdleController(), clock, eventLog, metrics) { _, _ -> }
         val connections = EndpointConnections(selector, clock) { 1 }
         val exchange = EndpointExchange(connections, BareHeaderCodec, clock)
-        val context = SessionContext(loop, exchange, eventLog, metrics, clock) { false }
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock, { false }) {
+            ChannelSink(it.openWriteChannel())
+        }
         val admission = CallAdmission(admissionCodec, state, clock, Random(1))
         return CallerConnection(context, admission, state)
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointExchangeTest.kt
@@ -41,7 +41,8 @@
         runBlocking(Dispatchers.IO) {
             val head = RequestHead("POST", "/a/", Headers(emptyList()))
             val request = BufferedRequest(head, ByteArray(bodyBytes))
-            val response = CallerResponse(ByteChannel(), isHeadRequest = false) { false }
+            val response =
+                CallerResponse(ChannelSink(ByteChannel()), isHeadRequest = false) { false }
             val dispatch = CallCommand.Dispatch(endpoint.entry("e"), 1, validUntilMs)
             val relay = StreamRelay(response, clock)
             val call = sampleCall(kind, clock.nowMs())
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
@@ -44,7 +44,7 @@
         caller: ByteChannel = ByteChannel(),
         body: ByteArray = ByteArray(0)
     ): ExchangeResult {
-        val response = CallerResponse(caller, isHeadRequest = false) { false }
+        val response = CallerResponse(ChannelSink(caller), isHeadRequest = false) { false }
         val head =
             RequestHead("GET", "/x", Headers(listOf(Header(TestHeaderCodec.REQUEST_ID, id))))
         return exchange.run(
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -26,6 +26,7 @@
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
+import cowslipcart.daemon.http1.SocketSink
 import io.ktor.network.selector.SelectInterest
 import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
@@ -96,6 +97,7 @@
 internal class SessionFixture(
     endpointPort: Int,
     decisionMs: Long = 0,
+    private val timeoutMs: Long = TIMEOUT_MS,
     sessionDispatcher: CoroutineDispatcher = Dispatchers.IO
 ) : AutoCloseable {
     /** Holds back what the sockets of callers have to read, as on a host that is behind. */
@@ -130,7 +132,10 @@
         val loop = ForwardingLoop(controller, clock, eventLog, metrics) { _, _ -> }
         loop.start(scope)
         val exchange = EndpointExchange(connections, PlainHeaderCodec, clock)
-        val context = SessionContext(loop, exchange, eventLog, metrics, clock, SelectorReadProbe())
+        val probe = SelectorReadProbe()
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock, probe) {
+            SocketSink(it, callerSelector)
+        }
         val admission = CallAdmission(PlainHeaderCodec, state, clock, Random(1))
         val server =
             runBlocking { aSocket(callerSelector).tcp().bind(InetSocketAddress(LOOPBACK, 0)) }
@@ -152,8 +157,8 @@
                 "/",
                 WorkKind.Idempotent,
                 listOf(WeightedPool(pool, 1.0)),
-                timeoutMs = TIMEOUT_MS,
-                objectiveMs = TIMEOUT_MS,
+                timeoutMs = timeoutMs,
+                objectiveMs = timeoutMs,
                 tier = Tier(0),
                 maxAttempts = 1,
                 isPublic = true
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionHarness.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionHarness.kt
@@ -34,11 +34,13 @@
         loop.start(scope)
         val connections = EndpointConnections(selector, clock) { 1 }
         val exchange = EndpointExchange(connections, headerCodec, clock)
-        val context = SessionContext(loop, exchange, eventLog, metrics, clock) { false }
+        val context = SessionContext(loop, exchange, eventLog, metrics, clock, { false }) {
+            error("the caller of this test has no socket")
+        }
         val written = ByteChannel()
         val received = async { written.readRemaining().readByteArray().decodeToString() }
         val head = RequestHead("POST", "/a/", Headers(emptyList()))
-        val response = CallerResponse(written, isHeadRequest = false) { false }
+        val response = CallerResponse(ChannelSink(written), isHeadRequest = false) { false }
         val call = sampleCall(kind, clock.nowMs())
         val request = BufferedRequest(head, ByteArray(0))
         CallSession(context, call, request, response).serve(OpenCaller)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
@@ -17,7 +17,7 @@
 
 class StreamRelayTest {
     private val channel = ByteChannel()
-    private val response = CallerResponse(channel, isHeadRequest = false) { false }
+    private val response = CallerResponse(ChannelSink(channel), isHeadRequest = false) { false }
     private val relay = StreamRelay(response, RuntimeClock())
 
     private fun head(seal: String) = ResponseHead(200, "OK", Headers(listOf(Header("Seal", seal))))
