Let a silent stream go on until another endpoint accepts it

Cause: a stall released the attempt of the silent endpoint as soon as another one had a free slot by figures that are up to a second old. If that one declined, no attempt was left. Takeover sees to it that only one of both forwards events. StalledAttemptTest asked for the Dispatch and the slot at the stall; it asks for the take-over and for the slot at the end of the replaced attempt now, which is as strict.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -99,11 +99,16 @@
         return isOver
     }
 
-    private fun dispatch(state: CallState, selected: PlacementResult.Found, nowMs: Long) {
+    /** Starts an attempt at [selected], with the command that [send] creates. */
+    private fun dispatch(
+        state: CallState,
+        selected: PlacementResult.Found,
+        nowMs: Long,
+        send: (EndpointEntry, Int, Long) -> CallCommand.Send = CallCommand::Dispatch
+    ) {
         startAttempt(state, selected, nowMs)
         val untilMs = known.listAge.validUntilMs
-        val dispatch = CallCommand.Dispatch(selected.endpoint.entry, state.sentCount, untilMs)
-        emitCommand(state, dispatch, nowMs)
+        emitCommand(state, send(selected.endpoint.entry, state.sentCount, untilMs), nowMs)
     }
 
     private fun startAttempt(state: CallState, selected: PlacementResult.Found, nowMs: Long) {
@@ -121,7 +126,7 @@
         reporter.onChange()
     }
 
-    /** Returns the attempt [number] of [call] if it is in flight and was not replaced. */
+    /** Returns the attempt [number] of [call] if it is in flight. */
     private fun attemptInFlight(call: CallId, number: Int): CurrentAttempt? =
         calls[call]?.inFlight?.find { it.number == number }
 
@@ -165,6 +170,11 @@
                 onUnanswered(state, attempt, outcome, nowMs)
                 retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
             }
+
+            is AttemptOutcome.Replaced -> {
+                onUnanswered(state, attempt, AttemptOutcome.Broken(outcome.reason), nowMs)
+                retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
+            }
         }
     }
 
@@ -226,32 +236,26 @@
     }
 
     /**
-     * Sends a request whose endpoint is silent to another endpoint, if one takes it at once. A
-     * silent endpoint may still answer, so the attempt goes on otherwise. Of a stream only one
-     * attempt can go on; of any other request both do, as the work of the first would be lost.
+     * Sends a request whose endpoint is silent to another endpoint as well, if one has a free slot.
+     * A silent endpoint may still answer, so its attempt goes on: that of a stream until the other
+     * endpoint has accepted the request, that of any other request until one of both is answered.
      */
     fun onAttemptStalled(input: ForwardingInput.AttemptStalled, nowMs: Long) {
         val state = calls[input.call] ?: return
-        val attempt = attemptInFlight(input.call, input.attempt) ?: return
+        attemptInFlight(input.call, input.attempt) ?: return
         if (state.inFlight.size > 1 || !retries.isAllowed(state, nowMs)) return
         when (state.call.route.kind) {
             WorkKind.AtMostOnce -> Unit
 
             WorkKind.Idempotent -> {
                 val selected = selectForStalled(state, nowMs) ?: return
-                startAttempt(state, selected, nowMs)
-                val untilMs = known.listAge.validUntilMs
-                val hedge =
-                    CallCommand.Hedge(selected.endpoint.entry, state.sentCount, untilMs)
-                emitCommand(state, hedge, nowMs)
+                dispatch(state, selected, nowMs, CallCommand::Hedge)
             }
 
             is WorkKind.EventStream -> {
                 if (!state.call.route.kind.isRetryable) return
                 val selected = selectForStalled(state, nowMs) ?: return
-                releaseAttempt(state, attempt)
-                onUnanswered(state, attempt, STALLED, nowMs)
-                dispatch(state, selected, nowMs)
+                dispatch(state, selected, nowMs, CallCommand::TakeOver)
             }
         }
     }
@@ -344,9 +348,6 @@
         val waitingOrder: Comparator<CallState> =
             compareBy({ it.call.tier }, { it.call.rankInPool })
 
-        /** Outcome of an attempt that another one replaces, since its endpoint is silent. */
-        val STALLED = AttemptOutcome.Broken("stalled", isConnectionLost = false)
-
         /** Connections that fail before a request is refused. */
         const val MAX_CONNECT_FAILURES = 4
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -107,6 +107,9 @@
         public val isConnectionLost: Boolean = false,
         public val isAnswerBegun: Boolean = false
     ) : AttemptOutcome
+
+    /** Another attempt took over, since the endpoint was silent; it may have run the request. */
+    public data class Replaced(public val reason: String) : AttemptOutcome
 }
 
 /** Why an endpoint did not run a request. */
@@ -142,11 +145,19 @@
         public val validUntilMs: Long
     }
 
+    /** Send the request; no attempt is in flight. */
+    public data class Dispatch(
+        override val endpoint: EndpointEntry,
+        override val attempt: Int,
+        override val validUntilMs: Long = Long.MAX_VALUE
+    ) : Send
+
     /**
-     * Send the request. During an attempt, which has stalled, this replaces it: its connection is
-     * closed first.
+     * Send the request to another endpoint than the silent one of the attempt in flight. That
+     * attempt ends, with [AttemptOutcome.Replaced], as soon as this one is accepted; it goes on if
+     * this one is declined or can't be sent.
      */
-    public data class Dispatch(
+    public data class TakeOver(
         override val endpoint: EndpointEntry,
         override val attempt: Int,
         override val validUntilMs: Long = Long.MAX_VALUE
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -17,8 +17,8 @@
         ForwardingInput
 
     /**
-     * The endpoint of [attempt] is silent. The attempt goes on. A [CallCommand.Dispatch] follows if
-     * another endpoint takes over, a [CallCommand.Hedge] if another one runs the request as well.
+     * The endpoint of [attempt] is silent. The attempt goes on. A [CallCommand.TakeOver] follows if
+     * another endpoint may take over, a [CallCommand.Hedge] if another one runs the request as well.
      */
     public data class AttemptStalled(public val call: CallId, public val attempt: Int) :
         ForwardingInput
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StalledAttemptTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StalledAttemptTest.kt
@@ -20,6 +20,62 @@
     private fun stall(call: ForwardedCall, attempt: Int = 1): List<CallCommand> =
         fixture.commandsOf(ForwardingInput.AttemptStalled(call.id, attempt))
 
+    private fun replace(call: ForwardedCall, attempt: Int): List<CallCommand> {
+        val outcome = AttemptOutcome.Replaced("stream stalled")
+        return fixture.commandsOf(ForwardingInput.AttemptEnded(call.id, attempt, outcome))
+    }
+
+    /** Guards against a stream that is cut off since the endpoint that was to take over does not. */
+    @Nested
+    inner class NoTakeover {
+        private val failures = listOf(
+            AttemptOutcome.Declined(DeclineReason.FULL),
+            AttemptOutcome.NotSent("no connection"),
+            AttemptOutcome.Withheld,
+            AttemptOutcome.Broken("reset", isConnectionLost = true),
+            AttemptOutcome.Answered(isSuccess = false)
+        )
+
+        @Test
+        fun `the silent endpoint goes on if the other one does not take over`() {
+            for (failure in failures) {
+                val fixture = ForwardingFixture()
+                fixture.listEndpoints(entry("e1"), entry("e2"))
+                val call = fixture.call(stream)
+                fixture.arrive(call)
+                val stalled = ForwardingInput.AttemptStalled(call.id, 1)
+                assertIs<CallCommand.TakeOver>(fixture.commandsOf(stalled).single())
+
+                assertTrue(fixture.end(call, failure).isEmpty(), "$failure")
+                val answered = AttemptOutcome.Answered(isSuccess = true)
+                val end = ForwardingInput.AttemptEnded(call.id, 1, answered)
+                assertTrue(fixture.commandsOf(end).isEmpty(), "$failure")
+            }
+        }
+
+        @Test
+        fun `a third endpoint is asked while attempts are left`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            val call = fixture.call(stream, maxAttempts = 3)
+            arrive(call)
+            stall(call)
+            fixture.end(call, AttemptOutcome.Declined(DeclineReason.FULL))
+
+            assertEquals(3, assertIs<CallCommand.TakeOver>(stall(call).single()).attempt)
+        }
+
+        @Test
+        fun `the request ends if both attempts have`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"))
+            val call = fixture.call(stream)
+            arrive(call)
+            stall(call)
+            fixture.end(call, AttemptOutcome.Declined(DeclineReason.FULL))
+
+            assertIs<CallCommand.GiveUp>(replace(call, 1).single())
+        }
+    }
+
     @Nested
     inner class OtherEndpoint {
         @Test
@@ -28,9 +84,9 @@
             val call = fixture.call(stream)
             val first = arrive(call)
 
-            val dispatch = assertIs<CallCommand.Dispatch>(stall(call).single())
-            assertTrue(dispatch.endpoint.id != first)
-            assertEquals(2, dispatch.attempt)
+            val takeOver = assertIs<CallCommand.TakeOver>(stall(call).single())
+            assertTrue(takeOver.endpoint.id != first)
+            assertEquals(2, takeOver.attempt)
         }
 
         @Test
@@ -39,8 +95,10 @@
             val call = fixture.call(stream)
             val first = arrive(call)
             stall(call)
+            assertTrue(fixture.arrive(fixture.call(stream, rank = 1)).isEmpty(), "no slot is free")
 
-            assertEquals(first, arrive(fixture.call(stream, rank = 1)))
+            val dispatch = assertIs<CallCommand.Dispatch>(replace(call, 1).single())
+            assertEquals(first, dispatch.endpoint.id)
         }
 
         @Test
@@ -161,7 +219,7 @@
 
             assertTrue(stall(call).isEmpty())
             fixture.end(other, AttemptOutcome.Answered(isSuccess = true))
-            assertIs<CallCommand.Dispatch>(stall(call).single())
+            assertIs<CallCommand.TakeOver>(stall(call).single())
         }
 
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -49,9 +49,6 @@
 
     /** The attempts in flight, oldest first. */
     private val running = mutableListOf<RunningAttempt>()
-
-    /** Starts as soon as the attempt that it replaces has ended. */
-    private var replacement: CallCommand.Dispatch? = null
     private var decisionCount = 0
     private var end = "answered"
 
@@ -121,7 +118,7 @@
         do {
             val isOver = select {
                 for (attempt in running.toList()) {
-                    attempt.result.onAwait { onAttemptEnded(attempt, it, caller) }
+                    attempt.result.onAwait { onAttemptEnded(attempt, it) }
                 }
                 commands.onReceive { onCommand(it, caller) }
             }
@@ -136,14 +133,11 @@
     ): Boolean {
         decisionCount++
         when (command) {
-            is CallCommand.Dispatch -> if (running.isEmpty()) {
-                startAttempt(command, caller)
-            } else {
-                replacement = command
-                running.forEach { it.replaced.complete() }
-            }
+            is CallCommand.Dispatch, is CallCommand.Hedge ->
+                startAttempt(RunningAttempt(command), caller)
 
-            is CallCommand.Hedge -> startAttempt(command, caller)
+            is CallCommand.TakeOver ->
+                startAttempt(RunningAttempt(command, takeOver(running.lastOrNull())), caller)
 
             is CallCommand.Refuse -> refuse(command)
 
@@ -152,39 +146,51 @@
         return command !is CallCommand.Send
     }
 
-    private fun CoroutineScope.startAttempt(command: CallCommand.Send, caller: CallerMonitor) {
-        val attempt = RunningAttempt(command)
+    private fun CoroutineScope.startAttempt(attempt: RunningAttempt, caller: CallerMonitor) {
         running += attempt
         attempt.result = async(start = CoroutineStart.UNDISPATCHED) {
-            context.exchange.run(call, request, command, relay, caller, attempt)
+            context.exchange.run(call, request, attempt.command, relay, caller, attempt)
+        }
+    }
+
+    /** Returns the takeover from [silent], or null if that has ended meanwhile. */
+    private fun CoroutineScope.takeOver(silent: RunningAttempt?): Takeover? = silent?.let {
+        Takeover(this, it.replaced) {
+            val outcome = it.result.await().outcome
+            outcome is AttemptOutcome.Answered && outcome.isSuccess
         }
     }
 
     /** Takes the response of [attempt]; returns whether the caller gets it. */
-    private fun CoroutineScope.onAttemptEnded(
-        attempt: RunningAttempt,
-        result: ExchangeResult,
-        caller: CallerMonitor
-    ): Boolean {
+    private fun onAttemptEnded(attempt: RunningAttempt, result: ExchangeResult): Boolean {
         running -= attempt
+        attempt.takeover?.cancel()
         lastResponse = result.response
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
         if (isDone) answer = result.response
         report(outcome, attempt.command, attempt.startMs)
-        val next = replacement
-        replacement = null
-        if (next != null && !isDone) startAttempt(next, caller)
         return isDone
     }
 
-    private inner class RunningAttempt(val command: CallCommand.Send) : AttemptListener {
+    private inner class RunningAttempt(
+        val command: CallCommand.Send,
+        val takeover: Takeover? = null
+    ) : AttemptListener {
         val startMs = context.clock.nowMs()
         lateinit var result: Deferred<ExchangeResult>
         private var isStallLogged = false
 
         override val replaced = Job()
 
+        override fun onSent() {
+            takeover?.onSent()
+        }
+
+        override suspend fun onAccepted() {
+            takeover?.complete()
+        }
+
         override fun onResponseStarted() =
             context.loop.submit(ForwardingInput.ResponseStarted(call.id, command.attempt))
 
@@ -247,6 +253,7 @@
         is AttemptOutcome.NotSent -> "not-sent: ${outcome.reason}"
         is AttemptOutcome.Withheld -> "withheld"
         is AttemptOutcome.Broken -> "broken: ${outcome.reason}"
+        is AttemptOutcome.Replaced -> "broken: ${outcome.reason}"
     }
 
     private suspend fun refuse(command: CallCommand.Refuse) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -95,7 +95,7 @@
                 AttemptOutcome.Broken("connection cancelled", isConnectionLost = true)
             )
         } catch (e: AttemptReplacedException) {
-            return ExchangeResult(AttemptOutcome.Broken(e.message.orEmpty()))
+            return ExchangeResult(AttemptOutcome.Replaced(e.message.orEmpty()))
         } catch (e: IOException) {
             if (caller.isClosed) throw CallerDisconnectedException()
             val reason = e.message ?: e.javaClass.simpleName
@@ -128,6 +128,7 @@
 
         suspend fun run(): ExchangeResult = coroutineScope {
             val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
+            listener.onSent()
             try {
                 receive(sending)
             } finally {
@@ -283,6 +284,7 @@
             reader: BodyReader,
             isFramed: Boolean
         ): ExchangeResult {
+            listener.onAccepted()
             relay.begin(head)
             var hasEvent = false
             while (withInactivityTimeout("stream stalled") { readEvents(reader) }) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -129,13 +129,11 @@
         val call = effect.call
         val context = effect.context
         val described = when (val command = effect.command) {
-            is CallCommand.Dispatch -> builder.addKeyValue("choice", "dispatch")
-                .addKeyValue("endpoint", command.endpoint.id.value)
-                .addKeyValue("attempt", command.attempt)
+            is CallCommand.Dispatch -> builder.addSend("dispatch", command)
 
-            is CallCommand.Hedge -> builder.addKeyValue("choice", "hedge")
-                .addKeyValue("endpoint", command.endpoint.id.value)
-                .addKeyValue("attempt", command.attempt)
+            is CallCommand.TakeOver -> builder.addSend("take-over", command)
+
+            is CallCommand.Hedge -> builder.addSend("hedge", command)
 
             is CallCommand.Refuse -> builder.addKeyValue("choice", "refuse")
                 .addKeyValue("reason", command.reason.text)
@@ -160,6 +158,11 @@
             .log("decision")
     }
 
+    private fun Line.addSend(choice: String, command: CallCommand.Send): Line =
+        addKeyValue("choice", choice)
+            .addKeyValue("endpoint", command.endpoint.id.value)
+            .addKeyValue("attempt", command.attempt)
+
     /** Returns a builder for a line, or null if the line limit of this second is reached. */
     private fun line(): Line? {
         val nowS = clock.nowMs() / MS_PER_S
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StalledStreamTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StalledStreamTest.kt
@@ -9,6 +9,7 @@
 import cowslipcart.core.routing.WorkKind
 import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.readRequest
 import cowslipcart.daemon.gateway.ScriptedEndpoint.Companion.send
+import cowslipcart.daemon.http1.ResponseHead
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
@@ -36,6 +37,19 @@
         runCatching { socket.send(event(2) + event(END) + "0\r\n\r\n") }
     }
 
+    /** Serves the first request as [stream] does, and declines the second one. */
+    private fun streamOrDecline(socket: Socket) {
+        if (requestCount.get() == 0) return stream(socket, SILENCE_MS)
+        socket.readRequest(0)
+        requestCount.incrementAndGet()
+        socket.send("HTTP/1.1 $DECLINED_STATUS Status\r\nContent-Length: 0\r\n\r\n")
+    }
+
+    private val decliningCodec = object : HeaderCodec by BareHeaderCodec {
+        override fun decodeResponse(head: ResponseHead) =
+            ResponseMetadata(BareHeaderCodec.REQUEST_ID, true, head.status == DECLINED_STATUS)
+    }
+
     private fun event(id: Int): String {
         val text = "id: $id\ndata: x\n\n"
         return "${text.length.toString(16)}\r\n$text\r\n"
@@ -49,7 +63,11 @@
         val controller = createForwardingController(settings, Random(1))
         val entries = endpoints.mapIndexed { index, endpoint -> endpoint.entry("e$index") }
         controller.handle(ForwardingInput.EndpointsChanged(entries), 0)
-        return harness.response(WorkKind.EventStream(true, GAP_TARGET_MS), controller)
+        return harness.response(
+            WorkKind.EventStream(true, GAP_TARGET_MS),
+            controller,
+            decliningCodec
+        )
     }
 
     private fun assertComplete(response: String) {
@@ -64,6 +82,14 @@
         fun `a stream goes on after a silence if no other endpoint can take over`() =
             ScriptedEndpoint({ stream(it, SILENCE_MS) }).use { assertComplete(response(it)) }
 
+        @Test
+        fun `a stream goes on after a silence if the other endpoint declines`() {
+            val first = ScriptedEndpoint({ streamOrDecline(it) })
+            val second = ScriptedEndpoint({ streamOrDecline(it) })
+            first.use { second.use { assertComplete(response(first, second)) } }
+            assertEquals(2, requestCount.get())
+        }
+
         @Test
         fun `another endpoint takes over a stream while its endpoint is silent`() {
             val first = ScriptedEndpoint({ stream(it, LONG_SILENCE_MS) })
@@ -112,6 +138,7 @@
 
         /** Exceeds the time that the request may take, in ms. */
         const val LONG_SILENCE_MS = 12_000L
+        const val DECLINED_STATUS = 503
         const val GAP_TARGET_MS = 250L
         const val END = 3
         const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
