Let a quarantine of a request lapse

Cause: QuarantineTracker took three endpoints at which an attempt with one fingerprint had broken, at any time, on any host and for any reason, as proof of a request that crashes endpoints. Only an answer ended that, and a quarantined request is never sent. Evidence: the refusals have reason=quarantined, reads of other resources go to the same endpoints meanwhile. Change: only a lost connection counts, for 60 s; stalls, wrong answers and replaced attempts do not. 5 to 10 s after the last loss each host lets one request through. Its answer ends the quarantine, on the other hosts through a notice in the load report; a loss doubles the wait. Quarantine, probe and release are logged. A full table forgets the least suspect. Tests: ForwardingControllerTest (Quarantine) was red twice on: 0 of 141 requests served, and a refusal after stalls.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -167,12 +167,13 @@
             }
 
             is AttemptOutcome.Broken -> {
-                onUnanswered(state, attempt, outcome, nowMs)
+                onUnanswered(state, attempt, nowMs)
+                quarantine.onBroken(state.call, attempt, outcome, nowMs)
                 retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
             }
 
             is AttemptOutcome.Replaced -> {
-                onUnanswered(state, attempt, AttemptOutcome.Broken(outcome.reason), nowMs)
+                onUnanswered(state, attempt, nowMs)
                 retry(state, RefusalReason.MAY_HAVE_RUN, nowMs)
             }
         }
@@ -224,15 +225,9 @@
         }
     }
 
-    private fun onUnanswered(
-        state: CallState,
-        attempt: CurrentAttempt,
-        outcome: AttemptOutcome.Broken,
-        nowMs: Long
-    ) {
+    private fun onUnanswered(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
         state.mayHaveRun = true
         attempt.endpoint.health.onFailure(nowMs)
-        quarantine.onBroken(state.call, attempt, outcome, nowMs)
     }
 
     /**
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -5,26 +5,31 @@
 
 /** Decides which requests are refused because they, or parts of their prompts, crash endpoints. */
 internal class CrashQuarantine(self: HostId) {
-    private val requests = QuarantineTracker()
+    private val requests = QuarantineTracker(self)
     private val parts = PartCrashHistory(self)
 
-    /** The latest crash notices of this host; each report repeats them. */
-    val recentNotices: List<CrashNotice> get() = requests.recentNotices
+    /** The latest notices of this host; each report repeats them. */
+    val crashNotices: List<CrashNotice> get() = requests.crashNotices
+    val answerNotices: List<AnswerNotice> get() = requests.answerNotices
 
     fun isQuarantined(call: ForwardedCall, nowMs: Long): Boolean =
-        requests.isQuarantined(call.fingerprint) || parts.isQuarantined(call.prompt, nowMs)
+        requests.isQuarantined(call.fingerprint, nowMs) || parts.isQuarantined(call.prompt, nowMs)
 
-    fun onDispatched(call: ForwardedCall, nowMs: Long) = parts.onDispatched(call.prompt, nowMs)
+    fun onDispatched(call: ForwardedCall, nowMs: Long) {
+        requests.onDispatched(call.fingerprint, nowMs)
+        parts.onDispatched(call.prompt, nowMs)
+    }
 
     /** An endpoint sent the first event of its answer. */
     fun onResponseStarted(call: ForwardedCall, nowMs: Long) = parts.onAnswer(call.prompt, nowMs)
 
     /** An endpoint ran the request to its end. */
-    fun onAnswered(call: ForwardedCall) = requests.onAnswered(call.fingerprint)
+    fun onAnswered(call: ForwardedCall) = requests.onOwnAnswer(call.fingerprint)
 
     /**
-     * The answer to [attempt] broke. Only a lost connection before the first event counts against
-     * the parts of the prompt: an endpoint that has sent an event did not crash as it began.
+     * The answer to [attempt] broke. Only a lost connection can be a crash; before the first event
+     * it counts against the parts of the prompt as well: an endpoint that has sent an event did not
+     * crash as it began.
      */
     fun onBroken(
         call: ForwardedCall,
@@ -32,22 +37,24 @@
         outcome: AttemptOutcome.Broken,
         nowMs: Long
     ) {
+        if (!outcome.isConnectionLost) return
         val endpoint: EndpointId = attempt.endpoint.entry.id
-        requests.onOwnCrash(call.fingerprint, endpoint)
-        if (outcome.isConnectionLost && !attempt.hasStarted) {
+        requests.onOwnCrash(call.fingerprint, endpoint, nowMs)
+        if (!attempt.hasStarted) {
             parts.onCrash(call.prompt, endpoint, outcome.isAnswerBegun, nowMs)
         }
     }
 
     fun onPeerReport(report: HostLoadReport, isRestarted: Boolean, nowMs: Long) {
         if (isRestarted) requests.onPeerRestarted(report.host)
-        requests.onPeerNotices(report.host, report.crashes)
+        requests.onPeerNotices(report.host, report.crashes, report.answers, nowMs)
         parts.onPeerReport(report.suspectedParts, nowMs)
     }
 
     /** Returns what the next report tells about suspected parts. */
     fun takeSuspectedParts(nowMs: Long): List<SuspectedPart> = parts.takeReport(nowMs)
 
-    /** Returns the parts that were quarantined or released since the last call, for the log. */
-    fun takeChanges(): List<ForwardingEffect.LogStateChange> = parts.takeChanges()
+    /** Returns what was quarantined, probed or released since the last call, for the log. */
+    fun takeChanges(): List<ForwardingEffect.LogStateChange> =
+        requests.takeChanges() + parts.takeChanges()
 }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -123,9 +123,10 @@
  * @property msPerToken decode times measured since the last report, in ms per token
  * @property unitsUsed units of the limits that the host has used, by organisation
  * @property prefilledParts prompt parts that endpoints have prefilled since the last report
- * @property crashes recent connections that broke while an endpoint ran a request
+ * @property crashes recent connections that were lost while an endpoint ran a request
  * @property suspectedParts what the host knows of prompt parts that may crash endpoints
  * @property leavingEndpoints endpoints of which the host has learned lately that they leave
+ * @property answers recent answers to requests that had been in a notice of a crash
  */
 public data class HostLoadReport(
     public val host: HostId,
@@ -138,19 +139,26 @@
     public val prefilledParts: List<PrefilledPart>,
     public val crashes: List<CrashNotice>,
     public val suspectedParts: List<SuspectedPart> = emptyList(),
-    public val leavingEndpoints: List<LeavingEndpoint> = emptyList()
+    public val leavingEndpoints: List<LeavingEndpoint> = emptyList(),
+    public val answers: List<AnswerNotice> = emptyList()
 )
 
 /** [endpoint] has prefilled [part], so its prefix cache may hold it. */
 public data class PrefilledPart(public val part: PromptPartId, public val endpoint: EndpointId)
 
-/**
- * A connection to an endpoint broke while it ran a request.
- *
- * @property number number of the notice within its process, from 1
- */
+/** What a host has seen of a request; [number] numbers the notices of its process, from 1. */
+public sealed interface RequestNotice {
+    public val number: Long
+    public val fingerprint: Fingerprint
+}
+
+/** The connection to [endpoint] was lost while it ran a request. */
 public data class CrashNotice(
-    public val number: Long,
-    public val fingerprint: Fingerprint,
+    override val number: Long,
+    override val fingerprint: Fingerprint,
     public val endpoint: EndpointId
-)
+) : RequestNotice
+
+/** An endpoint ran a request to its end that had been in a notice of a crash. */
+public data class AnswerNotice(override val number: Long, override val fingerprint: Fingerprint) :
+    RequestNotice
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -45,9 +45,10 @@
             msPerToken = endpoints.takeTokenTimes(),
             unitsUsed = quotas.unitsUsed(),
             prefilledParts = parts,
-            crashes = quarantine.recentNotices,
+            crashes = quarantine.crashNotices,
             suspectedParts = quarantine.takeSuspectedParts(nowMs),
-            leavingEndpoints = endpoints.leavingToReport(nowMs)
+            leavingEndpoints = endpoints.leavingToReport(nowMs),
+            answers = quarantine.answerNotices
         )
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingControllerTest.kt
@@ -13,6 +13,7 @@
 class ForwardingControllerTest {
     private val fixture = ForwardingFixture()
     private val broken = AttemptOutcome.Broken("reset")
+    private val lost = AttemptOutcome.Broken("closed", isConnectionLost = true)
 
     private fun dispatchedTo(commands: List<CallCommand>): EndpointId =
         assertIs<CallCommand.Dispatch>(commands.single()).endpoint.id
@@ -183,6 +184,48 @@
             assertNull(refusal.retryAfterMs)
         }
 
+        /** Guards against a request that is refused since its endpoints were slow for a while. */
+        @Test
+        fun `a request whose endpoints stalled or answered wrongly is not quarantined`() {
+            fixture.listEndpoints(entry("e1"), entry("e2"), entry("e3"))
+            val outcomes = listOf(
+                AttemptOutcome.Broken("response stalled"),
+                AttemptOutcome.Replaced("stream stalled"),
+                AttemptOutcome.Broken("unsigned response")
+            )
+            for (outcome in outcomes + outcomes) {
+                val call = fixture.call(fingerprint = "innocent", maxAttempts = 1)
+                dispatchedTo(fixture.arrive(call))
+                fixture.end(call, outcome)
+            }
+
+            dispatchedTo(fixture.arrive(fixture.call(fingerprint = "innocent")))
+        }
+
+        /**
+         * Load pattern: for four seconds endpoints reset connections, those of a resource that is
+         * read ten times a second among them. Guards against its refusal after that.
+         */
+        @Test
+        fun `a resource is served again after its endpoints have reset connections`() {
+            fixture.listEndpoints(entry("e1", 9), entry("e2", 9), entry("e3", 9))
+            var servedCount = 0
+            for (nowMs in 0L..30_000L step 100) {
+                fixture.nowMs = nowMs
+                val call = fixture.call(fingerprint = "board")
+                var commands = fixture.arrive(call)
+                while (commands.singleOrNull() is CallCommand.Send) {
+                    if (nowMs < 4_000) {
+                        commands = fixture.end(call, lost)
+                    } else {
+                        commands = fixture.end(call, AttemptOutcome.Answered(isSuccess = true))
+                        if (nowMs >= 16_000) servedCount++
+                    }
+                }
+            }
+            assertEquals(141, servedCount, "of 141 requests from 12 s after the last reset")
+        }
+
         @Test
         fun `a request that ran to its end is not quarantined`() {
             fixture.listEndpoints(entry("e1"), entry("e2"))
@@ -198,8 +241,6 @@
     /** Guards against a prompt part that crashes an endpoint with each new request. */
     @Nested
     inner class DeadlyPart {
-        private val lost = AttemptOutcome.Broken("closed", isConnectionLost = true)
-
         private fun callWith(vararg parts: Long) = fixture.call(
             prompt = parts.map { PromptPart(PromptPartId(it), 100) },
             maxAttempts = 1
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -5,6 +5,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import cowslipcart.core.forwarding.AnswerNotice
 import cowslipcart.core.forwarding.CrashNotice
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
@@ -41,7 +42,8 @@
 
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
     fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray {
-        val cbor = if (report.leavingEndpoints.isEmpty()) peerCbor else completePeerCbor
+        val hasLaterFields = report.leavingEndpoints.isNotEmpty() || report.answers.isNotEmpty()
+        val cbor = if (hasLaterFields) completePeerCbor else peerCbor
         return cbor.encodeToByteArray(
             LoadReportDocument.serializer(),
             toDocument(report, isLeaving)
@@ -92,7 +94,8 @@
                 }
             )
         },
-        report.leavingEndpoints.map { LeavingEndpointDocument(it.id.value, it.startedAtMs) }
+        report.leavingEndpoints.map { LeavingEndpointDocument(it.id.value, it.startedAtMs) },
+        report.answers.map { AnswerNoticeDocument(it.number, it.fingerprint.value) }
     )
 
     private fun toReport(document: LoadReportDocument) = HostLoadReport(
@@ -122,7 +125,8 @@
         },
         leavingEndpoints = document.leavingEndpoints.map {
             LeavingEndpoint(EndpointId(it.endpoint), it.startedAtMs)
-        }
+        },
+        answers = document.answers.map { AnswerNotice(it.number, Fingerprint(it.fingerprint)) }
     )
 }
 
@@ -149,7 +153,8 @@
     val reads: List<PrefilledPartDocument>,
     val crashes: List<CrashNoticeDocument>,
     val suspectedParts: List<SuspectedPartDocument> = emptyList(),
-    val leavingEndpoints: List<LeavingEndpointDocument> = emptyList()
+    val leavingEndpoints: List<LeavingEndpointDocument> = emptyList(),
+    val answers: List<AnswerNoticeDocument> = emptyList()
 )
 
 @Serializable
@@ -173,6 +178,10 @@
 @CborArray
 private class CrashNoticeDocument(val number: Long, val fingerprint: String, val endpoint: String)
 
+@Serializable
+@CborArray
+private class AnswerNoticeDocument(val number: Long, val fingerprint: String)
+
 @Serializable
 @CborArray
 private class LeavingEndpointDocument(val endpoint: String, val startedAtMs: Long)
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -1,5 +1,6 @@
 package cowslipcart.wire.datagram
 
+import cowslipcart.core.forwarding.AnswerNotice
 import cowslipcart.core.forwarding.CrashNotice
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.HostLoad
@@ -124,6 +125,14 @@
             }
         }
 
+        @Test
+        fun `notices of answers survive a round trip`() {
+            val full = report.copy(answers = listOf(AnswerNotice(2, Fingerprint("f"))))
+            val sample = PeerDatagram.LoadReport(full, false)
+
+            assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+        }
+
         /** Guards against a report that is divided on its way, beside 300 bytes. */
         @Test
         fun `the largest list of suspected parts takes less than a datagram`() {
