Leave bytes in the kernel until a session reads them

Reported by other operators: an endpoint sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of others ended with it. It could happen here. Cause: Ktor's read channel takes up to 1 MB ahead of the reader for each connection to an endpoint. Each body is bounded, and all bodies together, but not these. Evidence: with 48 requests at such an endpoint a gateway with the deployed heap of 72 MB ended within two seconds, "Terminating due to java.lang.OutOfMemoryError: Java heap space". Idle connections that have got bytes are closed. Result: EndlessAnswerTest, three of five cases red on (a body without a length, with a huge one, an event without an end), all green now. Tests of core, wire, standins and daemon: none failed.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -6,13 +6,13 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
 import cowslipcart.daemon.http1.ResponseHead
+import cowslipcart.daemon.http1.SocketInput
 import cowslipcart.daemon.http1.SocketSink
 import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
 import java.io.IOException
 import java.net.StandardSocketOptions
 import java.nio.channels.ClosedChannelException
@@ -23,8 +23,7 @@
 internal class ServerConnection(private val socket: Socket, private val selector: SelectorManager) {
     private val channel = (socket as Selectable).channel as SocketChannel
     private val sink = SocketSink(socket, selector)
-    private val reader = socket.openReadChannel()
-    val source = ByteSource(reader)
+    val source = ByteSource(SocketInput(socket, selector))
 
     /** Number of completed requests on this connection. */
     var useCount = 0
@@ -35,15 +34,8 @@
      */
     suspend fun send(bytes: ByteArray) = sink.send(bytes)
 
-    /**
-     * Closes the connection. Bytes that wait in the channel are dropped: the socket would stay open
-     * until they are read.
-     */
-    fun close() {
-        val cause = IOException("connection closed by this host")
-        reader.cancel(cause)
-        socket.close()
-    }
+    /** Closes the connection; what was sent still reaches the peer. */
+    fun close() = socket.close()
 
     /**
      * Resets the connection and discards what was written and not yet sent, also in the kernel, as
@@ -135,12 +127,13 @@
         }
     }
 
-    /** Closes expired connections and those to endpoints that are not in [listed]. */
+    /** Closes connections that can't be reused, and those to endpoints that are not in [listed]. */
     fun evict(listed: Set<EndpointId>): Unit = synchronized(lock) {
         val nowMs = clock.nowMs()
         for ((endpoint, idle) in idleByEndpoint) {
             idle.removeAll { entry ->
-                val isStale = endpoint !in listed || nowMs >= entry.usableUntilMs
+                val isStale = endpoint !in listed || nowMs >= entry.usableUntilMs ||
+                    !entry.connection.source.isIdle
                 if (isStale) entry.connection.close()
                 isStale
             }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/ByteSource.kt
@@ -1,8 +1,6 @@
 package cowslipcart.daemon.http1
 
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.readAvailable
 import java.io.EOFException
 import java.io.IOException
 import kotlinx.coroutines.currentCoroutineContext
@@ -16,13 +14,15 @@
 }
 
 /** Buffered reader of the bytes of a connection. Not safe for concurrent use. */
-internal class ByteSource(private val channel: ByteReadChannel) {
+internal class ByteSource(private val input: ByteInput) {
+    constructor(channel: ByteReadChannel) : this(ChannelInput(channel))
+
     private var buffer = ByteArray(INITIAL_BYTES)
     private var start = 0
     private var end = 0
 
     /** Whether received bytes wait to be read. */
-    val hasBytes: Boolean get() = start != end || channel.availableForRead > 0
+    val hasBytes: Boolean get() = start != end || input.hasBytes
 
     /** Number of bytes received so far. */
     @Volatile
@@ -34,7 +34,7 @@
         private set
 
     /** Whether the connection is open and no received bytes wait to be read. */
-    val isIdle: Boolean get() = !hasBytes && !channel.isClosedForRead
+    val isIdle: Boolean get() = start == end && input.isIdle()
 
     private val bufferedCount: Int get() = end - start
 
@@ -45,13 +45,9 @@
     suspend fun fill(): Boolean {
         // A read does not suspend, and so is not cancelled, while the peer sends fast enough.
         currentCoroutineContext().ensureActive()
-        channel.closedCause?.let { throw IOException("connection reset", it) }
         ensureCapacity()
-        val count = channel.readAvailable(buffer, end, buffer.size - end)
-        if (count < 0) {
-            channel.closedCause?.let { throw IOException("connection reset", it) }
-            return false
-        }
+        val count = input.read(buffer, end, buffer.size - end)
+        if (count < 0) return false
         end += count
         receivedBytes += count
         return true
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -6,6 +6,7 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.io.path.readLines
 import kotlin.io.path.writeText
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
@@ -33,10 +34,10 @@
 
     /** Writes the registry entry of a runner that listens on [address] to the store. */
     @Synchronized
-    fun register(id: String, address: String, service: String, state: String) {
+    fun register(id: String, address: String, service: String, state: String, slots: Int = 4) {
         lastSequence++
         val entry = """{"service":"$service","address":"$address","zone":"a",""" +
-            """"version":"v1","slots":4,"state":"$state","coldLeftMs":0,"sequence":$lastSequence}"""
+            """"version":"v1","slots":$slots,"state":"$state","coldLeftMs":0,"sequence":$lastSequence}"""
         store.log.append("keyed.servers", id, entry.toByteArray())
     }
 
@@ -61,7 +62,11 @@
     }
 
     /** Starts a gateway process; it becomes ready once it has read a configuration. */
-    fun startGateway(name: String, storePort: Int = store.port): GatewayHandle {
+    fun startGateway(
+        name: String,
+        storePort: Int = store.port,
+        jvmOptions: List<String> = ManagedProcess.JVM_OPTIONS
+    ): GatewayHandle {
         val front = freeTcpPort()
         val ready = freeTcpPort()
         val peer = DatagramSocket(0).use { it.localPort }
@@ -76,7 +81,8 @@
             name,
             Program.GATEWAY,
             emptyList(),
-            mapOf("COWSLIPCART_CONFIG" to file.toString())
+            mapOf("COWSLIPCART_CONFIG" to file.toString()),
+            jvmOptions
         )
         return GatewayHandle(process, front, ready).also { gateways += it }
     }
@@ -106,6 +112,13 @@
     }
 }
 
+/** Options of the JVM of a deployed gateway, but those of the archive that its build makes. */
+internal fun deployedJvmOptions(): List<String> {
+    val run = Path.of("..", "deploy", "system.toml").readLines().first { it.startsWith("run = ") }
+    return run.substringAfter("java ").substringBefore(" -jar").split(' ')
+        .filterNot { it.startsWith("-Xshare") || it.startsWith("-XX:SharedArchiveFile") }
+}
+
 /** A gateway process and an HTTP client for it. */
 internal class GatewayHandle(
     val process: ManagedProcess,
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -78,7 +78,8 @@
             name: String,
             program: Program,
             arguments: List<String>,
-            environment: Map<String, String> = emptyMap()
+            environment: Map<String, String> = emptyMap(),
+            jvmOptions: List<String> = JVM_OPTIONS
         ): ManagedProcess {
             val jar = Path.of(
                 "..",
@@ -88,7 +89,7 @@
             )
             check(Files.exists(jar)) { "expected $jar, found none; run mvn package first" }
             val output = Files.createTempFile(workDirectory, "$name-", ".out")
-            val command = listOf(javaCommand()) + JVM_OPTIONS + listOf("-jar", jar.toString()) +
+            val command = listOf(javaCommand()) + jvmOptions + listOf("-jar", jar.toString()) +
                 arguments
             val builder = ProcessBuilder(command)
                 .redirectErrorStream(true)
@@ -102,6 +103,6 @@
         private fun javaCommand() =
             Path.of(System.getProperty("java.home"), "bin", "java").toString()
 
-        private val JVM_OPTIONS = listOf("-Xmx160m", "-XX:TieredStopAtLevel=1")
+        val JVM_OPTIONS = listOf("-Xmx160m", "-XX:TieredStopAtLevel=1")
     }
 }
