Answer requests that outlast a shutdown

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer. Here requests later than 2.8 s after SIGTERM are refused, but one before that could outlast the shutdown. Cause: Gateway.stop cancelled all sessions when its time was used up. Change: requests whose answer has not begun get 502 then, which promises nothing; the log has end=shutdown.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -9,6 +9,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSink
 import io.ktor.network.sockets.Socket
+import java.io.IOException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Deferred
@@ -22,7 +23,14 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Components of the gateway that every session uses. */
+/** The time for shutting down is used up. */
+private class ShutdownEndedException : IOException("shutdown ended")
+
+/**
+ * Components of the gateway that every session uses.
+ *
+ * @property shutdownEnd completes shortly before the process ends; requests in flight end then
+ */
 internal class SessionContext(
     val loop: ForwardingLoop,
     val exchange: EndpointExchange,
@@ -30,6 +38,7 @@
     val metrics: GatewayMetrics,
     val clock: RuntimeClock,
     val probe: ReadProbe,
+    val shutdownEnd: Job = Job(),
     val openSink: (Socket) -> ByteSink
 )
 
@@ -74,6 +83,8 @@
         } catch (e: CallerDisconnectedException) {
             end = "caller-left"
             throw e
+        } catch (_: ShutdownEndedException) {
+            onShutdownEnd()
         } catch (e: RuntimeException) {
             currentCoroutineContext().ensureActive()
             onException(e)
@@ -99,9 +110,14 @@
         if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
     }
 
+    /** Runs [block] until the caller disconnects or the shutdown ends. */
     private suspend fun cancelOnDisconnect(caller: CallerMonitor, block: suspend () -> Unit) =
         coroutineScope {
             val monitor = launch {
+                launch {
+                    context.shutdownEnd.join()
+                    throw ShutdownEndedException()
+                }
                 caller.awaitClose()
                 throw CallerDisconnectedException()
             }
@@ -288,6 +304,12 @@
         }
     }
 
+    /** Tells the caller that its request may have run, rather than closing its connection. */
+    private suspend fun onShutdownEnd() {
+        end = "shutdown"
+        if (!response.isStarted) response.writeLocalReply(BAD_GATEWAY)
+    }
+
     private suspend fun onTimeout() {
         end = "timeout"
         if (response.isStarted) return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -72,6 +72,7 @@
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
     private val admission = CallAdmission(headerCodec, state, clock, random)
+    private val shutdownEnd = Job()
     private val context = SessionContext(
         loop,
         EndpointExchange(connections, headerCodec, clock),
@@ -79,6 +80,7 @@
         metrics,
         clock,
         SelectorReadProbe(),
+        shutdownEnd,
         openSink = { SocketSink(it, selector) }
     )
 
@@ -115,7 +117,7 @@
     /**
      * Shuts down gracefully: waits until the load balancer has taken this host out, requests in
      * flight have ended and the connections of callers are closed, or until little of the shutdown
-     * time is left.
+     * time is left; requests that are in flight then are answered with 502.
      */
     public suspend fun stop() {
         val startMs = clock.nowMs()
@@ -125,6 +127,7 @@
         delay(BALANCER_DRAIN_MS)
         state.isRefusing = true
         while (state.activeRequests.get() > 0 && clock.nowMs() < endMs) delay(STOP_POLL_MS)
+        endRequests()
         peers.sendLeaving()
         closeCallerConnections(endMs)
         eventLog.event(
@@ -135,6 +138,13 @@
         scope.cancel()
     }
 
+    /** Ends the requests that are left with an answer, as far as it has not begun. */
+    private suspend fun endRequests() {
+        val endMs = clock.nowMs() + END_REQUESTS_MS
+        shutdownEnd.complete()
+        while (state.activeRequests.get() > 0 && clock.nowMs() < endMs) delay(CLOSE_POLL_MS)
+    }
+
     /**
      * Closes the listener and the idle connections of callers, so that a request that crosses the
      * close ends at once. Requests that are being read are refused until all connections are
@@ -238,6 +248,9 @@
          * off.
          */
         const val EXIT_RESERVE_MS = 900L
+
+        /** Time to answer the requests that are left when the shutdown ends, in ms. */
+        const val END_REQUESTS_MS = 200L
         const val STOP_POLL_MS = 50L
         const val CLOSE_POLL_MS = 10L
         const val MAX_IDLE_PER_ENDPOINT = 8
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -108,6 +108,10 @@
             """"pathPrefix":"/order/","kind":"non_idempotent","timeoutMs":2000,""" +
             """"targetLatencyMs":300,"priority":2,"service":"desk","maxAttempts":1}"""
         const val ROUTES = "$CHAT,$READ,$ORDER"
+
+        /** Orders may take longer than the shutdown of a gateway. */
+        val ROUTES_WITH_LONG_ORDERS =
+            "$CHAT,$READ,${ORDER.replace("\"timeoutMs\":2000", "\"timeoutMs\":12000")}"
         const val ROUTES_WITHOUT_READ = "$CHAT,$ORDER"
     }
 }
@@ -148,8 +152,9 @@
             "http://127.0.0.1:$frontPort$path",
             method,
             listOf("Host" to "shop.example", "Attempt-Id" to "a${++lastId}-$frontPort") +
-                listOf("Deadline-Ms" to "4000") + listOfNotNull(key?.let { "Api-Key" to it }) +
-                headers,
+                listOf("Deadline-Ms" to "4000").filterNot { (name, _) ->
+                    headers.any { it.first == name }
+                } + listOfNotNull(key?.let { "Api-Key" to it }) + headers,
             body?.toByteArray()
         )
     )
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -228,6 +228,27 @@
                 assertEquals(200, running.await().status)
             }
 
+        /**
+         * Guards against requests that are passed on late in a shutdown and end without an answer
+         * with the process. They may have run, so the answer promises nothing.
+         */
+        @Test
+        fun `an order that is in flight when the shutdown ends gets 502`(): Unit = runBlocking {
+            val desk = cluster.startRunner("desk-1", "desk")
+            cluster.publish(routes = GatewayCluster.ROUTES_WITH_LONG_ORDERS)
+            val gateway = cluster.startGateway("gateway").also { it.awaitReady() }
+            repeat(2) { desk.faults += RunnerFault.Hang }
+            val early = async { gateway.send("/order/1", headers = LONG_DEADLINE) }
+            delay(SETTLE_MS)
+            gateway.process.terminate()
+            delay(LATE_MS - 2 * SETTLE_MS)
+            val late = async { gateway.send("/order/2", headers = LONG_DEADLINE) }
+
+            assertEquals(listOf(502, 502), listOf(early.await().status, late.await().status))
+            assertEquals(2, desk.runs.size)
+            assertEquals(0, gateway.process.awaitExit())
+        }
+
         /** Guards against a process that ends while it still reads a request. */
         @Test
         fun `a request that is being read when nothing else is left is refused`(): Unit =
@@ -281,6 +302,9 @@
     private companion object {
         const val SETTLE_MS = 300L
 
+        /** Exceeds the time that a process has for its shutdown. */
+        val LONG_DEADLINE = listOf("Deadline-Ms" to "12000")
+
         /** Timeout of the route of orders, in ms. */
         const val ORDER_TIMEOUT_MS = 2_000L
         const val SLACK_MS = 1_000L
