Report answers to suspected requests for three seconds

Cause: a host repeated its last answers to suspected requests in each report for good, and reports with answers can't be read by hosts of an older build, so one such answer hid a new host from old ones until its restart. Found by reading. Change: an answer is in the reports of 3 s. The monitor of a session is named after both events that it waits for. Result: QuarantineTrackerTest and ForwardingControllerTest, none failed. No mixed fleet was run.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -186,7 +186,7 @@
         nowMs: Long
     ) {
         state.mayHaveRun = true
-        quarantine.onAnswered(state.call)
+        quarantine.onAnswered(state.call, nowMs)
         if (outcome.isSuccess) {
             attempt.endpoint.health.onSuccess()
             forget(state)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -15,7 +15,10 @@
     /** Whether an endpoint may have started to run the request. */
     var mayHaveRun = false
 
-    /** The attempts in flight; none while the request waits in the queue, two if it is hedged or taken over. */
+    /**
+     * The attempts in flight; none while the request waits in the queue, two if it is hedged or
+     * another endpoint is asked to take over.
+     */
     val inFlight = mutableListOf<CurrentAttempt>()
 
     /** Time on the monotonic clock at which the request is refused if no slot is free. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -8,9 +8,11 @@
     private val requests = QuarantineTracker(self)
     private val parts = PartCrashHistory(self)
 
-    /** The latest notices of this host; each report repeats them. */
+    /** The latest crash notices of this host; each report repeats them. */
     val crashNotices: List<CrashNotice> get() = requests.crashNotices
-    val answerNotices: List<AnswerNotice> get() = requests.answerNotices
+
+    /** Returns the notices of answers for a report at [nowMs]. */
+    fun answerNotices(nowMs: Long): List<AnswerNotice> = requests.answerNotices(nowMs)
 
     fun isQuarantined(call: ForwardedCall, nowMs: Long): Boolean =
         requests.isQuarantined(call.fingerprint, nowMs) || parts.isQuarantined(call.prompt, nowMs)
@@ -24,7 +26,7 @@
     fun onResponseStarted(call: ForwardedCall, nowMs: Long) = parts.onAnswer(call.prompt, nowMs)
 
     /** An endpoint ran the request to its end. */
-    fun onAnswered(call: ForwardedCall) = requests.onOwnAnswer(call.fingerprint)
+    fun onAnswered(call: ForwardedCall, nowMs: Long) = requests.onOwnAnswer(call.fingerprint, nowMs)
 
     /**
      * The answer to [attempt] broke. Only a lost connection can be a crash; before the first event
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -48,7 +48,7 @@
             crashes = quarantine.crashNotices,
             suspectedParts = quarantine.takeSuspectedParts(nowMs),
             leavingEndpoints = endpoints.leavingToReport(nowMs),
-            answers = quarantine.answerNotices
+            answers = quarantine.answerNotices(nowMs)
         )
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -30,13 +30,18 @@
     private val records = LinkedHashMap<Fingerprint, Record>()
     private val lastNoticeByHost = mutableMapOf<HostId, Long>()
     private val recentCrashes = ArrayDeque<CrashNotice>()
-    private val recentAnswers = ArrayDeque<AnswerNotice>()
+    private val answeredAtMs = LinkedHashMap<AnswerNotice, Long>()
     private var ownNoticeCount = 0L
     private val changes = mutableListOf<ForwardingEffect.LogStateChange>()
 
-    /** The latest notices of this host; each report repeats them. */
+    /** The latest crash notices of this host; each report repeats them. */
     val crashNotices: List<CrashNotice> get() = recentCrashes.toList()
-    val answerNotices: List<AnswerNotice> get() = recentAnswers.toList()
+
+    /** Returns the notices of answers for a report at [nowMs], which repeats them for a while. */
+    fun answerNotices(nowMs: Long): List<AnswerNotice> {
+        answeredAtMs.values.removeIf { nowMs - it >= REPEAT_MS }
+        return answeredAtMs.keys.toList()
+    }
 
     /** Whether the request is refused by this host at [nowMs]. */
     fun isQuarantined(fingerprint: Fingerprint, nowMs: Long): Boolean {
@@ -60,10 +65,10 @@
     }
 
     /** An endpoint ran the request to its end. */
-    fun onOwnAnswer(fingerprint: Fingerprint) {
+    fun onOwnAnswer(fingerprint: Fingerprint, nowMs: Long) {
         if (fingerprint !in records) return
-        recentAnswers += AnswerNotice(++ownNoticeCount, fingerprint)
-        if (recentAnswers.size > MAX_RECENT) recentAnswers.removeFirst()
+        answeredAtMs[AnswerNotice(++ownNoticeCount, fingerprint)] = nowMs
+        if (answeredAtMs.size > MAX_RECENT) answeredAtMs -= answeredAtMs.keys.first()
         clear(fingerprint, "answered")
     }
 
@@ -147,6 +152,9 @@
         /** Notices that each report repeats, since reports may be lost. */
         const val MAX_RECENT = 12
 
+        /** Time for which reports repeat an answer, which hosts of older builds can't read, in ms. */
+        const val REPEAT_MS = 3_000L
+
         /**
          * Time without a crash after which a request is probed, in ms; each failed probe doubles
          * it. Endpoints that reset connections for a while are sound again within seconds.
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineTrackerTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineTrackerTest.kt
@@ -25,7 +25,7 @@
         nowMs: Long,
         from: QuarantineTracker = tracker,
         to: QuarantineTracker = peer
-    ) = to.onPeerNotices(HostId("h1"), from.crashNotices, from.answerNotices, nowMs)
+    ) = to.onPeerNotices(HostId("h1"), from.crashNotices, from.answerNotices(nowMs), nowMs)
 
     /** Returns the first time from [fromMs] on at which [on] lets the request through. */
     private fun releasedAtMs(fromMs: Long, on: QuarantineTracker = tracker): Long =
@@ -51,7 +51,7 @@
             tracker.onDispatched(request, probedAtMs)
             assertTrue(tracker.isQuarantined(request, probedAtMs + 1))
 
-            tracker.onOwnAnswer(request)
+            tracker.onOwnAnswer(request, probedAtMs + 2)
             assertFalse(tracker.isQuarantined(request, probedAtMs + 2))
         }
 
@@ -111,7 +111,7 @@
         fun `an answer at another host ends the quarantine`() {
             crash(3)
             report(2_100)
-            tracker.onOwnAnswer(request)
+            tracker.onOwnAnswer(request, 2_200)
             report(2_300)
 
             assertFalse(peer.isQuarantined(request, 2_300))
@@ -120,7 +120,7 @@
         @Test
         fun `a repeated notice of an answer does not end a later quarantine`() {
             crash(1)
-            tracker.onOwnAnswer(request)
+            tracker.onOwnAnswer(request, 900)
             report(1_000)
             crash(3, fromMs = 1_100, on = peer)
             report(3_200)
@@ -135,7 +135,7 @@
             val restarted = QuarantineTracker(HostId("h1"))
             peer.onPeerRestarted(HostId("h1"))
             crash(1, fromMs = 3_000, on = restarted)
-            restarted.onOwnAnswer(request)
+            restarted.onOwnAnswer(request, 3_100)
             report(3_200, from = restarted)
 
             assertFalse(peer.isQuarantined(request, 3_200))
@@ -147,8 +147,9 @@
         @Test
         fun `the log tells why a request is quarantined, probed or released`() {
             crash(3)
-            tracker.onDispatched(request, releasedAtMs(2_000))
-            tracker.onOwnAnswer(request)
+            val probedAtMs = releasedAtMs(2_000)
+            tracker.onDispatched(request, probedAtMs)
+            tracker.onOwnAnswer(request, probedAtMs)
 
             assertEquals(
                 listOf("request-quarantined", "request-probed", "request-released"),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -72,7 +72,7 @@
             context.loop.submit(ForwardingInput.Arrived(call))
             val remainingMs = call.deadlineAtMs - context.clock.nowMs()
             val isInTime = withTimeoutOrNull(remainingMs) {
-                cancelOnDisconnect(caller) { followCommands(caller) }
+                cancelOnDisconnectOrShutdown(caller) { followCommands(caller) }
                 true
             } ?: false
             val answer = answer
@@ -111,23 +111,25 @@
     }
 
     /** Runs [block] until the caller disconnects or the shutdown ends. */
-    private suspend fun cancelOnDisconnect(caller: CallerMonitor, block: suspend () -> Unit) =
-        coroutineScope {
-            val monitor = launch {
-                launch {
-                    context.shutdownEnd.join()
-                    throw ShutdownEndedException()
-                }
-                caller.awaitClose()
-                throw CallerDisconnectedException()
+    private suspend fun cancelOnDisconnectOrShutdown(
+        caller: CallerMonitor,
+        block: suspend () -> Unit
+    ) = coroutineScope {
+        val monitor = launch {
+            launch {
+                context.shutdownEnd.join()
+                throw ShutdownEndedException()
             }
-            block()
-            monitor.cancel()
+            caller.awaitClose()
+            throw CallerDisconnectedException()
         }
+        block()
+        monitor.cancel()
+    }
 
     /** Writes a response that is complete, also if the caller takes it later than the deadline. */
     private suspend fun deliver(answer: BufferedResponse, caller: CallerMonitor) =
-        cancelOnDisconnect(caller) { response.writeComplete(answer.head, answer.body) }
+        cancelOnDisconnectOrShutdown(caller) { response.writeComplete(answer.head, answer.body) }
 
     /** Carries out commands until the response is certain; stops all attempts then. */
     private suspend fun followCommands(caller: CallerMonitor): Unit = coroutineScope {
