Test that a slow caller gets its whole answer in a shutdown

Cause: a request counted as ended while up to 1 MB of its answer was in Ktor's write channel, which ends with the process.

--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -3,7 +3,9 @@
 import cowslipcart.standins.platform.PlatformStoreServer
 import cowslipcart.standins.platform.RunnerServer
 import java.net.DatagramSocket
+import java.net.InetSocketAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.readLines
@@ -131,6 +133,10 @@
 ) {
     private var lastId = 0
 
+    private companion object {
+        const val SMALL_BUFFER_BYTES = 4_096
+    }
+
     suspend fun awaitReady() = awaitValue("gateway to be ready", LONG_BOUND_MS) {
         isReady().takeIf { it }
     }
@@ -159,8 +165,26 @@
         )
     )
 
+    /** Sends a request for [path] and reads [bytesPerS] of all bytes until the connection closes. */
+    suspend fun readSlowly(path: String, bytesPerS: Int): String = Socket().use { socket ->
+        socket.receiveBufferSize = SMALL_BUFFER_BYTES
+        socket.connect(InetSocketAddress("127.0.0.1", frontPort))
+        val head = "POST $path HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: slow\r\n" +
+            "Deadline-Ms: 12000\r\nApi-Key: ${GatewayCluster.KEY}\r\nContent-Length: 0\r\n\r\n"
+        socket.getOutputStream().write(head.toByteArray())
+        val received = StringBuilder()
+        val startMs = nowMs()
+        while (true) {
+            val piece = socket.getInputStream().readNBytes(SMALL_BUFFER_BYTES)
+            if (piece.isEmpty()) break
+            received.append(piece.decodeToString())
+            delay(startMs + received.length * 1_000L / bytesPerS - nowMs())
+        }
+        received.toString()
+    }
+
     /** Sends [text] on a new connection and returns all bytes received until it closes. */
-    fun sendRaw(text: String): String = java.net.Socket("127.0.0.1", frontPort).use { socket ->
+    fun sendRaw(text: String): String = Socket("127.0.0.1", frontPort).use { socket ->
         socket.getOutputStream().write(text.toByteArray())
         socket.getInputStream().readAllBytes().decodeToString()
     }
@@ -171,7 +195,7 @@
      */
     suspend fun sendInParts(head: String, body: String, pauseMs: Long): String =
         withContext(Dispatchers.IO) {
-            java.net.Socket("127.0.0.1", frontPort).use { socket ->
+            Socket("127.0.0.1", frontPort).use { socket ->
                 socket.getOutputStream().write(head.toByteArray())
                 delay(pauseMs)
                 socket.getOutputStream().write(body.toByteArray())
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.TimeSource
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -208,6 +209,30 @@
             }
     }
 
+    /** Guards against a process that ends with a part of an answer, which its caller reads slowly. */
+    @Nested
+    inner class SlowCallers {
+        @Test
+        fun `a long answer is complete although the process ends while it is read`(): Unit =
+            runBlocking(Dispatchers.IO) {
+                val head = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Seal: seal\r\n" +
+                    "Content-Length: $LONG_BYTES\r\n\r\n"
+                EndlessRunner(head, "x").use { runner ->
+                    cluster.register("desk-1", runner.address, "desk", "ready")
+                    cluster.publish(routes = GatewayCluster.ROUTES_WITH_LONG_ORDERS)
+                    val gateway = cluster.startGateway("gateway").also { it.awaitReady() }
+                    val reading = async { gateway.readSlowly("/order/1", BYTES_PER_S) }
+                    delay(SETTLE_MS)
+                    gateway.process.terminate()
+
+                    val received = reading.await()
+                    val bodyBytes = received.length - received.indexOf("\r\n\r\n") - 4
+                    assertEquals(LONG_BYTES, bodyBytes)
+                    assertEquals(0, gateway.process.awaitExit())
+                }
+            }
+    }
+
     @Nested
     inner class LateRequests {
         /**
@@ -302,6 +327,10 @@
     private companion object {
         const val SETTLE_MS = 300L
 
+        /** Exceeds what the kernel holds for a caller; read for as long as a shutdown may last. */
+        const val LONG_BYTES = 7_900_000
+        const val BYTES_PER_S = 1_000_000
+
         /** Exceeds the time that a process has for its shutdown. */
         val LONG_DEADLINE = listOf("Deadline-Ms" to "12000")
 
