--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/SocketSink.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/SocketSink.kt
@@ -33,7 +33,7 @@
         while (true) {
             sentCount += writeSome(bytes, sentCount)
             if (sentCount == bytes.size) break
-            withTimeoutOrNull(stallMs) { awaitWritable() }
+            withTimeoutOrNull(stallMs) { selector.awaitReady(selectable, SelectInterest.WRITE) }
                 ?: throw IOException("peer took nothing for $stallMs ms")
         }
         isCutOff = false
@@ -55,16 +55,6 @@
         return count
     }
 
-    private suspend fun awaitWritable() {
-        selectable.interestOp(SelectInterest.WRITE, true)
-        try {
-            selector.select(selectable, SelectInterest.WRITE)
-        } finally {
-            // A later wait for bytes to read would otherwise wake up for this too.
-            selectable.interestOp(SelectInterest.WRITE, false)
-        }
-    }
-
     private companion object {
         /** The JVM keeps a buffer of the largest write for each thread. */
         const val MAX_WRITE_BYTES = 65_536
