--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -18,7 +18,8 @@
 
     /**
      * The endpoint of [attempt] is silent. The attempt goes on. A [CallCommand.TakeOver] follows if
-     * another endpoint may take over, a [CallCommand.Hedge] if another one runs the request as well.
+     * another endpoint is asked to take over, a [CallCommand.Hedge] if another one runs the request
+     * as well.
      */
     public data class AttemptStalled(public val call: CallId, public val attempt: Int) :
         ForwardingInput
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -152,7 +152,7 @@
         /** Notices that each report repeats, since reports may be lost. */
         const val MAX_RECENT = 12
 
-        /** Time for which reports repeat an answer, which hosts of older builds can't read, in ms. */
+        /** Time for which reports repeat an answer, in ms; older builds can't read such reports. */
         const val REPEAT_MS = 3_000L
 
         /**
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StalledAttemptTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StalledAttemptTest.kt
@@ -25,7 +25,7 @@
         return fixture.commandsOf(ForwardingInput.AttemptEnded(call.id, attempt, outcome))
     }
 
-    /** Guards against a stream that is cut off since the endpoint that was to take over does not. */
+    /** Guards against a stream that is cut off since the next endpoint does not take over. */
     @Nested
     inner class NoTakeover {
         private val failures = listOf(
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Takeover.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Takeover.kt
@@ -8,8 +8,8 @@
 import kotlinx.coroutines.launch
 
 /**
- * Ends the attempt of a silent endpoint as soon as the endpoint of the next attempt has accepted the
- * request. Until then the silent endpoint may be the only one that goes on with it.
+ * Ends the attempt of a silent endpoint as soon as the endpoint of the next attempt has accepted
+ * the request. Until then the silent endpoint may be the only one that goes on with it.
  *
  * @property replaced ends the attempt of the silent endpoint
  * @property awaitAnswered waits for the end of that attempt; returns whether it was answered
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/SocketInput.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/SocketInput.kt
@@ -10,9 +10,9 @@
 import kotlinx.coroutines.yield
 
 /**
- * Reads from a TCP connection when it is asked to, so that bytes nobody asks for stay in the kernel.
- * Ktor's read channel takes up to 1 MB for each connection, which is too much for the heap if many
- * endpoints send more than they should.
+ * Reads from a TCP connection when it is asked to, so that bytes nobody asks for stay in the
+ * kernel. Ktor's read channel takes up to 1 MB for each connection, which is too much for the heap
+ * if many endpoints send more than they should.
  */
 internal class SocketInput(socket: Socket, private val selector: SelectorManager) : ByteInput {
     private val selectable = socket as Selectable
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/EndlessAnswerTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/EndlessAnswerTest.kt
@@ -13,8 +13,9 @@
 import org.junit.jupiter.api.Nested
 
 /**
- * Guards against a gateway that keeps the bytes that a faulty runner sends without end, and ends for
- * want of memory with the requests of all other callers. The gateway has the heap of its deployment.
+ * Guards against a gateway that keeps the bytes that a faulty runner sends without end, and ends
+ * for want of memory with the requests of all other callers. The gateway has the heap of its
+ * deployment.
  */
 class EndlessAnswerTest {
     private val cluster = GatewayCluster()
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -39,7 +39,8 @@
     fun register(id: String, address: String, service: String, state: String, slots: Int = 4) {
         lastSequence++
         val entry = """{"service":"$service","address":"$address","zone":"a",""" +
-            """"version":"v1","slots":$slots,"state":"$state","coldLeftMs":0,"sequence":$lastSequence}"""
+            """"version":"v1","slots":$slots,"state":"$state","coldLeftMs":0,""" +
+            """"sequence":$lastSequence}"""
         store.log.append("keyed.servers", id, entry.toByteArray())
     }
 
@@ -165,7 +166,7 @@
         )
     )
 
-    /** Sends a request for [path] and reads [bytesPerS] of all bytes until the connection closes. */
+    /** Sends a request for [path] and reads all bytes, [bytesPerS], until the connection closes. */
     suspend fun readSlowly(path: String, bytesPerS: Int): String = Socket().use { socket ->
         socket.receiveBufferSize = SMALL_BUFFER_BYTES
         socket.connect(InetSocketAddress("127.0.0.1", frontPort))
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayTest.kt
@@ -209,7 +209,7 @@
             }
     }
 
-    /** Guards against a process that ends with a part of an answer, which its caller reads slowly. */
+    /** Guards against a process that ends with a part of an answer that is read slowly. */
     @Nested
     inner class SlowCallers {
         @Test
