--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffLoad.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffLoad.kt
@@ -58,7 +58,7 @@
             )
             assertTrue(
                 hash in "${signOff.result}",
-                "expected hash $hash of ${signOff.body}, found $signOff"
+                "${signOff.key}: expected hash $hash of ${signOff.body}, found ${signOff.result}"
             )
         }
         val falseNotRun = finished.filter { it.result == SignOffResult.NotRun && it.key in runs }
