--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
@@ -0,0 +1,96 @@
+package cowslipcart.core.intake
+
+/** An open connection of a caller. */
+@JvmInline
+public value class ConnectionId(public val value: Long)
+
+/** What a [ConnectionLimit] has decided about a new connection. */
+public sealed interface ConnectionAdmission {
+    /** The connection is served; [closing] has to be closed for it, null if there is room. */
+    public data class Accepted(public val id: ConnectionId, public val closing: ConnectionId?) :
+        ConnectionAdmission
+
+    /** The connection has to be closed: all others are in use. */
+    public data object Refused : ConnectionAdmission
+}
+
+/**
+ * Bounds the open connections of callers. If there are too many, a new one takes the place of the
+ * one that has been idle for longest, or else of the one that has been sending a request for
+ * longest, if that is more than [IntakeLimits.stallGraceMs]. Not safe for concurrent use.
+ */
+public class ConnectionLimit(private val limits: IntakeLimits) {
+    // Both in the order in which the connections came to this state.
+    private val idle = LinkedHashSet<ConnectionId>()
+    private val readingSinceMs = LinkedHashMap<ConnectionId, Long>()
+    private val open = HashSet<ConnectionId>()
+    private val closing = HashSet<ConnectionId>()
+    private var lastId = 0L
+
+    /** Number of open connections, with those that are being closed. */
+    public val openCount: Int get() = open.size
+
+    /** Decides about a new connection, which is idle at first. */
+    public fun open(nowMs: Long): ConnectionAdmission {
+        var victim: ConnectionId? = null
+        if (open.size - closing.size >= limits.maxConnections) {
+            victim = oldestIdle() ?: oldestReading(nowMs) ?: return ConnectionAdmission.Refused
+        }
+        if (open.size >= limits.maxConnections + MAX_CLOSING) return ConnectionAdmission.Refused
+        victim?.let { beginClosing(it) }
+        val id = ConnectionId(++lastId)
+        open += id
+        idle += id
+        return ConnectionAdmission.Accepted(id, victim)
+    }
+
+    /** Notes that no request is under way on [id]. */
+    public fun onIdle(id: ConnectionId) {
+        if (id !in open || id in closing) return
+        readingSinceMs -= id
+        idle += id
+    }
+
+    /**
+     * Notes that the first byte of a request has arrived on [id]. A request that crosses the close
+     * of its connection is served.
+     */
+    public fun onReading(id: ConnectionId, nowMs: Long) {
+        if (id !in open) return
+        closing -= id
+        idle -= id
+        readingSinceMs[id] = nowMs
+    }
+
+    /** Notes that a request was read whole on [id]; it is not closed before the answer. */
+    public fun onServing(id: ConnectionId) {
+        idle -= id
+        readingSinceMs -= id
+    }
+
+    /** Notes that [id] is closed. */
+    public fun onClosed(id: ConnectionId) {
+        open -= id
+        closing -= id
+        idle -= id
+        readingSinceMs -= id
+    }
+
+    private fun oldestIdle(): ConnectionId? = idle.firstOrNull()
+
+    private fun oldestReading(nowMs: Long): ConnectionId? {
+        val (id, sinceMs) = readingSinceMs.entries.firstOrNull() ?: return null
+        return id.takeIf { nowMs - sinceMs > limits.stallGraceMs }
+    }
+
+    private fun beginClosing(id: ConnectionId) {
+        closing += id
+        idle -= id
+        readingSinceMs -= id
+    }
+
+    private companion object {
+        /** Bound on connections beyond the limit, while others are being closed. */
+        const val MAX_CLOSING = 64
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/cowslipcart/core/intake/ConnectionLimitTest.kt
@@ -0,0 +1,71 @@
+package cowslipcart.core.intake
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import org.junit.jupiter.api.Nested
+
+class ConnectionLimitTest {
+    private val limits = IntakeLimits.of(HEAP_BYTES).copy(maxConnections = 3)
+    private val limit = ConnectionLimit(limits)
+
+    private fun open(nowMs: Long = 0): ConnectionAdmission.Accepted =
+        assertIs<ConnectionAdmission.Accepted>(limit.open(nowMs))
+
+    @Nested
+    inner class Full {
+        @Test
+        fun `the connection that is idle for longest is closed for a new one`() {
+            val (first, second, third) = List(3) { open().id }
+            limit.onReading(first, 0)
+            limit.onServing(first)
+            limit.onIdle(first)
+
+            assertEquals(second, open().closing)
+            assertEquals(third, open().closing)
+            assertEquals(first, open().closing)
+        }
+
+        /** Guards against heads or bodies without an end that keep everybody else out. */
+        @Test
+        fun `without an idle one the oldest half-received request is closed after the grace`() {
+            val ids = List(3) { open().id }
+            for (id in ids) limit.onReading(id, 0)
+            assertEquals(ConnectionAdmission.Refused, limit.open(limits.stallGraceMs))
+
+            assertEquals(ids.first(), open(limits.stallGraceMs + 1).closing)
+        }
+
+        /** Guards against requests that were passed on and lose their connection. */
+        @Test
+        fun `connections with requests in work are not closed`() {
+            for (id in List(3) { open().id }) limit.onServing(id)
+
+            assertEquals(ConnectionAdmission.Refused, limit.open(60_000))
+        }
+
+        /** Guards against a bound that new connections overrun while old ones are being closed. */
+        @Test
+        fun `connections that are being closed count up to a bound`() {
+            repeat(1_000) { limit.open(it.toLong()) }
+
+            assertEquals(limits.maxConnections + 64, limit.openCount)
+        }
+
+        @Test
+        fun `a request that crosses the close of its connection keeps it`() {
+            val first = open().id
+            repeat(2) { open() }
+            assertEquals(first, open().closing)
+            limit.onReading(first, 0)
+            limit.onServing(first)
+            limit.onClosed(first)
+
+            assertEquals(3, limit.openCount)
+        }
+    }
+
+    private companion object {
+        const val HEAP_BYTES = 72L * 1_024 * 1_024
+    }
+}
