--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -50,25 +50,30 @@
         routes: String = ROUTES,
         keys: List<String> = listOf(KEY),
         ratePerS: Int = 1_000_000,
-        idleTimeoutMs: Long = 5_000
+        idleTimeoutMs: Long = 5_000,
+        maxBodyBytes: Int = 65_536
     ) {
         revision += 3
         val quoted = keys.joinToString(",") { "\"$it\"" }
         val config = """{"version":$revision,"routes":[$routes],"services":[""" +
             """{"name":"model","maxConns":50,"engine":{"slots":4,"stride":6}},""" +
             """{"name":"desk","maxConns":50},{"name":"counter","maxConns":50}],""" +
-            """"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,""" +
+            """"limits":{"maxHeaderBytes":16384,"maxBodyBytes":$maxBodyBytes,""" +
             """"headerTimeoutMs":1000,"idleTimeoutMs":$idleTimeoutMs},""" +
             """"tenants":[{"name":"org","apiKeys":[$quoted],"unit":"tokens",""" +
             """"plainTokens":200,"ratePerS":$ratePerS,"burst":$ratePerS}]}"""
         store.log.append("keyed.op", "config", config.toByteArray())
     }
 
-    /** Starts a gateway process; it becomes ready once it has read a configuration. */
+    /**
+     * Starts a gateway process; it becomes ready once it has read a configuration. [limits] are
+     * those of its machine in the settings, as JSON.
+     */
     fun startGateway(
         name: String,
         storePort: Int = store.port,
-        jvmOptions: List<String> = ManagedProcess.JVM_OPTIONS
+        jvmOptions: List<String> = ManagedProcess.JVM_OPTIONS,
+        limits: String = "{}"
     ): GatewayHandle {
         val front = freeTcpPort()
         val ready = freeTcpPort()
@@ -77,7 +82,7 @@
             """"listen":{"front":"127.0.0.1:$front","ready":"127.0.0.1:$ready"},""" +
             """"portRange":[$peer,$peer],"bootstrap":true,"unknown":{"x":[1]},""" +
             """"bounds":{"graceS":8,"retryBudgetRatio":0.2,"budgetSlack":100},""" +
-            """"platform":{"address":"127.0.0.1:$storePort"}}"""
+            """"limits":$limits,"platform":{"address":"127.0.0.1:$storePort"}}"""
         val file = Files.createTempFile(Files.createDirectories(Path.of("target")), name, ".json")
         file.writeText(settings)
         val process = ManagedProcess.start(
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -24,6 +24,8 @@
     /** Standard output and standard error so far. */
     val outputText: String get() = output.readText()
 
+    val pid: Long get() = process.pid()
+
     val isAlive: Boolean get() = process.isAlive
 
     /** Awaits the line `listening ...` and returns it. */
