Take connections in before the next one is accepted

Cause: the accept loop ran ahead of the coroutines that decide, so a crowd of 300 opened 277 to 310 sockets where 200 are allowed; chunked bodies were refused with 413, since a body without a stated length counted as the longest one; answers took up to four times their size. Change: the limit on connections is asked in the accept loop. Answers are joined once and forgotten when the message to the caller is made.

--- a/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
+++ b/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
@@ -27,6 +27,9 @@
     private val closing = HashSet<ConnectionId>()
     private var lastId = 0L
 
+    /** Bound on connections beyond the limit, while others are being closed. */
+    private val maxClosing = 1 + limits.maxConnections / CLOSING_PER_OPEN
+
     /** Number of open connections, with those that are being closed. */
     public val openCount: Int get() = open.size
 
@@ -36,7 +39,7 @@
         if (open.size - closing.size >= limits.maxConnections) {
             victim = oldestIdle() ?: oldestReading(nowMs) ?: return ConnectionAdmission.Refused
         }
-        if (open.size >= limits.maxConnections + MAX_CLOSING) return ConnectionAdmission.Refused
+        if (open.size >= limits.maxConnections + maxClosing) return ConnectionAdmission.Refused
         victim?.let { beginClosing(it) }
         val id = ConnectionId(++lastId)
         open += id
@@ -90,7 +93,6 @@
     }
 
     private companion object {
-        /** Bound on connections beyond the limit, while others are being closed. */
-        const val MAX_CLOSING = 64
+        const val CLOSING_PER_OPEN = 8
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/intake/ConnectionLimitTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/intake/ConnectionLimitTest.kt
@@ -21,9 +21,10 @@
             limit.onServing(first)
             limit.onIdle(first)
 
-            assertEquals(second, open().closing)
-            assertEquals(third, open().closing)
-            assertEquals(first, open().closing)
+            for (oldest in listOf(second, third, first)) {
+                assertEquals(oldest, open().closing)
+                limit.onClosed(oldest)
+            }
         }
 
         /** Guards against heads or bodies without an end that keep everybody else out. */
@@ -49,7 +50,7 @@
         fun `connections that are being closed count up to a bound`() {
             repeat(1_000) { limit.open(it.toLong()) }
 
-            assertEquals(limits.maxConnections + 64, limit.openCount)
+            assertEquals(limits.maxConnections + 1, limit.openCount)
         }
 
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/BufferBudget.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/BufferBudget.kt
@@ -8,10 +8,14 @@
 
 /**
  * Bounds the memory of the responses that this host has received and their callers have not yet
- * taken, [maxBytes] in total. The first [FREE_BYTES] of each response count apart, against half as
- * much again, so that long responses can't keep out short ones.
+ * taken. Three quarters of [maxBytes] are for what exceeds [FREE_BYTES] of each response. The rest
+ * of each counts apart, up to half of [maxBytes], so that long responses can't keep out short ones.
+ *
+ * @property onExceeded called when a response does not fit
  */
-internal class BufferBudget(private val maxBytes: Long) {
+internal class BufferBudget(private val maxBytes: Long, private val onExceeded: () -> Unit = {}) {
+    private val maxLongBytes = maxBytes - maxBytes / 4
+    private val maxShortBytes = maxBytes / 2
     private val longBytes = AtomicLong()
     private val shortBytes = AtomicLong()
 
@@ -27,14 +31,12 @@
         fun add(bytes: Int) {
             val addedShort = minOf(bytes.toLong(), FREE_BYTES - reservedShortBytes)
             reservedShortBytes += addedShort
-            if (shortBytes.addAndGet(addedShort) > maxBytes / 2) {
-                throw BufferBudgetException(maxBytes)
-            }
+            if (shortBytes.addAndGet(addedShort) > maxShortBytes) fail()
             val addedLong = bytes - addedShort
             // Another response may exceed the budget right now; this one takes nothing from it.
             if (addedLong == 0L) return
             reservedLongBytes += addedLong
-            if (longBytes.addAndGet(addedLong) > maxBytes) throw BufferBudgetException(maxBytes)
+            if (longBytes.addAndGet(addedLong) > maxLongBytes) fail()
         }
 
         /** Gives all bytes back. */
@@ -65,6 +67,11 @@
         }
     }
 
+    private fun fail(): Nothing {
+        onExceeded()
+        throw BufferBudgetException(maxBytes)
+    }
+
     private companion object {
         const val FREE_BYTES = 65_536L
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -139,7 +139,9 @@
 
     /** Writes a response that is complete, also if the caller takes it later than the deadline. */
     private suspend fun deliver(answer: BufferedResponse, caller: CallerMonitor) =
-        cancelOnDisconnectOrShutdown(caller) { response.writeComplete(answer.head, answer.body) }
+        cancelOnDisconnectOrShutdown(caller) {
+            response.writeComplete(answer.head, answer.takeBody())
+        }
 
     /** Carries out commands until the response is certain; stops all attempts then. */
     private suspend fun followCommands(caller: CallerMonitor): Unit = coroutineScope {
@@ -328,7 +330,7 @@
         val failure = lastResponse
         when {
             running.isNotEmpty() -> response.writeLocalReply(GATEWAY_TIMEOUT)
-            failure != null -> response.writeComplete(failure.head, failure.body)
+            failure != null -> response.writeComplete(failure.head, failure.takeBody())
             else -> response.writeLocalReply(GATEWAY_TIMEOUT)
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -25,17 +25,23 @@
     /** Limits of the configuration in force. */
     private val limits: CallerLimits get() = state.routing?.limits ?: DEFAULT_LIMITS
 
-    /** Serves [socket] until one side closes it, or closes it at once if there are too many. */
-    suspend fun serve(socket: Socket) {
-        val slot = context.intake.openConnection() ?: return socket.close()
+    /** Takes [socket] in, or closes it and returns null if there are too many. */
+    fun open(socket: Socket): CallerIntake.ConnectionSlot? {
+        val slot = context.intake.openConnection()
+        if (slot == null) socket.close()
+        return slot
+    }
+
+    /** Serves [socket] until one side closes it. */
+    suspend fun serve(socket: Socket, slot: CallerIntake.ConnectionSlot) {
         try {
-            serve(socket, slot)
+            serveRequests(socket, slot)
         } finally {
             slot.onClosed()
         }
     }
 
-    private suspend fun serve(socket: Socket, slot: CallerIntake.ConnectionSlot) {
+    private suspend fun serveRequests(socket: Socket, slot: CallerIntake.ConnectionSlot) {
         val caller = CallerSocket(
             socket,
             context.openSink(socket),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
@@ -13,7 +13,18 @@
 }
 
 /** A response of an endpoint that was read to its end and not yet forwarded. */
-internal class BufferedResponse(val head: ResponseHead, val body: ByteArray)
+internal class BufferedResponse(val head: ResponseHead, body: ByteArray) {
+    /** The body; empty once it was taken. */
+    var body: ByteArray = body
+        private set
+
+    /** Returns the body and forgets it, so that it is not kept beside the message to the caller. */
+    fun takeBody(): ByteArray = body.also { body = NO_BODY }
+
+    private companion object {
+        val NO_BODY = ByteArray(0)
+    }
+}
 
 /**
  * How an attempt ended.
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -77,20 +77,21 @@
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
     private val admission = CallAdmission(headerCodec, state, clock, random)
     private val shutdownEnd = Job()
+    private val intake = CallerIntake(settings.intake, clock, metrics, eventLog)
     private val context = SessionContext(
         loop,
         EndpointExchange(
             connections,
             headerCodec,
             clock,
-            BufferBudget(settings.intake.responseBytes)
+            BufferBudget(settings.intake.responseBytes) { intake.strike("responses") }
         ),
         eventLog,
         metrics,
         clock,
         SelectorReadProbe(),
         shutdownEnd,
-        CallerIntake(settings.intake, clock, metrics, eventLog),
+        intake,
         openInput = { socket, onEnd -> WatchedInput(socket, selector, onEnd) },
         openSink = { SocketSink(it, selector) }
     )
@@ -109,14 +110,9 @@
         eventLog.event("start", "host" to self.value, "front" to settings.front.toString())
         loop.start(scope)
         peers.start(scope, selector, settings.peer)
-        frontListener =
-            accept(settings.front) { CallerConnection(context, admission, state).serve(it) }
-        accept(settings.ready) { StatusConnection(state, metrics, eventLog, selector).serve(it) }
-        settings.metricsPort?.let { port ->
-            accept(settings.front.copy(port = port)) {
-                StatusConnection(state, metrics, eventLog, selector).serve(it)
-            }
-        }
+        frontListener = accept(settings.front, ::serveCaller)
+        accept(settings.ready, ::serveStatus)
+        settings.metricsPort?.let { accept(settings.front.copy(port = it), ::serveStatus) }
         val instrumented = InstrumentedStore(store, metrics)
         val following =
             StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock)
@@ -218,14 +214,25 @@
         }
     }
 
-    /** Serves connections to [listen] until the returned job is cancelled. */
-    private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit): Job {
+    /** Takes the connection in before the next one is accepted, so that no more are open. */
+    private fun serveCaller(socket: Socket) {
+        val connection = CallerConnection(context, admission, state)
+        val slot = connection.open(socket) ?: return
+        scope.launch { connection.serve(socket, slot) }
+    }
+
+    private fun serveStatus(socket: Socket) {
+        scope.launch { StatusConnection(state, metrics, eventLog, selector).serve(socket) }
+    }
+
+    /** Passes connections to [listen] to [serve] until the returned job is cancelled. */
+    private suspend fun accept(listen: SocketAddressSetting, serve: (Socket) -> Unit): Job {
         val server = aSocket(selector).tcp()
             .bind(InetSocketAddress(listen.ip, listen.port)) { backlogSize = BACKLOG }
         return scope.launch { server.use { acceptAll(it, serve) } }
     }
 
-    private suspend fun acceptAll(server: ServerSocket, serve: suspend (Socket) -> Unit) {
+    private suspend fun acceptAll(server: ServerSocket, serve: (Socket) -> Unit) {
         while (true) {
             val socket = try {
                 server.accept()
@@ -234,7 +241,7 @@
                 delay(ACCEPT_PAUSE_MS)
                 continue
             }
-            scope.launch { serve(socket) }
+            serve(socket)
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -1,14 +1,13 @@
 package cowslipcart.daemon.http1
 
-import java.io.ByteArrayOutputStream
 import java.io.EOFException
 
 /** Reads one message body from [source] in pieces and removes its [framing]. */
 internal class BodyReader(private val source: ByteSource, private val framing: BodyFraming) {
-    /** Size of the body as its head states it; the largest number if it states none. */
-    val statedBytes: Long = (framing as? BodyFraming.Length)?.bytes ?: Long.MAX_VALUE
+    /** Size of the body as its head states it; null if it states none. */
+    val statedBytes: Long? = (framing as? BodyFraming.Length)?.bytes
 
-    private var remainingBytes = (framing as? BodyFraming.Length)?.bytes ?: 0
+    private var remainingBytes = statedBytes ?: 0
 
     /** Bytes of chunk extensions in the body so far. */
     private var extensionBytes = 0
@@ -60,17 +59,28 @@
      * called with the size of each piece.
      */
     suspend fun readAll(maxBytes: Int, onRead: (Int) -> Unit = {}): ByteArray {
-        val bytes = ByteArrayOutputStream()
+        val pieces = ArrayList<ByteArray>()
+        var size = 0
         while (true) {
-            val piece = next() ?: return bytes.toByteArray()
-            if (bytes.size() + piece.size > maxBytes) {
-                throw TooLongException.OfBody(maxBytes)
-            }
+            val piece = next() ?: return joined(pieces, size)
+            if (size + piece.size > maxBytes) throw TooLongException.OfBody(maxBytes)
+            size += piece.size
             onRead(piece.size)
-            bytes.write(piece)
+            pieces += piece
         }
     }
 
+    private fun joined(pieces: List<ByteArray>, size: Int): ByteArray {
+        if (pieces.size == 1) return pieces.single()
+        val bytes = ByteArray(size)
+        var start = 0
+        for (piece in pieces) {
+            piece.copyInto(bytes, start)
+            start += piece.size
+        }
+        return bytes
+    }
+
     /**
      * Reads and drops the rest of the body. Throws [TooLongException] if it exceeds [maxBytes],
      * before it is read if its length is stated.
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/RequestBodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/RequestBodyReader.kt
@@ -15,7 +15,7 @@
 
     /** Reads the whole body. Throws [TooLongException] if it exceeds [maxBytes]. */
     suspend fun read(maxBytes: Int): RequestBody {
-        if (reader.statedBytes > maxBytes) throw TooLongException.OfBody(maxBytes)
+        if ((reader.statedBytes ?: 0) > maxBytes) throw TooLongException.OfBody(maxBytes)
         while (true) {
             if (filledBytes == piece.size && !startPiece(maxBytes)) break
             val count = reader.read(piece, filledBytes, piece.size - filledBytes)
@@ -33,11 +33,11 @@
     private suspend fun startPiece(maxBytes: Int): Boolean {
         if (reader.isComplete) return false
         // One byte more than allowed shows that the body is too long.
-        val mostBytes = minOf(reader.statedBytes - size, maxBytes + 1L - size)
-        val nextBytes =
-            minOf((piece.size * 2).coerceIn(MIN_PIECE_BYTES, MAX_PIECE_BYTES).toLong(), mostBytes)
-        account.reserve(nextBytes.toInt())
-        piece = ByteArray(nextBytes.toInt())
+        val mostBytes = (reader.statedBytes ?: (maxBytes + 1L)) - size
+        val grownBytes = (piece.size * 2).coerceIn(MIN_PIECE_BYTES, MAX_PIECE_BYTES)
+        val nextBytes = minOf(grownBytes.toLong(), mostBytes).toInt()
+        account.reserve(nextBytes)
+        piece = ByteArray(nextBytes)
         pieces += piece
         filledBytes = 0
         return true
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerConnectionTest.kt
@@ -71,7 +71,8 @@
         runTest {
             val socket = InMemorySocket(backgroundScope)
             launch { actions(socket) }
-            createConnection().serve(socket)
+            val connection = createConnection()
+            connection.serve(socket, checkNotNull(connection.open(socket)))
             delay(1)
             received = socket.received
         }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -10,6 +10,7 @@
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.ReportPlan
+import cowslipcart.core.intake.IntakeLimits
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
@@ -99,7 +100,8 @@
     endpointPort: Int,
     decisionMs: Long = 0,
     private val timeoutMs: Long = TIMEOUT_MS,
-    sessionDispatcher: CoroutineDispatcher = Dispatchers.IO
+    sessionDispatcher: CoroutineDispatcher = Dispatchers.IO,
+    limits: IntakeLimits = IntakeLimits.of(Runtime.getRuntime().maxMemory())
 ) : AutoCloseable {
     /** Holds back what the sockets of callers have to read, as on a host that is behind. */
     private class GatedSelector(private val inner: SelectorManager) : SelectorManager by inner {
@@ -124,6 +126,9 @@
     val controller = SingleEndpointController(endpoint, decisionMs)
     val connections = EndpointConnections(selector, clock) { 1 }
 
+    /** Number of open connections of callers. */
+    val connectionCount: Int get() = state.openConnections.get()
+
     /** Port that callers connect to. */
     val port: Int
 
@@ -141,6 +146,7 @@
             metrics,
             clock,
             probe,
+            intake = CallerIntake(limits, clock, metrics, eventLog),
             openInput = { socket, onEnd -> WatchedInput(socket, callerSelector, onEnd) },
             openSink = { SocketSink(it, callerSelector) }
         )
@@ -151,7 +157,9 @@
         scope.launch {
             while (true) {
                 val socket = server.accept()
-                launch { CallerConnection(context, admission, state).serve(socket) }
+                val connection = CallerConnection(context, admission, state)
+                val slot = connection.open(socket) ?: continue
+                launch { connection.serve(socket, slot) }
             }
         }
     }
