--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.ForwardingSettings
 import cowslipcart.core.forwarding.createForwardingController
+import cowslipcart.core.intake.IntakeLimits
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
@@ -12,6 +13,7 @@
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.SocketSink
+import cowslipcart.daemon.http1.WatchedInput
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -37,6 +39,7 @@
  * @property metricsPort port of the metrics on the IP address of [front]; null for no metrics
  * @property shutdownMs time from the stop signal until the platform kills the process
  * @property configurationBoundMs time within which a changed configuration has to be in force
+ * @property intake what callers may make this host hold
  */
 public data class GatewaySettings(
     public val forwarding: ForwardingSettings,
@@ -45,7 +48,8 @@
     public val peer: SocketAddressSetting,
     public val metricsPort: Int?,
     public val shutdownMs: Long,
-    public val configurationBoundMs: Long
+    public val configurationBoundMs: Long,
+    public val intake: IntakeLimits = IntakeLimits.of(Runtime.getRuntime().maxMemory())
 )
 
 /** Forwards requests of callers to the endpoints that a platform's store lists. */
@@ -73,14 +77,22 @@
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
     private val admission = CallAdmission(headerCodec, state, clock, random)
     private val shutdownEnd = Job()
+    private val intake = CallerIntake(settings.intake, clock, metrics, eventLog)
     private val context = SessionContext(
         loop,
-        EndpointExchange(connections, headerCodec, clock),
+        EndpointExchange(
+            connections,
+            headerCodec,
+            clock,
+            BufferBudget(settings.intake.responseBytes) { intake.strike("responses") }
+        ),
         eventLog,
         metrics,
         clock,
         SelectorReadProbe(),
         shutdownEnd,
+        intake,
+        openInput = { socket, onEnd -> WatchedInput(socket, selector, onEnd) },
         openSink = { SocketSink(it, selector) }
     )
 
@@ -98,14 +110,9 @@
         eventLog.event("start", "host" to self.value, "front" to settings.front.toString())
         loop.start(scope)
         peers.start(scope, selector, settings.peer)
-        frontListener =
-            accept(settings.front) { CallerConnection(context, admission, state).serve(it) }
-        accept(settings.ready) { StatusConnection(state, metrics, eventLog, selector).serve(it) }
-        settings.metricsPort?.let { port ->
-            accept(settings.front.copy(port = port)) {
-                StatusConnection(state, metrics, eventLog, selector).serve(it)
-            }
-        }
+        frontListener = accept(settings.front, ::serveCaller)
+        accept(settings.ready, ::serveStatus)
+        settings.metricsPort?.let { accept(settings.front.copy(port = it), ::serveStatus) }
         val instrumented = InstrumentedStore(store, metrics)
         val following =
             StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock)
@@ -207,14 +214,25 @@
         }
     }
 
-    /** Serves connections to [listen] until the returned job is cancelled. */
-    private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit): Job {
+    /** Takes the connection in before the next one is accepted, so that no more are open. */
+    private fun serveCaller(socket: Socket) {
+        val connection = CallerConnection(context, admission, state)
+        val slot = connection.open(socket) ?: return
+        scope.launch { connection.serve(socket, slot) }
+    }
+
+    private fun serveStatus(socket: Socket) {
+        scope.launch { StatusConnection(state, metrics, eventLog, selector).serve(socket) }
+    }
+
+    /** Passes connections to [listen] to [serve] until the returned job is cancelled. */
+    private suspend fun accept(listen: SocketAddressSetting, serve: (Socket) -> Unit): Job {
         val server = aSocket(selector).tcp()
             .bind(InetSocketAddress(listen.ip, listen.port)) { backlogSize = BACKLOG }
         return scope.launch { server.use { acceptAll(it, serve) } }
     }
 
-    private suspend fun acceptAll(server: ServerSocket, serve: suspend (Socket) -> Unit) {
+    private suspend fun acceptAll(server: ServerSocket, serve: (Socket) -> Unit) {
         while (true) {
             val socket = try {
                 server.accept()
@@ -223,7 +241,7 @@
                 delay(ACCEPT_PAUSE_MS)
                 continue
             }
-            scope.launch { serve(socket) }
+            serve(socket)
         }
     }
 
