Send a second copy of requests that are slow for their kind

Cause: a copy went out only after a stall, 1.3 s for streams and half of the caller's time for other requests, so slow answers were never cut. Change: HedgeRule learns the times to the first event by route and size and limits the copies to a share of the requests of the pool (COWSLIPCART_HEDGE_SHARE, 0 by default); SecondCopies, moved out of CallScheduler, decides on copies of stalled and of slow requests. Measured: HedgingTest (13 cases in virtual time). Its first run was red for the 95th percentile alone: with a fifth of the answers slow no copy was ever due, hence the bound of two medians. With the setting at 0 the draws of the random source are the same.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -1,7 +1,5 @@
 package cowslipcart.core.forwarding
 
-import cowslipcart.core.routing.WorkKind
-import cowslipcart.core.routing.isRetryable
 import kotlin.random.Random
 
 /**
@@ -16,15 +14,20 @@
     private val reporter = known.reporter
     private val retries = RetryRule(known.settings, quarantine) { hostRegistry.knownCount }
     private val placement = Placement(known.cacheIndex, known.settings.profile.domain, random)
+    private val copies = SecondCopies(known, retries, placement)
     private val calls = mutableMapOf<CallId, CallState>()
     private val waiting = mutableListOf<CallState>()
 
+    /** Time on the monotonic clock at which [copySlow] is due; [Long.MAX_VALUE] if it is not. */
+    val nextCopyAtMs: Long get() = copies.nextAtMs
+
     /** Whether a request waits for a slot. */
     val hasWaiting: Boolean get() = waiting.isNotEmpty()
 
     fun onArrived(call: ForwardedCall, nowMs: Long) {
         val state = CallState(call)
         retries.recordRequest(call.pool, nowMs)
+        copies.recordRequest(call.pool)
         when (val admission = quotas.tryTake(call, hostRegistry.counts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
                 val spread = random.nextDouble()
@@ -124,6 +127,7 @@
         )
         quarantine.onDispatched(state.call, nowMs)
         reporter.onChange()
+        copies.onDispatched(state, nowMs)
     }
 
     /** Returns the attempt [number] of [call] if it is in flight. */
@@ -134,6 +138,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.hasStarted = true
+        copies.onFirstEvent(state, attempt, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
         quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
@@ -230,41 +235,17 @@
         attempt.endpoint.health.onFailure(nowMs)
     }
 
-    /**
-     * Sends a request whose endpoint is silent to another endpoint as well, if one has a free slot.
-     * A silent endpoint may still answer, so its attempt goes on: that of a stream until the other
-     * endpoint has accepted the request, that of any other request until one of both is answered.
-     */
     fun onAttemptStalled(input: ForwardingInput.AttemptStalled, nowMs: Long) {
         val state = calls[input.call] ?: return
         attemptInFlight(input.call, input.attempt) ?: return
-        if (state.inFlight.size > 1 || !retries.isAllowed(state, nowMs)) return
-        when (state.call.route.kind) {
-            WorkKind.AtMostOnce -> Unit
-
-            WorkKind.Idempotent -> {
-                val selected = selectForStalled(state, nowMs) ?: return
-                dispatch(state, selected, nowMs, CallCommand::Hedge)
-            }
-
-            is WorkKind.EventStream -> {
-                if (!state.call.route.kind.isRetryable) return
-                val selected = selectForStalled(state, nowMs) ?: return
-                dispatch(state, selected, nowMs, CallCommand::TakeOver)
-            }
-        }
+        copies.forStalled(state, nowMs)?.let { dispatch(state, it.selected, nowMs, it.command) }
     }
 
-    /** Returns an endpoint that can answer in time, and spends a retry; null if there is none. */
-    private fun selectForStalled(state: CallState, nowMs: Long): PlacementResult.Found? {
-        if (known.listAge.isOutdated(nowMs)) return null
-        val call = state.call
-        val inPool = endpoints.inPool(call.pool)
-        val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
-        val selected = result as? PlacementResult.Found ?: return null
-        val isWorthwhile = !selected.endpoint.health.isEjected(nowMs) &&
-            selected.firstTokenMs < state.remainingMs(nowMs)
-        return selected.takeIf { isWorthwhile && retries.trySpend(call.pool, nowMs) }
+    /** Sends a second copy of each request that is slow for its kind, as far as that is allowed. */
+    fun copySlow(nowMs: Long) {
+        for (state in copies.takeSlow(calls.values, nowMs)) {
+            copies.forSlow(state, nowMs)?.let { dispatch(state, it.selected, nowMs, it.command) }
+        }
     }
 
     /**
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -24,6 +24,9 @@
     /** Time on the monotonic clock at which the request is refused if no slot is free. */
     var waitUntilMs = call.arrivedAtMs + AdmissionRule.maxWaitMs(call)
 
+    /** Time on the monotonic clock at which a second copy may be due. */
+    var copyDueAtMs = Long.MAX_VALUE
+
     /** Time until the caller gives up, in ms. */
     fun remainingMs(nowMs: Long): Long = call.deadlineAtMs - nowMs
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -12,6 +12,12 @@
     /** Time until the next [ForwardingInput.Tick] is due, in ms. */
     public fun nextTickMs(): Long
 
+    /**
+     * Time on the monotonic clock at which a [ForwardingInput.Tick] is due even before
+     * [nextTickMs] has passed; [Long.MAX_VALUE] if none is.
+     */
+    public fun nextCopyAtMs(): Long
+
     /** Returns the load report for the other hosts, or null if none is due. */
     public fun loadReport(nowMs: Long): HostLoadReport?
 
@@ -73,6 +79,8 @@
 
     override fun nextTickMs(): Long = if (calls.hasWaiting) WAITING_TICK_MS else IDLE_TICK_MS
 
+    override fun nextCopyAtMs(): Long = calls.nextCopyAtMs
+
     override fun loadReport(nowMs: Long): HostLoadReport? = known.reporter.next(nowMs)
 
     override fun reportPlan(nowMs: Long): ReportPlan = known.hostRegistry.plan(nowMs)
@@ -142,6 +150,7 @@
             known.quotas.onPeerSilent(host)
         }
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
+        calls.copySlow(nowMs)
     }
 
     private fun logHost(host: HostId, change: String, reason: String) {
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -22,7 +22,11 @@
 import kotlin.random.Random
 
 /** A controller with one pool and a clock that the test sets. */
-internal class ForwardingFixture(isFirstStart: Boolean = true, seed: Int = 1) {
+internal class ForwardingFixture(
+    isFirstStart: Boolean = true,
+    seed: Int = 1,
+    hedgeShare: Double = 0.0
+) {
     val controller = createForwardingController(
         ForwardingSettings(
             host = HostId("host-1"),
@@ -30,7 +34,8 @@
             profile = HostProfile("a", 1.0),
             isFirstStart = isFirstStart,
             retryBudgetShare = 0.2,
-            retryBudgetSlack = 100
+            retryBudgetSlack = 100,
+            hedgeShare = hedgeShare
         ),
         Random(seed)
     )
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -151,8 +151,12 @@
     ): Boolean {
         decisionCount++
         when (command) {
-            is CallCommand.Dispatch, is CallCommand.Hedge ->
+            is CallCommand.Dispatch -> startAttempt(RunningAttempt(command), caller)
+
+            is CallCommand.Hedge -> {
+                context.metrics.hedges.labelValues("sent").inc()
                 startAttempt(RunningAttempt(command), caller)
+            }
 
             is CallCommand.TakeOver ->
                 startAttempt(RunningAttempt(command, takeOver(running.lastOrNull())), caller)
@@ -187,6 +191,9 @@
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
         if (isDone) answer = result.response
+        if (isDone && attempt.command is CallCommand.Hedge) {
+            context.metrics.hedges.labelValues("won").inc()
+        }
         report(outcome, attempt.command, attempt.startMs)
         return isDone
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -73,7 +73,9 @@
     fun start(scope: CoroutineScope) {
         scope.launch(dispatcher) {
             while (isActive) {
+                val untilCopyMs = controller.nextCopyAtMs() - clock.nowMs()
                 val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
+                    .coerceAtMost(maxOf(0, untilCopyMs))
                 val next = messages.receiveOrNull(waitMs)
                 checkSuspension()
                 when (val message = next) {
@@ -159,7 +161,7 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        if (nowMs < nextTickAtMs) return
+        if (nowMs < minOf(nextTickAtMs, controller.nextCopyAtMs())) return
         nextTickAtMs = nowMs + controller.nextTickMs()
         handle(ForwardingInput.Tick)
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -16,6 +16,9 @@
     /** Ended attempts at endpoints, by outcome. */
     val attempts: Counter = counter("attempts", "Ended attempts at endpoints", "outcome")
 
+    /** Second copies of requests beside an attempt in flight: sent, or won by the copy. */
+    val hedges: Counter = counter("hedges", "Second copies of requests", "stage")
+
     /** Log lines dropped over the limit per second. */
     val droppedLines: Counter = counter("log_lines_dropped", "Log lines over the budget")
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/IdleController.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/IdleController.kt
@@ -14,6 +14,8 @@
 
     override fun nextTickMs(): Long = TICK_MS
 
+    override fun nextCopyAtMs(): Long = Long.MAX_VALUE
+
     override fun loadReport(nowMs: Long): HostLoadReport? = null
 
     override fun reportPlan(nowMs: Long): ReportPlan = ReportPlan.ALONE
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -68,6 +68,8 @@
 
     override fun nextTickMs(): Long = TICK_MS
 
+    override fun nextCopyAtMs(): Long = Long.MAX_VALUE
+
     override fun loadReport(nowMs: Long): HostLoadReport? = null
 
     override fun reportPlan(nowMs: Long): ReportPlan = ReportPlan.ALONE
