Close the oldest half-received request for a new connection

Change: the connection that has been sending a request for longest yields at once, with 503; new ones wait in the kernel while an eighth of the connections is being closed.

--- a/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
+++ b/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
@@ -10,19 +10,22 @@
     public data class Accepted(public val id: ConnectionId, public val closing: ConnectionId?) :
         ConnectionAdmission
 
-    /** The connection has to be closed: all others are in use. */
+    /** The connection has to be closed: requests are in work on all others. */
     public data object Refused : ConnectionAdmission
+
+    /** The connection has to wait until others that are being closed are closed. */
+    public data object Busy : ConnectionAdmission
 }
 
 /**
  * Bounds the open connections of callers. If there are too many, a new one takes the place of the
  * one that has been idle for longest, or else of the one that has been sending a request for
- * longest, if that is more than [IntakeLimits.stallGraceMs]. Not safe for concurrent use.
+ * longest. Not safe for concurrent use.
  */
 public class ConnectionLimit(private val limits: IntakeLimits) {
     // Both in the order in which the connections came to this state.
     private val idle = LinkedHashSet<ConnectionId>()
-    private val readingSinceMs = LinkedHashMap<ConnectionId, Long>()
+    private val reading = LinkedHashSet<ConnectionId>()
     private val open = HashSet<ConnectionId>()
     private val closing = HashSet<ConnectionId>()
     private var lastId = 0L
@@ -34,12 +37,13 @@
     public val openCount: Int get() = open.size
 
     /** Decides about a new connection, which is idle at first. */
-    public fun open(nowMs: Long): ConnectionAdmission {
+    public fun open(): ConnectionAdmission {
         var victim: ConnectionId? = null
         if (open.size - closing.size >= limits.maxConnections) {
-            victim = oldestIdle() ?: oldestReading(nowMs) ?: return ConnectionAdmission.Refused
+            victim = idle.firstOrNull() ?: reading.firstOrNull()
+                ?: return ConnectionAdmission.Refused
         }
-        if (open.size >= limits.maxConnections + maxClosing) return ConnectionAdmission.Refused
+        if (open.size >= limits.maxConnections + maxClosing) return ConnectionAdmission.Busy
         victim?.let { beginClosing(it) }
         val id = ConnectionId(++lastId)
         open += id
@@ -50,7 +54,7 @@
     /** Notes that no request is under way on [id]. */
     public fun onIdle(id: ConnectionId) {
         if (id !in open || id in closing) return
-        readingSinceMs -= id
+        reading -= id
         idle += id
     }
 
@@ -58,17 +62,17 @@
      * Notes that the first byte of a request has arrived on [id]. A request that crosses the close
      * of its connection is served.
      */
-    public fun onReading(id: ConnectionId, nowMs: Long) {
+    public fun onReading(id: ConnectionId) {
         if (id !in open) return
         closing -= id
         idle -= id
-        readingSinceMs[id] = nowMs
+        reading += id
     }
 
     /** Notes that a request was read whole on [id]; it is not closed before the answer. */
     public fun onServing(id: ConnectionId) {
         idle -= id
-        readingSinceMs -= id
+        reading -= id
     }
 
     /** Notes that [id] is closed. */
@@ -76,20 +80,13 @@
         open -= id
         closing -= id
         idle -= id
-        readingSinceMs -= id
-    }
-
-    private fun oldestIdle(): ConnectionId? = idle.firstOrNull()
-
-    private fun oldestReading(nowMs: Long): ConnectionId? {
-        val (id, sinceMs) = readingSinceMs.entries.firstOrNull() ?: return null
-        return id.takeIf { nowMs - sinceMs > limits.stallGraceMs }
+        reading -= id
     }
 
     private fun beginClosing(id: ConnectionId) {
         closing += id
         idle -= id
-        readingSinceMs -= id
+        reading -= id
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerConnection.kt
@@ -26,10 +26,14 @@
     private val limits: CallerLimits get() = state.routing?.limits ?: DEFAULT_LIMITS
 
     /** Takes [socket] in, or closes it and returns null if there are too many. */
-    fun open(socket: Socket): CallerIntake.ConnectionSlot? {
-        val slot = context.intake.openConnection()
-        if (slot == null) socket.close()
-        return slot
+    suspend fun open(socket: Socket): CallerIntake.ConnectionSlot? {
+        var slot: CallerIntake.ConnectionSlot? = null
+        try {
+            slot = context.intake.openConnection()
+            return slot
+        } finally {
+            if (slot == null) socket.close()
+        }
     }
 
     /** Serves [socket] until one side closes it. */
@@ -84,7 +88,7 @@
             when (val read = readRequest(caller, hold)) {
                 is ReadRequest.Whole -> {
                     slot.onServing()
-                    return respond(read, caller) && !caller.source.isOverrun
+                    return respond(read, caller, slot) && !caller.source.isOverrun
                 }
 
                 is ReadRequest.Refused -> read
@@ -135,11 +139,15 @@
     }
 
     @Suppress("TooGenericExceptionCaught")
-    private suspend fun respond(read: ReadRequest.Whole, caller: CallerSocket): Boolean {
+    private suspend fun respond(
+        read: ReadRequest.Whole,
+        caller: CallerSocket,
+        slot: CallerIntake.ConnectionSlot
+    ): Boolean {
         val request = read.request
         val head = request.head
         val response = CallerResponse(caller.sink, head.method == "HEAD") {
-            mustClose(head, caller.source)
+            slot.closing.isCompleted || mustClose(head, caller.source)
         }
         state.activeRequests.incrementAndGet()
         try {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerIntake.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerIntake.kt
@@ -10,8 +10,9 @@
 import cowslipcart.core.intake.IntakeLimits
 import cowslipcart.core.intake.RefusedIntake
 import cowslipcart.daemon.control.RuntimeClock
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 
 /**
  * What the callers of this host make it hold: memory for their requests, and connections. Traffic
@@ -34,22 +35,30 @@
     /** Bytes that all requests hold. */
     val heldBytes: Long get() = synchronized(lock) { budget.heldBytes }
 
-    /** Takes a new connection in; returns null if it has to be closed. */
-    fun openConnection(): ConnectionSlot? {
-        var closing: ConnectionSlot? = null
-        val slot = synchronized(lock) {
-            when (val admission = connectionLimit.open(clock.nowMs())) {
-                is ConnectionAdmission.Refused -> null
-
-                is ConnectionAdmission.Accepted -> {
-                    closing = admission.closing?.let { slots[it] }
-                    ConnectionSlot(admission.id).also { slots[admission.id] = it }
+    /**
+     * Takes a new connection in; returns null if it has to be closed. Waits while as many as can be
+     * are being closed for new ones, so that new ones wait in the kernel.
+     */
+    suspend fun openConnection(): ConnectionSlot? {
+        repeat(BUSY_ATTEMPTS) {
+            var closing: ConnectionSlot? = null
+            val (admission, slot) = synchronized(lock) {
+                val admission = connectionLimit.open()
+                val slot = (admission as? ConnectionAdmission.Accepted)?.let { accepted ->
+                    closing = accepted.closing?.let { slots[it] }
+                    ConnectionSlot(accepted.id).also { slots[accepted.id] = it }
                 }
+                admission to slot
+            }
+            if (admission != ConnectionAdmission.Busy) {
+                if (slot == null || closing != null) strike("connections")
+                closing?.close()
+                return slot
             }
+            delay(BUSY_PAUSE_MS)
         }
-        if (slot == null || closing != null) strike("connections")
-        closing?.close()
-        return slot
+        strike("connections")
+        return null
     }
 
     /** Begins a request of [client]. */
@@ -58,16 +67,17 @@
         IntakeHold(id, this).also { holds[id] = it }
     }
 
-    /** Asks for [bytes] for [hold]; returns whether they were granted at once. */
-    fun request(hold: IntakeHold, bytes: Int, granted: CompletableDeferred<Unit>): Boolean {
-        var isGranted = false
+    /** Asks for [bytes] for [hold]; returns null if they were granted at once, or else the wait. */
+    fun request(hold: IntakeHold, bytes: Int): Job? {
+        var wait: CompletableJob? = null
         decide { nowMs ->
             val decisions = budget.request(hold.id, bytes.toLong(), nowMs)
-            isGranted = decisions.any { it == IntakeDecision.Granted(hold.id) }
-            if (!isGranted) hold.granted = granted
+            val isGranted = decisions.any { it == IntakeDecision.Granted(hold.id) }
+            wait = if (isGranted) null else Job()
+            hold.wait = wait
             decisions
         }
-        return isGranted
+        return wait
     }
 
     /** Reserves [bytes] for [hold] if there is room now. */
@@ -152,7 +162,7 @@
         /** A request has begun, which [hold] counts. */
         fun onReading(hold: IntakeHold) {
             reading = hold
-            synchronized(lock) { connectionLimit.onReading(id, clock.nowMs()) }
+            synchronized(lock) { connectionLimit.onReading(id) }
         }
 
         /** The request was read whole. */
@@ -177,5 +187,9 @@
     private companion object {
         /** Bounds the log lines of a limit that strikes often, in ms. */
         const val LOG_INTERVAL_MS = 1_000L
+
+        /** Closing a connection takes some ms; callers wait a second for a new one. */
+        const val BUSY_PAUSE_MS = 5L
+        const val BUSY_ATTEMPTS = 160
     }
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -215,7 +215,7 @@
     }
 
     /** Takes the connection in before the next one is accepted, so that no more are open. */
-    private fun serveCaller(socket: Socket) {
+    private suspend fun serveCaller(socket: Socket) {
         val connection = CallerConnection(context, admission, state)
         val slot = connection.open(socket) ?: return
         scope.launch { connection.serve(socket, slot) }
@@ -226,13 +226,13 @@
     }
 
     /** Passes connections to [listen] to [serve] until the returned job is cancelled. */
-    private suspend fun accept(listen: SocketAddressSetting, serve: (Socket) -> Unit): Job {
+    private suspend fun accept(listen: SocketAddressSetting, serve: suspend (Socket) -> Unit): Job {
         val server = aSocket(selector).tcp()
             .bind(InetSocketAddress(listen.ip, listen.port)) { backlogSize = BACKLOG }
         return scope.launch { server.use { acceptAll(it, serve) } }
     }
 
-    private suspend fun acceptAll(server: ServerSocket, serve: (Socket) -> Unit) {
+    private suspend fun acceptAll(server: ServerSocket, serve: suspend (Socket) -> Unit) {
         while (true) {
             val socket = try {
                 server.accept()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/IntakeHold.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/IntakeHold.kt
@@ -5,7 +5,7 @@
 import cowslipcart.daemon.http1.BufferAccount
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CompletableJob
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
@@ -17,9 +17,9 @@
 
 /** The memory of one request of a caller, until its answer has ended. */
 internal class IntakeHold(val id: HoldId, private val intake: CallerIntake) : BufferAccount {
-    /** Completes when the bytes that the request waits for are granted; guarded by [intake]. */
+    /** Completes when the bytes that the request waits for are granted; null if it does not wait. */
     @Volatile
-    var granted: CompletableDeferred<Unit>? = null
+    var wait: CompletableJob? = null
 
     @Volatile
     private var reader: Job? = null
@@ -45,9 +45,8 @@
     }
 
     override suspend fun reserve(bytes: Int) {
-        val granted = CompletableDeferred<Unit>()
-        if (intake.request(this, bytes, granted)) return
-        while (withTimeoutOrNull(RECHECK_MS) { granted.await() } == null) {
+        val wait = intake.request(this, bytes) ?: return
+        while (withTimeoutOrNull(RECHECK_MS) { wait.join() } == null) {
             failIfRefused()
             intake.recheck()
         }
@@ -69,7 +68,7 @@
 
     /** Called by [intake] when the bytes that the request waits for are reserved. */
     fun onGranted() {
-        granted?.complete(Unit)
+        wait?.complete()
     }
 
     /** Ends the reading of the request. */
