--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -28,7 +28,7 @@
         val state = CallState(call)
         retries.recordRequest(call.pool, nowMs)
         copies.recordRequest(call.pool)
-        when (val admission = quotas.tryTake(call, hostRegistry.counts(nowMs), nowMs)) {
+        when (val admission = quotas.tryTake(call, known.countHosts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
                 val spread = random.nextDouble()
                 val afterMs =
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
@@ -12,6 +12,8 @@
  * @property retryBudgetSlack retries allowed to all hosts together while requests are few
  * @property hedgeShare second copies of slow requests allowed to all hosts together, as a share of
  * the requests of a pool; 0 for none
+ * @property quotaTolerance by how much the limits of organisations may be exceeded; null if that is
+ * not known
  */
 public data class ForwardingSettings(
     public val host: HostId,
@@ -20,5 +22,6 @@
     public val isFirstStart: Boolean,
     public val retryBudgetShare: Double,
     public val retryBudgetSlack: Int,
-    public val hedgeShare: Double = 0.0
+    public val hedgeShare: Double = 0.0,
+    public val quotaTolerance: QuotaTolerance? = null
 )
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -25,17 +25,22 @@
 internal class ForwardingFixture(
     isFirstStart: Boolean = true,
     seed: Int = 1,
-    hedgeShare: Double = 0.0
+    hedgeShare: Double = 0.0,
+    host: String = "host-1",
+    quotaTolerance: QuotaTolerance? = null
 ) {
+    val host = HostId(host)
+
     val controller = createForwardingController(
         ForwardingSettings(
-            host = HostId("host-1"),
+            host = this.host,
             incarnation = IncarnationId(1),
             profile = HostProfile("a", 1.0),
             isFirstStart = isFirstStart,
             retryBudgetShare = 0.2,
             retryBudgetSlack = 100,
-            hedgeShare = hedgeShare
+            hedgeShare = hedgeShare,
+            quotaTolerance = quotaTolerance
         ),
         Random(seed)
     )
@@ -94,9 +99,9 @@
         )
     }
 
-    /** Applies a configuration with a token limit for [ORGANISATION]. */
-    fun setLimit(ratePerS: Double, revision: Long = 1) {
-        val quota = QuotaSpec(QuotaUnit.TOKENS, ratePerS, ratePerS, 1)
+    /** Applies a configuration with a token limit for [ORGANISATION]; null for no limit. */
+    fun setLimit(ratePerS: Double?, revision: Long = 1) {
+        val quota = ratePerS?.let { QuotaSpec(QuotaUnit.TOKENS, it, it, 1) }
         send(
             ForwardingInput.RoutingChanged(
                 RoutingTable(
