Read the load that endpoints state and avoid slow machines

Cause: endpoints that share their machines state in each answer how much longer work takes at this moment, 2.5 times on some for 0.6 s at a time; the header was read nowhere. The stated slowness multiplies the prefill cost of an endpoint and fades within 600 ms. Stated counts of requests decide nothing: earlier deployments state them as well and are served as before. The gateway's emulator plays machines that are shared.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -60,6 +60,9 @@
 
             is ForwardingInput.BackoffRequested -> onBackoffRequested(input, nowMs)
 
+            is ForwardingInput.LoadStated ->
+                known.endpoints[input.endpoint]?.onLoadStated(input.load, nowMs)
+
             is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -48,6 +48,10 @@
         public val durationMs: Long
     ) : ForwardingInput
 
+    /** [endpoint] has stated its load in an answer to this host. */
+    public data class LoadStated(public val endpoint: EndpointId, public val load: StatedLoad) :
+        ForwardingInput
+
     /** The call ended; its slot and its place in the queue are released if it still has them. */
     public data class CallClosed(public val call: CallId) : ForwardingInput
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -56,15 +56,16 @@
             .minByOrNull { costMs(call, it, nowMs) + otherGroupMs(it, topology) }
             ?: return PlacementResult.Full
         val prefillTokens = prefillTokens(call, best, nowMs)
-        val queueMs = prefillMs(best, best.total.pendingPrefillTokens)
-        val ownMs = prefillMs(best, prefillTokens.toLong())
+        val queueMs = prefillMs(best, best.total.pendingPrefillTokens, nowMs)
+        val ownMs = prefillMs(best, prefillTokens.toLong(), nowMs)
         if (AdmissionRule.isTooLate(call, queueMs, ownMs, nowMs)) return PlacementResult.Full
         return PlacementResult.Found(best, prefillTokens, queueMs + ownMs)
     }
 
     /** Time that [endpoint] takes to prefill [tokens] of a short prompt. */
-    private fun prefillMs(endpoint: TrackedEndpoint, tokens: Long): Double =
-        tokens / endpoint.speed.prefillTokensPerMs * endpoint.speed.firstTokenFactor
+    private fun prefillMs(endpoint: TrackedEndpoint, tokens: Long, nowMs: Long): Double =
+        tokens / endpoint.speed.prefillTokensPerMs * endpoint.speed.firstTokenFactor *
+            endpoint.interference.factor(nowMs)
 
     /** Prefill work of [call] at [endpoint], in tokens of a short prompt. */
     private fun prefillTokens(call: ForwardedCall, endpoint: TrackedEndpoint, nowMs: Long): Int {
@@ -123,7 +124,7 @@
         val distanceMs = if (endpoint.entry.domain == ownDomain) 0.0 else OTHER_DOMAIN_MS
         val pendingTokens =
             endpoint.total.pendingPrefillTokens + prefillTokens(call, endpoint, nowMs)
-        return prefillMs(endpoint, pendingTokens) + contentionMs + distanceMs +
+        return prefillMs(endpoint, pendingTokens, nowMs) + contentionMs + distanceMs +
             missedDeadlineMs(call, endpoint, nowMs) +
             FAILURE_COST_MS * endpoint.health.expectedFailureRate
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
@@ -44,6 +44,13 @@
     val health = EndpointHealth()
     val speed = EndpointSpeed()
 
+    val interference = Interference()
+
+    /** It has stated its load in an answer. */
+    fun onLoadStated(load: StatedLoad, nowMs: Long) {
+        interference.onStated(load.slowness ?: 1.0, nowMs)
+    }
+
     /** Whether it may get new requests, now or after a backoff. */
     val isInService: Boolean get() = !entry.isDraining && !isLeaving
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -156,6 +156,66 @@
         }
     }
 
+    /**
+     * Load pattern: a fifth of the endpoints is 2.5 times slower for 0.6 s at a time. Guards against
+     * prompts that go to an endpoint that has just stated its slowness.
+     */
+    @Nested
+    inner class SharedMachines {
+        private val slow = EndpointId("e0")
+
+        private fun listShared() = fixture.listEndpoints(*Array(5) { entry("e$it", slots = 7) })
+
+        private fun state(load: StatedLoad) = fixture.send(ForwardingInput.LoadStated(slow, load))
+
+        /** Endpoints of 12 long prompts that arrive in a row. */
+        private fun placeBurst() = (1..12).map { place(fixture.call(tokens = 6_000)) }
+
+        @Test
+        fun `a slow endpoint gets fewer prompts while its statement is fresh`() {
+            listShared()
+            state(StatedLoad(0, 0, 7, 2.5))
+
+            val count = placeBurst().count { it == slow }
+            assertTrue(count <= 1, "expected at most 1 of 12 on the slow endpoint, found $count")
+        }
+
+        @Test
+        fun `an old statement changes nothing`() {
+            listShared()
+            state(StatedLoad(0, 0, 7, 2.5))
+            fixture.nowMs = 600
+
+            assertEquals(slow, placeBurst().first())
+        }
+
+        @Test
+        fun `a statement without slowness changes nothing`() {
+            listShared()
+            state(StatedLoad(7, 42, 7))
+
+            assertEquals(slow, placeBurst().first())
+        }
+
+        @Test
+        fun `an endpoint that states no slowness any more counts as usual`() {
+            listShared()
+            state(StatedLoad(0, 0, 7, 2.5))
+            state(StatedLoad(0, 0, 7))
+
+            assertEquals(slow, placeBurst().first())
+        }
+
+        @Test
+        fun `a statement about an unknown endpoint is ignored`() {
+            listShared()
+            val load = StatedLoad(0, 0, 7, 2.5)
+            fixture.send(ForwardingInput.LoadStated(EndpointId("gone"), load))
+
+            assertEquals(slow, placeBurst().first())
+        }
+    }
+
     @Nested
     inner class LongAnswers {
         /** Load pattern: long answers on slow engines, whose callers give up. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -232,6 +232,19 @@
             }
         }
 
+        override fun onLoadStated(statement: LoadStatement) {
+            val endpoint = command.endpoint.id
+            when (statement) {
+                LoadStatement.None -> Unit
+
+                is LoadStatement.Of ->
+                    context.loop.submit(ForwardingInput.LoadStated(endpoint, statement.load))
+
+                is LoadStatement.Unreadable ->
+                    context.eventLog.unreadableLoad(call, endpoint.value, statement.text)
+            }
+        }
+
         override fun onStalled() {
             context.loop.submit(ForwardingInput.AttemptStalled(call.id, command.attempt))
             if (isStallLogged) return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -176,6 +176,7 @@
                 val head = withInactivityTimeout("no response") { readHead() }
                 val metadata = headerCodec.decodeResponse(head)
                 if (metadata.isLeaving) listener.onLeaving()
+                listener.onLoadStated(metadata.load)
                 val framing = HeadParser.responseFraming(head, request.head.method)
                 val reader = BodyReader(connection.source, framing)
                 val isFirstOnConnection = it == 0 && connection.useCount == 0
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
@@ -41,6 +41,9 @@
     /** The endpoint has refused the request, and may want no more for a while. */
     fun onBackoff(request: BackoffRequest)
 
+    /** The endpoint has stated its load. */
+    fun onLoadStated(statement: LoadStatement)
+
     /** The endpoint is silent. The attempt goes on unless it is replaced. */
     fun onStalled()
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -136,6 +136,7 @@
             is ForwardingInput.AttemptStalled,
             is ForwardingInput.EndpointLeaving,
             is ForwardingInput.BackoffRequested,
+            is ForwardingInput.LoadStated,
             is ForwardingInput.CallClosed,
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -76,6 +76,14 @@
         "value" to text.take(MAX_VALUE_LENGTH)
     )
 
+    /** Writes that [endpoint] stated a load of [text], which no endpoint can have. */
+    fun unreadableLoad(call: ForwardedCall, endpoint: String, text: String) = event(
+        "load-unreadable",
+        "request" to call.requestId.value,
+        "endpoint" to endpoint,
+        "value" to text.take(MAX_VALUE_LENGTH)
+    )
+
     /**
      * Writes and counts the end of a request.
      *
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.PromptPart
+import cowslipcart.core.forwarding.StatedLoad
 import cowslipcart.core.forwarding.WorkSize
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.RequestId
@@ -60,15 +61,28 @@
  * @property isDeclined whether the endpoint states that it did not execute the request
  * @property isLeaving whether the endpoint states that it leaves
  * @property backoff how long the endpoint wants no requests from this host
+ * @property load what the endpoint states of its load
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
     public val isSigned: Boolean,
     public val isDeclined: Boolean,
     public val isLeaving: Boolean = false,
-    public val backoff: BackoffRequest = BackoffRequest.None
+    public val backoff: BackoffRequest = BackoffRequest.None,
+    public val load: LoadStatement = LoadStatement.None
 )
 
+/** What an endpoint states of its load. */
+public sealed interface LoadStatement {
+    public data object None : LoadStatement
+
+    /** The endpoint states [load], which is within the bounds of its type. */
+    public data class Of(public val load: StatedLoad) : LoadStatement
+
+    /** [text] states no load that an endpoint can have, and changes nothing. */
+    public data class Unreadable(public val text: String) : LoadStatement
+}
+
 /** Whether an endpoint wants no requests from this host for a while. */
 public sealed interface BackoffRequest {
     public data object None : BackoffRequest
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SilentListener.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SilentListener.kt
@@ -16,5 +16,7 @@
 
     override fun onBackoff(request: BackoffRequest) = Unit
 
+    override fun onLoadStated(statement: LoadStatement) = Unit
+
     override fun onStalled() = Unit
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
@@ -1,7 +1,9 @@
 package cowslipcart.experiment.gateway
 
+import cowslipcart.core.forwarding.StatedLoad
 import cowslipcart.experiment.sim.EventQueue
 import kotlin.math.ceil
+import kotlin.random.Random
 
 /**
  * A request on an engine.
@@ -26,7 +28,8 @@
 internal class EmulatedEngine(
     private val sheet: EngineSheet,
     private val speed: Double,
-    private val queue: EventQueue
+    private val queue: EventQueue,
+    private val seed: Long
 ) {
     private val running = mutableListOf<EmulatedSequence>()
     private val waiting = ArrayDeque<EmulatedSequence>()
@@ -42,6 +45,24 @@
     /** Number of sequences that hold a slot. */
     val runningCount: Int get() = running.size
 
+    /** What the engine says of its load in an answer. */
+    val statedLoad: StatedLoad
+        get() = StatedLoad(
+            running.size,
+            waiting.size,
+            sheet.slots,
+            sheet.noise?.let { slowness() }
+        )
+
+    /** How many times longer work takes at present, because of other work on the machine. */
+    private fun slowness(): Double {
+        val noise = sheet.noise ?: return 1.0
+        val offsetMs = Random(seed).nextLong(noise.periodMs)
+        val period = (queue.nowMs + offsetMs) / noise.periodMs
+        val isSlow = Random(seed xor (period + 1) * PERIOD_FACTOR).nextDouble() < noise.share
+        return if (isSlow) noise.factor else 1.0
+    }
+
     /** Runs or queues [sequence]; returns false if all slots are taken and the queue is full. */
     fun submit(sequence: EmulatedSequence): Boolean {
         if (running.size < sheet.slots) {
@@ -76,7 +97,7 @@
         val contextTokens = batch.sumOf { it.prefilledTokens + it.decodedTokens }
         val decodeMs = sheet.stepMs + sheet.slotStepMs * batch.size +
             sheet.contextMsPerK * contextTokens / TOKENS_PER_K
-        nowUs += (prefillMs + decodeMs) / speed * US_PER_MS
+        nowUs += (prefillMs + decodeMs) / speed * slowness() * US_PER_MS
         queue.schedule(maxOf(queue.nowMs, ceil(nowUs / US_PER_MS).toLong())) { endStep(batch) }
     }
 
@@ -115,5 +136,8 @@
         const val US_PER_MS = 1_000.0
         const val TOKENS_PER_K = 1_000.0
         const val PAIRS_PER_M = 1_000_000.0
+
+        /** Spreads the numbers of periods over all bits of a seed. */
+        const val PERIOD_FACTOR = 0x9E3779B97F4A7C1L
     }
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedNotices.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedNotices.kt
@@ -36,6 +36,12 @@
         if (run.queue.nowMs in (quietMs[host.id to engine] ?: return)) unheededCount++
     }
 
+    /** The answer of [engine] to [host] states its load, if its machine is shared. */
+    fun tellLoad(host: EmulatedHost, engine: EmulatedEngine) {
+        if (run.workload.engines.noise == null) return
+        run.send(host, ForwardingInput.LoadStated(idOf(engine), engine.statedLoad))
+    }
+
     /** The answer of [engine] to [host] says that it leaves, if it does. */
     fun tellLeaving(host: EmulatedHost, engine: EmulatedEngine) {
         if (!engine.isLeaving) return
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -125,6 +125,7 @@
         if (isEnded || current !== attempt) return
         if (attempt.eventCount++ == 0) {
             attempt.engine?.let { run.notices.tellLeaving(attempt.host, it) }
+            attempt.engine?.let { run.notices.tellLoad(attempt.host, it) }
             val started = ForwardingInput.ResponseStarted(attempt.call.id, attempt.number)
             run.send(attempt.host, started)
         }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -46,7 +46,9 @@
     private val hosts = (1..workload.hosts).map { createHost(HostId("host-$it")) }
     val engines: Map<EndpointId, EmulatedEngine> =
         workload.engines.speeds.withIndex().associate { (index, speed) ->
-            EndpointId("e$index") to EmulatedEngine(workload.engines, speed, queue)
+            val id = EndpointId("e$index")
+            val engineSeed = seed xor id.value.hashCode().toLong()
+            id to EmulatedEngine(workload.engines, speed, queue, engineSeed)
         }
     val notices = EmulatedNotices(this)
     private val requestsByCall = mutableMapOf<CallId, EmulatedRequest>()
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
@@ -46,6 +46,8 @@
  * @property chunkTokens prompt tokens that a step prefills at most
  * @property firstMs added to the step in which the prefill of a request starts
  * @property tokensPerEvent tokens in one event of a stream
+ * @property noise other work on the machines of the engines, which then state their slowness; null
+ * if no machine is shared
  */
 @Serializable
 public data class EngineSheet(
@@ -59,7 +61,19 @@
     public val pairMsPerM: Double,
     public val chunkTokens: Int,
     public val firstMs: Double,
-    public val tokensPerEvent: Int
+    public val tokensPerEvent: Int,
+    public val noise: MachineNoise? = null
+)
+
+/**
+ * Other work on the machine of an engine: in each period of [periodMs] it slows the engine by
+ * [factor], with the probability [share].
+ */
+@Serializable
+public data class MachineNoise(
+    public val share: Double,
+    public val factor: Double,
+    public val periodMs: Long
 )
 
 /**
