Count the wait for a slot in the cost of an endpoint

Cause: an endpoint whose slots are all held by streams but that prefills nothing looked cheap. Change: each request that waits for a slot, the new one included, costs 100 ms on the reference engine.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -108,6 +108,10 @@
         return if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
     }
 
+    /** Expected time until [endpoint] has a free slot for another request, in ms. */
+    private fun slotWaitMs(endpoint: TrackedEndpoint): Double =
+        SLOT_WAIT_MS * (1 - endpoint.freeSlots).coerceAtLeast(0) / endpoint.speed.relative
+
     /** Penalty for an answer that may not end before its deadline, in ms. */
     private fun missedDeadlineMs(
         call: ForwardedCall,
@@ -125,7 +129,7 @@
         val pendingTokens =
             endpoint.total.pendingPrefillTokens + prefillTokens(call, endpoint, nowMs)
         return prefillMs(endpoint, pendingTokens, nowMs) + contentionMs + distanceMs +
-            missedDeadlineMs(call, endpoint, nowMs) +
+            slotWaitMs(endpoint) + missedDeadlineMs(call, endpoint, nowMs) +
             FAILURE_COST_MS * endpoint.health.expectedFailureRate
     }
 
@@ -133,6 +137,9 @@
         /** Extra time that a request takes on a full endpoint, in ms. */
         const val CONTENTION_MS = 120.0
 
+        /** Interval between two ends of requests on a full reference engine, in ms. */
+        const val SLOT_WAIT_MS = 100.0
+
         /** With two, it is rare that both are overloaded. */
         const val OTHER_CANDIDATES = 2
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -230,6 +230,25 @@
         private fun longAnswer() = fixture.call(tokens = 600, output = 600)
     }
 
+    @Nested
+    inner class FullSlots {
+        /** Load pattern: streams hold all slots of some endpoints for a second or more. */
+        @Test
+        fun `a prompt waits for a prefill rather than for a slot`() {
+            fixture.listEndpoints(entry("full", slots = 7), entry("prefilling", slots = 7))
+            fixture.report(
+                "host-2",
+                1,
+                loads = mapOf(
+                    EndpointId("full") to HostLoad(7, 0),
+                    EndpointId("prefilling") to HostLoad(5, 9_000)
+                )
+            )
+
+            assertEquals(EndpointId("prefilling"), place(fixture.call(tokens = 600)))
+        }
+    }
+
     @Nested
     inner class Groups {
         private fun listHosts(count: Int) {
