Spread the choices of hosts that share a load report

Change: where hosts are divided in groups, each endpoint's cost gets a random part, exponential with a mean of 40 ms, for each request. Deployments with one group decide as before, draw for draw. The test is red on the version before: twenty hosts chose one endpoint.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.EndpointId
+import kotlin.math.ln
 import kotlin.random.Random
 
 /** Result of the choice of an endpoint for one request. */
@@ -53,7 +54,7 @@
         val available =
             healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
         val best = candidates(call, available, topology)
-            .minByOrNull { costMs(call, it, nowMs) + otherGroupMs(it, topology) }
+            .minByOrNull { costMs(call, it, nowMs) + groupCostMs(it, topology) }
             ?: return PlacementResult.Full
         val prefillTokens = prefillTokens(call, best, nowMs)
         val queueMs = prefillMs(best, best.total.pendingPrefillTokens, nowMs)
@@ -102,10 +103,16 @@
         }?.value
     }
 
-    /** Penalty for an endpoint that is assigned to another group, in ms. */
-    private fun otherGroupMs(endpoint: TrackedEndpoint, topology: ReportTopology): Double {
+    /**
+     * Cost of [endpoint] that depends on the groups of hosts, in ms: a penalty if it is assigned to
+     * another group, and a random part. The hosts of a group decide on the same reports, so that
+     * without the random part all would choose the same endpoint until the next ones.
+     */
+    private fun groupCostMs(endpoint: TrackedEndpoint, topology: ReportTopology): Double {
+        if (!topology.isDivided) return 0.0
         val entry = endpoint.entry
-        return if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
+        val otherMs = if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
+        return otherMs - MEAN_RANDOM_COST_MS * ln(1 - random.nextDouble())
     }
 
     /** Expected time until [endpoint] has a free slot for another request, in ms. */
@@ -137,6 +144,9 @@
         /** Extra time that a request takes on a full endpoint, in ms. */
         const val CONTENTION_MS = 120.0
 
+        /** About the prefill of a long prompt, the usual difference between two endpoints, in ms. */
+        const val MEAN_RANDOM_COST_MS = 40.0
+
         /** Interval between two ends of requests on a full reference engine, in ms. */
         const val SLOT_WAIT_MS = 100.0
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -251,7 +251,10 @@
 
     @Nested
     inner class Groups {
-        private fun listHosts(count: Int) {
+        private fun listHosts(
+            count: Int,
+            fixture: ForwardingFixture = this@PlacementLoadTest.fixture
+        ) {
             val hosts = (2..count).associate {
                 HostId("host-$it") to HostProfile("a", 1.0)
             }
@@ -259,6 +262,24 @@
             fixture.controller.reportPlan(0)
         }
 
+        /**
+         * Load pattern: the hosts of a group know the same load, of the last report. Guards against
+         * twenty of them that choose one endpoint of seven slots between two reports.
+         */
+        @Test
+        fun `hosts of a group with the same reports choose different endpoints`() {
+            val placed = (1..20).map { seed ->
+                val host = ForwardingFixture(seed = seed)
+                listHosts(100, host)
+                host.listEndpoints(*Array(80) { entry("e$it", slots = 7) })
+                val sent = host.arrive(host.call(tokens = 500)).single()
+                assertIs<CallCommand.Dispatch>(sent).endpoint.id
+            }
+
+            val most = placed.groupingBy { it }.eachCount().values.max()
+            assertTrue(most <= 7, "expected at most 7 on one endpoint, found $placed")
+        }
+
         /** Load pattern: many hosts with the same outdated reports all choose one endpoint. */
         @Test
         fun `hosts in groups spread plain requests over all endpoints`() {
