Tell endpoints apart that may all miss the deadline of a long answer

Cause: the decode time counts three times against the deadline, since estimates are off and prefills pause streams. By that the longest answers miss it at all endpoints, and went to slow ones that most likely do. Change: an answer that misses its deadline already with a factor of 1.5 costs another 500 ms. Ruled out: 1.5 alone, by which an answer goes to a slow endpoint that may not complete it (an existing test). The new test is red on the version before.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -119,14 +119,18 @@
     private fun slotWaitMs(endpoint: TrackedEndpoint): Double =
         SLOT_WAIT_MS * (1 - endpoint.freeSlots).coerceAtLeast(0) / endpoint.speed.relative
 
-    /** Penalty for an answer that may not end before its deadline, in ms. */
+    /**
+     * Penalty for an answer that may not end before its deadline, in ms. The longest answers may
+     * miss it at any endpoint, and still go to one where that is less likely.
+     */
     private fun missedDeadlineMs(
         call: ForwardedCall,
         endpoint: TrackedEndpoint,
         nowMs: Long
     ): Double {
-        val decodeMs = call.expectedOutputTokens * endpoint.speed.msPerToken * DECODE_SAFETY
-        return if (decodeMs > call.deadlineAtMs - nowMs) MISSED_DEADLINE_MS else 0.0
+        val decodeMs = call.expectedOutputTokens * endpoint.speed.msPerToken
+        val remainingMs = call.deadlineAtMs - nowMs
+        return MISSED_DEADLINE_MS * DECODE_FACTORS.count { decodeMs * it > remainingMs }
     }
 
     private fun costMs(call: ForwardedCall, endpoint: TrackedEndpoint, nowMs: Long): Double {
@@ -156,8 +160,11 @@
         /** Load of other groups is known 0.6 s late, in which a few more prompts arrive, in ms. */
         const val OTHER_GROUP_MS = 40.0
 
-        /** Output estimates are off by a factor of two, and each prefill pauses all streams. */
-        const val DECODE_SAFETY = 3.0
+        /**
+         * Output estimates are off by a factor of two, and each prefill pauses all streams. Beyond
+         * the first factor an answer may miss its deadline, beyond the second it most likely does.
+         */
+        val DECODE_FACTORS = listOf(3.0, 1.5)
 
         /** Far above the usual costs of some tens of ms, so that nearly any other endpoint wins. */
         const val MISSED_DEADLINE_MS = 500.0
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -227,6 +227,27 @@
             repeat(6) { assertEquals(EndpointId("fast"), place(longAnswer())) }
         }
 
+        /**
+         * Guards against an estimate so cautious that a long answer seems too late everywhere, and
+         * goes to the slow endpoint since that has the shorter queue.
+         */
+        @Test
+        fun `a long answer waits at the endpoint that can complete it`() {
+            fixture.listEndpoints(entry("slow", slots = 7), entry("usual", slots = 7))
+            fixture.setLimit(1e9)
+            fixture.report(
+                "host-2",
+                1,
+                loads = mapOf(EndpointId("usual") to HostLoad(3, 20_000)),
+                msPerToken = mapOf(EndpointId("slow") to 9.0)
+            )
+
+            assertEquals(
+                EndpointId("usual"),
+                place(fixture.call(tokens = 600, output = 1_500))
+            )
+        }
+
         private fun longAnswer() = fixture.call(tokens = 600, output = 600)
     }
 
