--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.EndpointId
+import kotlin.math.ln
 import kotlin.random.Random
 
 /** Result of the choice of an endpoint for one request. */
@@ -53,7 +54,7 @@
         val available =
             healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
         val best = candidates(call, available, topology)
-            .minByOrNull { costMs(call, it, nowMs) + otherGroupMs(it, topology) }
+            .minByOrNull { costMs(call, it, nowMs) + groupCostMs(it, topology) }
             ?: return PlacementResult.Full
         val prefillTokens = prefillTokens(call, best, nowMs)
         val queueMs = prefillMs(best, best.total.pendingPrefillTokens, nowMs)
@@ -102,20 +103,34 @@
         }?.value
     }
 
-    /** Penalty for an endpoint that is assigned to another group, in ms. */
-    private fun otherGroupMs(endpoint: TrackedEndpoint, topology: ReportTopology): Double {
+    /**
+     * Cost of [endpoint] that depends on the groups of hosts, in ms: a penalty if it is assigned to
+     * another group, and a random part. The hosts of a group decide on the same reports, so that
+     * without the random part all would choose the same endpoint until the next ones.
+     */
+    private fun groupCostMs(endpoint: TrackedEndpoint, topology: ReportTopology): Double {
+        if (!topology.isDivided) return 0.0
         val entry = endpoint.entry
-        return if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
+        val otherMs = if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
+        return otherMs - MEAN_RANDOM_COST_MS * ln(1 - random.nextDouble())
     }
 
-    /** Penalty for an answer that may not end before its deadline, in ms. */
+    /** Expected time until [endpoint] has a free slot for another request, in ms. */
+    private fun slotWaitMs(endpoint: TrackedEndpoint): Double =
+        SLOT_WAIT_MS * (1 - endpoint.freeSlots).coerceAtLeast(0) / endpoint.speed.relative
+
+    /**
+     * Penalty for an answer that may not end before its deadline, in ms. The longest answers may
+     * miss it at any endpoint, and still go to one where that is less likely.
+     */
     private fun missedDeadlineMs(
         call: ForwardedCall,
         endpoint: TrackedEndpoint,
         nowMs: Long
     ): Double {
-        val decodeMs = call.expectedOutputTokens * endpoint.speed.msPerToken * DECODE_SAFETY
-        return if (decodeMs > call.deadlineAtMs - nowMs) MISSED_DEADLINE_MS else 0.0
+        val decodeMs = call.expectedOutputTokens * endpoint.speed.msPerToken
+        val remainingMs = call.deadlineAtMs - nowMs
+        return MISSED_DEADLINE_MS * DECODE_FACTORS.count { decodeMs * it > remainingMs }
     }
 
     private fun costMs(call: ForwardedCall, endpoint: TrackedEndpoint, nowMs: Long): Double {
@@ -125,7 +140,7 @@
         val pendingTokens =
             endpoint.total.pendingPrefillTokens + prefillTokens(call, endpoint, nowMs)
         return prefillMs(endpoint, pendingTokens, nowMs) + contentionMs + distanceMs +
-            missedDeadlineMs(call, endpoint, nowMs) +
+            slotWaitMs(endpoint) + missedDeadlineMs(call, endpoint, nowMs) +
             FAILURE_COST_MS * endpoint.health.expectedFailureRate
     }
 
@@ -133,14 +148,23 @@
         /** Extra time that a request takes on a full endpoint, in ms. */
         const val CONTENTION_MS = 120.0
 
+        /** About the prefill of a long prompt, the usual difference between two endpoints, in ms. */
+        const val MEAN_RANDOM_COST_MS = 40.0
+
+        /** Interval between two ends of requests on a full reference engine, in ms. */
+        const val SLOT_WAIT_MS = 100.0
+
         /** With two, it is rare that both are overloaded. */
         const val OTHER_CANDIDATES = 2
 
         /** Load of other groups is known 0.6 s late, in which a few more prompts arrive, in ms. */
         const val OTHER_GROUP_MS = 40.0
 
-        /** Output estimates are off by a factor of two, and each prefill pauses all streams. */
-        const val DECODE_SAFETY = 3.0
+        /**
+         * Output estimates are off by a factor of two, and each prefill pauses all streams. Beyond
+         * the first factor an answer may miss its deadline, beyond the second it most likely does.
+         */
+        val DECODE_FACTORS = listOf(3.0, 1.5)
 
         /** Far above the usual costs of some tens of ms, so that nearly any other endpoint wins. */
         const val MISSED_DEADLINE_MS = 500.0
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -227,12 +227,55 @@
             repeat(6) { assertEquals(EndpointId("fast"), place(longAnswer())) }
         }
 
+        /**
+         * Guards against an estimate so cautious that a long answer seems too late everywhere, and
+         * goes to the slow endpoint since that has the shorter queue.
+         */
+        @Test
+        fun `a long answer waits at the endpoint that can complete it`() {
+            fixture.listEndpoints(entry("slow", slots = 7), entry("usual", slots = 7))
+            fixture.setLimit(1e9)
+            fixture.report(
+                "host-2",
+                1,
+                loads = mapOf(EndpointId("usual") to HostLoad(3, 20_000)),
+                msPerToken = mapOf(EndpointId("slow") to 9.0)
+            )
+
+            assertEquals(
+                EndpointId("usual"),
+                place(fixture.call(tokens = 600, output = 1_500))
+            )
+        }
+
         private fun longAnswer() = fixture.call(tokens = 600, output = 600)
     }
 
+    @Nested
+    inner class FullSlots {
+        /** Load pattern: streams hold all slots of some endpoints for a second or more. */
+        @Test
+        fun `a prompt waits for a prefill rather than for a slot`() {
+            fixture.listEndpoints(entry("full", slots = 7), entry("prefilling", slots = 7))
+            fixture.report(
+                "host-2",
+                1,
+                loads = mapOf(
+                    EndpointId("full") to HostLoad(7, 0),
+                    EndpointId("prefilling") to HostLoad(5, 9_000)
+                )
+            )
+
+            assertEquals(EndpointId("prefilling"), place(fixture.call(tokens = 600)))
+        }
+    }
+
     @Nested
     inner class Groups {
-        private fun listHosts(count: Int) {
+        private fun listHosts(
+            count: Int,
+            fixture: ForwardingFixture = this@PlacementLoadTest.fixture
+        ) {
             val hosts = (2..count).associate {
                 HostId("host-$it") to HostProfile("a", 1.0)
             }
@@ -240,6 +283,24 @@
             fixture.controller.reportPlan(0)
         }
 
+        /**
+         * Load pattern: the hosts of a group know the same load, of the last report. Guards against
+         * twenty of them that choose one endpoint of seven slots between two reports.
+         */
+        @Test
+        fun `hosts of a group with the same reports choose different endpoints`() {
+            val placed = (1..20).map { seed ->
+                val host = ForwardingFixture(seed = seed)
+                listHosts(100, host)
+                host.listEndpoints(*Array(80) { entry("e$it", slots = 7) })
+                val sent = host.arrive(host.call(tokens = 500)).single()
+                assertIs<CallCommand.Dispatch>(sent).endpoint.id
+            }
+
+            val most = placed.groupingBy { it }.eachCount().values.max()
+            assertTrue(most <= 7, "expected at most 7 on one endpoint, found $placed")
+        }
+
         /** Load pattern: many hosts with the same outdated reports all choose one endpoint. */
         @Test
         fun `hosts in groups spread plain requests over all endpoints`() {
