Move a pool to another version by the operator's order

Cause: an order to move a pool's requests to another version had no part in the core. An entry of an endpoint has the version of its software.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -14,6 +14,7 @@
     private val quotas = known.quotas
     private val quarantine = known.quarantine
     private val reporter = known.reporter
+    private val rollouts = known.rollouts
     private val retries = RetryRule(known.settings, quarantine) { hostRegistry.knownCount }
     private val placement = Placement(known.cacheIndex, known.settings.profile.domain, random)
     private val calls = mutableMapOf<CallId, CallState>()
@@ -67,7 +68,7 @@
             return true
         }
         if (known.listAge.isOutdated(nowMs)) return endIfOver(state, nowMs)
-        val inPool = endpoints.inPool(call.pool)
+        val inPool = eligible(state, nowMs)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
             is PlacementResult.Found -> {
@@ -91,6 +92,10 @@
         }
     }
 
+    /** Endpoints of the pool whose version [state] may be sent to now. */
+    private fun eligible(state: CallState, nowMs: Long): List<TrackedEndpoint> =
+        rollouts.gate.eligible(state.call, endpoints.inPool(state.call.pool), state.tried, nowMs)
+
     /** Ends [state] if it may not wait longer; returns false if it waits on. */
     private fun endIfOver(state: CallState, nowMs: Long): Boolean {
         val isOver = nowMs >= state.waitUntilMs
@@ -123,6 +128,7 @@
             nowMs
         )
         quarantine.onDispatched(state.call, nowMs)
+        rollouts.answers.onSent(state.call, state.sentCount, selected.endpoint.entry, nowMs)
         reporter.onChange()
     }
 
@@ -134,6 +140,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.hasStarted = true
+        rollouts.answers.onResponseStarted(input, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
         quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
@@ -150,6 +157,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         releaseAttempt(state, attempt)
+        rollouts.answers.onEnded(input, nowMs)
         val tokensPerEvent = known.routingTable?.pool(state.call.pool)?.tokensPerEvent ?: 0
         attempt.endpoint.speed.onStream(input.gapCount * tokensPerEvent, input.gapDurationMs)
         reporter.onChange()
@@ -259,7 +267,7 @@
     private fun selectForStalled(state: CallState, nowMs: Long): PlacementResult.Found? {
         if (known.listAge.isOutdated(nowMs)) return null
         val call = state.call
-        val inPool = endpoints.inPool(call.pool)
+        val inPool = eligible(state, nowMs)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         val selected = result as? PlacementResult.Found ?: return null
         val isWorthwhile = !selected.endpoint.health.isEjected(nowMs) &&
@@ -320,7 +328,8 @@
     private fun retryAfterMs(call: ForwardedCall, nowMs: Long, earliestMs: Long = nowMs): Long? =
         AdmissionRule.retryAfterMs(call, random.nextDouble(), nowMs, earliestMs)
 
-    fun onCallClosed(id: CallId) {
+    fun onCallClosed(id: CallId, nowMs: Long) {
+        rollouts.answers.onClosed(id, nowMs)
         val state = calls[id] ?: return
         forget(state)
         waiting -= state
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.Tier
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.routing.Route
 
 /** Identifies a request within the process of the host that received it. */
@@ -189,6 +190,8 @@
  * @property slotCount requests that the endpoint runs at the same time
  * @property startedAtMs wall-clock time of its start, which tells it from an earlier one; 0 if
  * unknown
+ * @property version version of its software
+ * @property isCold whether it is still slow after its start
  */
 public data class EndpointEntry(
     public val id: EndpointId,
@@ -198,7 +201,9 @@
     public val domain: String,
     public val slotCount: Int,
     public val isDraining: Boolean,
-    public val startedAtMs: Long = 0
+    public val startedAtMs: Long = 0,
+    public val version: VersionId = VersionId.NONE,
+    public val isCold: Boolean = false
 ) {
     /** Whether the port exists and the number of slots is one that an endpoint can have. */
     public val isInRange: Boolean get() = port in PORTS && slotCount in SLOT_COUNTS
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.HostId
+import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.routing.RoutingTable
 import kotlin.random.Random
 
@@ -45,12 +46,14 @@
 
             is ForwardingInput.AttemptEnded -> calls.onAttemptEnded(input, nowMs)
 
-            is ForwardingInput.CallClosed -> calls.onCallClosed(input.call)
+            is ForwardingInput.CallClosed -> calls.onCallClosed(input.call, nowMs)
 
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
 
-            is ForwardingInput.EndpointsChanged ->
+            is ForwardingInput.EndpointsChanged -> {
                 known.effects += known.endpoints.onEntries(input.entries)
+                addRollouts(known.rollouts.onListed(input.entries))
+            }
 
             is ForwardingInput.EndpointsKnown ->
                 known.listAge.onKnown(input.asOfMs, input.isStoreLost)
@@ -64,6 +67,9 @@
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
 
+            is ForwardingInput.RolloutsChanged ->
+                addRollouts(known.rollouts.handle(input.change, nowMs, input.wallNowMs))
+
             ForwardingInput.Tick -> onTick(nowMs)
         }
         known.effects += known.quarantine.takeChanges()
@@ -142,6 +148,11 @@
             known.quotas.onPeerSilent(host)
         }
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
+        addRollouts(known.rollouts.tick(nowMs))
+    }
+
+    private fun addRollouts(effects: List<RolloutEffect>) {
+        known.effects += effects.map { ForwardingEffect.Rollout(it) }
     }
 
     private fun logHost(host: HostId, change: String, reason: String) {
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -5,6 +5,8 @@
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.rollout.RolloutChange
+import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.routing.RoutingTable
 
 /** An event for the control thread. */
@@ -71,6 +73,16 @@
     /** Another host shut down gracefully. */
     public data class PeerLeft(public val host: HostId) : ForwardingInput
 
+    /**
+     * News of the operator's orders to move pools to other versions.
+     *
+     * @property wallNowMs wall-clock time, for records that outlive the hosts
+     */
+    public data class RolloutsChanged(
+        public val change: RolloutChange,
+        public val wallNowMs: Long
+    ) : ForwardingInput
+
     /** Lets the control thread act on elapsed time. */
     public data object Tick : ForwardingInput
 }
@@ -90,6 +102,9 @@
         public val change: String,
         public val reason: String
     ) : ForwardingEffect
+
+    /** A decision on the move of a pool to another version. */
+    public data class Rollout(public val effect: RolloutEffect) : ForwardingEffect
 }
 
 /**
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.rollout.RolloutBounds
 
 /**
  * Settings of a [ForwardingController].
@@ -10,6 +11,7 @@
  * used the limits of organisations yet
  * @property retryBudgetShare retries allowed to all hosts together, as a share of the requests
  * @property retryBudgetSlack retries allowed to all hosts together while requests are few
+ * @property rolloutBounds bounds on what a version without a verdict may get
  */
 public data class ForwardingSettings(
     public val host: HostId,
@@ -17,5 +19,6 @@
     public val profile: HostProfile,
     public val isFirstStart: Boolean,
     public val retryBudgetShare: Double,
-    public val retryBudgetSlack: Int
+    public val retryBudgetSlack: Int,
+    public val rolloutBounds: RolloutBounds = RolloutBounds()
 )
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -1,5 +1,6 @@
 package cowslipcart.core.forwarding
 
+import cowslipcart.core.rollout.RolloutController
 import cowslipcart.core.routing.RoutingTable
 
 /** What this host knows of endpoints, hosts, limits and crashes, and the decisions of one input. */
@@ -12,6 +13,13 @@
     val quarantine = CrashQuarantine(settings.host)
     val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
 
+    val rollouts = RolloutController(
+        settings.host,
+        settings.incarnation,
+        settings.rolloutBounds,
+        endpoints::inPool
+    )
+
     /** Configuration in force; null until the first one is known. */
     var routingTable: RoutingTable? = null
 
--- a/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
@@ -39,6 +39,19 @@
     override fun toString(): String = value
 }
 
+/** Version of the software that an endpoint runs; empty if its entry names none. */
+@JvmInline
+public value class VersionId(public val value: String) : Comparable<VersionId> {
+    override fun compareTo(other: VersionId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+
+    public companion object {
+        /** The version of an entry that names none. */
+        public val NONE: VersionId = VersionId("")
+    }
+}
+
 /** Name of a pool: the endpoints that serve one model or one service. */
 @JvmInline
 public value class PoolId(public val value: String) : Comparable<PoolId> {
