Follow, write and spread roll-outs in the gateway

Cause: the core decides on roll-outs, and nothing read orders, wrote states or told the other hosts. An update of the configuration leaves the configuration out when an order was read lately, so that no host skips the order. Updates of endpoints carry their version, in a field that is absent without one; earlier builds can't read such an update and read the store themselves. The test with processes has not run yet.

--- a/core/src/main/kotlin/cowslipcart/core/rollout/RolloutController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/rollout/RolloutController.kt
@@ -28,6 +28,7 @@
     private var tableEnd: LogOffset? = null
     private var tableAsOfMs = Long.MIN_VALUE / 2
     private var nextNoticeAtMs = Long.MIN_VALUE
+    private var nextReadAtMs = Long.MIN_VALUE
     private var isFollowing = false
 
     /** Wall-clock time less the monotonic one, at the last input that had both. */
@@ -175,7 +176,7 @@
     }
 
     private fun proposeStep(rollout: PoolRollout, nowMs: Long) {
-        val end = tableEnd ?: return
+        val end = tableEnd ?: return requestRead(nowMs)
         val pool = rollout.order.pool
         val earlier = gate.earlierVersions(pool, rollout.order)
         val next = nextStep(rollout, nowMs)
@@ -183,7 +184,11 @@
         // Without a recent read the record may have changed; the store would refuse the write.
         val isCurrent = nowMs - tableAsOfMs < PoolRollout.PERMIT_MS
         val rank = rankOf(rollout, nowMs)
-        if (!turn.isMine(next, rank, nowMs) || next == null || !isCurrent) return
+        if (!turn.isMine(next, rank, nowMs) || next == null) return
+        if (!isCurrent) {
+            requestRead(nowMs)
+            return
+        }
         val record = RolloutRecord(
             rollout.order.offset,
             pool,
@@ -198,6 +203,12 @@
         effects += RolloutEffect.Write(record, end)
     }
 
+    private fun requestRead(nowMs: Long) {
+        if (nowMs < nextReadAtMs) return
+        nextReadAtMs = nowMs + READ_INTERVAL_MS
+        effects += RolloutEffect.Read
+    }
+
     private fun nextStep(rollout: PoolRollout, nowMs: Long): RolloutStep? {
         val step = rollout.step ?: return RolloutStep.Observing
         val endpoints = inPool(rollout.order.pool)
@@ -268,6 +279,9 @@
     private companion object {
         const val NOTICE_INTERVAL_MS = 500L
 
+        /** Longer than a read takes, also when the store is slow. */
+        const val READ_INTERVAL_MS = 800L
+
         /** Keeps the notices that a host gets below a hundred a second. */
         const val NOTICE_INTERVAL_PER_HOST_MS = 10L
     }
--- a/core/src/main/kotlin/cowslipcart/core/rollout/RolloutNotice.kt
+++ b/core/src/main/kotlin/cowslipcart/core/rollout/RolloutNotice.kt
@@ -59,6 +59,9 @@
     /** Send [notice] to all other hosts. */
     public data class Send(public val notice: RolloutNotice) : RolloutEffect
 
+    /** Read the table of records now. */
+    public data object Read : RolloutEffect
+
     /** Follow the table of records from now on, or stop doing so. */
     public data class Follow(public val isActive: Boolean) : RolloutEffect
 
--- a/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
@@ -20,16 +20,25 @@
     private val freshness = TableFreshness(FIRST_MAX_AGE_MS, waitMs + UPDATE_MARGIN_MS)
     private var latest: TableRecord? = null
     private var latestAtMs = NEVER_MS
+    private var orderAtMs = NEVER_MS
 
     /** Offset of the next change to read; null if a snapshot has to be read. */
     public val next: LogOffset? get() = freshness.next
 
     /**
      * A read that was current at [asOfMs] ended at [next] and was received at [nowMs]. [newest] is
-     * the last valid configuration in it, null for none.
+     * the last valid configuration in it, null for none; [hasOrders] if it had other records that
+     * each host needs.
      */
-    public fun onRead(next: LogOffset, newest: TableRecord?, asOfMs: Long, nowMs: Long) {
+    public fun onRead(
+        next: LogOffset,
+        newest: TableRecord?,
+        asOfMs: Long,
+        nowMs: Long,
+        hasOrders: Boolean = false
+    ) {
         freshness.onRead(next, asOfMs)
+        if (hasOrders) orderAtMs = nowMs
         if (newest != null) {
             latest = newest
             latestAtMs = nowMs
@@ -61,7 +70,9 @@
     /** Returns the update to publish to other hosts at [nowMs]; null before the first read. */
     public fun update(nowMs: Long): StoreUpdate.Configuration? {
         val end = next ?: return null
-        val record = latest?.takeIf { nowMs - latestAtMs < RECORD_WINDOW_MS }
+        // With the record others would skip what lies before it, so they read the store themselves.
+        val hasOrder = nowMs - orderAtMs < RECORD_WINDOW_MS
+        val record = latest?.takeIf { nowMs - latestAtMs < RECORD_WINDOW_MS && !hasOrder }
         return StoreUpdate.Configuration(end, freshness.ageMs(nowMs), record)
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
@@ -4,7 +4,7 @@
 import cowslipcart.core.model.LogOffset
 
 /** Tables of the platform's store that the gateway reads. */
-public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS }
+public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS, ROLLOUTS }
 
 /**
  * The platform's store of keyed records, as the gateway sees it. It is a compacted log: every
@@ -32,6 +32,18 @@
         key: String,
         value: ByteArray
     ): Either<StoreError, Unit>
+
+    /**
+     * Writes one record if the table ends at [expectedEnd], else returns [StoreError.Conflict].
+     * After [StoreError.Unavailable] it may have been written nevertheless, or may be later, as
+     * long as the table still ends there.
+     */
+    public suspend fun putAt(
+        table: StoreTable,
+        key: String,
+        value: ByteArray,
+        expectedEnd: LogOffset
+    ): Either<StoreError, Unit>
 }
 
 /** A record of a table; [value] is null if the key was deleted. */
@@ -58,4 +70,7 @@
 
     /** The requested changes have been trimmed from the log; a snapshot has to be read instead. */
     public data object Trimmed : StoreError
+
+    /** The table has another end than the condition of a write named. */
+    public data object Conflict : StoreError
 }
--- a/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
@@ -217,7 +217,8 @@
     }
 
     private fun read(host: Host) {
-        host.nextReadAtMs = nowMs + READ_MS
+        // Only the first host reads by itself; the others hear of records, or ask when they write.
+        host.nextReadAtMs = nowMs + if (host === hosts.first()) READ_MS else RARE_READ_MS
         if (store.isDown || host.isCutFromStore) return
         val incarnation = host.incarnation
         val askedAtMs = nowMs
@@ -307,6 +308,7 @@
         when (effect) {
             is RolloutEffect.Write -> write(host, effect)
             is RolloutEffect.Send -> spread(host, effect.notice)
+            is RolloutEffect.Read -> read(host)
             is RolloutEffect.Follow -> host.isFollowing = effect.isActive
             is RolloutEffect.Log -> Unit
         }
@@ -385,6 +387,7 @@
         private const val LATE_MS = 16_000L
         private const val TICK_MS = 100L
         private const val READ_MS = 900L
+        private const val RARE_READ_MS = 2_500L
         private const val ARRIVAL_MS = 6L
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/store/ConfigurationFeedTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/store/ConfigurationFeedTest.kt
@@ -23,6 +23,23 @@
         member.read(1, record(0), 0)
     }
 
+    @Nested
+    inner class Orders {
+        /** Guards against an order that only the first host of a group has read when it dies. */
+        @Test
+        fun `no update lets a member skip an order beside a configuration`() {
+            start()
+            reader.read(2, record(1), 500)
+            reader.onRead(LogOffset(3), null, 600, 600, hasOrders = true)
+            reader.read(4, record(3), 700)
+            val update = assertNotNull(reader.update(700))
+
+            assertNull(member.missingIn(update))
+            assertFalse(member.onUpdate(update, 703))
+            assertEquals(LogOffset(1), member.next)
+        }
+    }
+
     @Nested
     inner class Members {
         /** Guards against a hundred hosts that all read each change from the store. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -17,7 +17,8 @@
     val listener: StoreListener,
     val publisher: StoreUpdatePublisher,
     val eventLog: GatewayEventLog,
-    val clock: RuntimeClock
+    val clock: RuntimeClock,
+    val orders: OrderListener = OrderListener { false }
 ) {
     val unreadable = UnreadableRecords { key ->
         eventLog.event("record-unreadable", "key" to key)
@@ -70,7 +71,8 @@
         val table = StoreTable.CONFIGURATION
         val error = if (from == null) {
             following.store.newest(table).onRight {
-                feed.onRead(it.end, notifyRouting(it.records), sentAtMs, clock.nowMs())
+                val newest = notifyRouting(it.records)
+                feed.onRead(it.end, newest, sentAtMs, clock.nowMs(), hasOrders(it.records))
             }.leftOrNull()
         } else {
             val timeoutMs = health.responseTimeoutMs
@@ -79,14 +81,18 @@
                 val waitedMs = if (it.next == from) waitMs else 0
                 val nowMs = clock.nowMs()
                 val asOfMs = minOf(sentAtMs + waitedMs, nowMs)
-                feed.onRead(it.next, notifyRouting(it.records), asOfMs, nowMs)
+                val newest = notifyRouting(it.records)
+                feed.onRead(it.next, newest, asOfMs, nowMs, hasOrders(it.records))
             }.leftOrNull()
         }
         health.onCall(error)
         when (error) {
             null -> feed.update(clock.nowMs())?.let { following.publisher.publish(it) }
+
             StoreError.Trimmed -> feed.onTrimmed()
-            is StoreError.Unavailable -> feed.onFailed(clock.nowMs() + health.retryDelayMs())
+
+            StoreError.Conflict, is StoreError.Unavailable ->
+                feed.onFailed(clock.nowMs() + health.retryDelayMs())
         }
     }
 
@@ -95,6 +101,7 @@
         var newest: TableRecord? = null
         for (record in records) {
             val value = record.value ?: continue
+            if (following.orders.onRecord(record)) continue
             val table = following.decoder.decodeRouting(record.key, value)
             if (table == null) {
                 following.unreadable.report(StoreTable.CONFIGURATION, record)
@@ -106,6 +113,9 @@
         return newest
     }
 
+    private fun hasOrders(records: List<TableRecord>): Boolean =
+        records.any { following.orders.isOrder(it.key) }
+
     private companion object {
         /** Each update holds all that is needed, so the newest ones suffice. */
         const val UPDATE_CAPACITY = 8
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -10,6 +10,7 @@
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
+import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -25,6 +26,7 @@
  * coroutines submit inputs and receive commands through channels.
  *
  * @property onSuspended called when the machine was suspended, before further inputs are handled
+ * @property onRollout carries out decisions on roll-outs; never blocks
  * @property publish receives the load report of this host, null if there is none yet, and the plan
  * that says to which hosts it goes
  */
@@ -35,6 +37,7 @@
     private val metrics: GatewayMetrics,
     private val dispatcher: CoroutineDispatcher = controlThread(),
     private val onSuspended: () -> Unit = {},
+    private val onRollout: (RolloutEffect) -> Unit = {},
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
@@ -119,6 +122,8 @@
                 commandsByCall[effect.call.id]?.trySend(effect.command)
 
             is ForwardingEffect.LogStateChange -> Unit
+
+            is ForwardingEffect.Rollout -> onRollout(effect.effect)
         }
     }
 
@@ -142,6 +147,7 @@
             is ForwardingInput.EndpointsKnown,
             is ForwardingInput.PeerReported,
             is ForwardingInput.PeerLeft,
+            is ForwardingInput.RolloutsChanged,
             ForwardingInput.Tick -> Unit
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -7,8 +7,10 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.rollout.RolloutChange
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.KeyedStore
+import cowslipcart.core.store.TableRecord
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.SocketSink
@@ -68,6 +70,7 @@
         eventLog,
         metrics,
         onSuspended = { follower?.onSuspended() },
+        onRollout = { rollouts?.perform(it) },
         publish = peers::publish
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
@@ -85,6 +88,9 @@
     )
 
     private var follower: StoreFollower? = null
+
+    @Volatile
+    private var rollouts: RolloutFollower? = null
     private var frontListener: Job? = null
 
     @Volatile
@@ -94,7 +100,11 @@
      * Starts serving and following [store]; returns when all sockets are bound. Throws an
      * IOException if one can't be bound.
      */
-    public suspend fun start(store: KeyedStore, decoder: RecordDecoder) {
+    public suspend fun start(
+        store: KeyedStore,
+        decoder: RecordDecoder,
+        rolloutCodec: RolloutCodec
+    ) {
         eventLog.event("start", "host" to self.value, "front" to settings.front.toString())
         loop.start(scope)
         peers.start(scope, selector, settings.peer)
@@ -108,7 +118,9 @@
         }
         val instrumented = InstrumentedStore(store, metrics)
         val following =
-            StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock)
+            StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock, orders)
+        val links = RolloutLinks(following, ::submitRollout, peers::publish)
+        rollouts = RolloutFollower(links, rolloutCodec, random).also { it.start(scope) }
         follower = StoreFollower(following, settings.configurationBoundMs, random)
             .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { evictIdleConnections() }
@@ -172,6 +184,15 @@
         override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
     }
 
+    private val orders = object : OrderListener {
+        override fun onRecord(record: TableRecord) = rollouts?.onOrder(record) == true
+
+        override fun isOrder(key: String) = rollouts?.isOrder(key) == true
+    }
+
+    private fun submitRollout(change: RolloutChange) =
+        loop.submit(ForwardingInput.RolloutsChanged(change, clock.wallNowMs()))
+
     private fun onRouting(table: RoutingTable) {
         val current = state.routing
         if (current != null && table.revision <= current.revision) return
@@ -203,6 +224,7 @@
     private fun onPeer(event: PeerEvent) {
         when (event) {
             is PeerEvent.Input -> loop.submit(event.input)
+            is PeerEvent.RolloutNoticed -> rollouts?.onNotice(event.notice)
             is PeerEvent.StoreRead -> follower?.onUpdate(event.update)
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.model.RequestId
+import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -31,6 +32,28 @@
                 ?.addKeyValue("change", effect.change)
                 ?.addKeyValue("reason", effect.reason)
                 ?.log("belief")
+
+            is ForwardingEffect.Rollout -> writeRollout(effect.effect)
+        }
+    }
+
+    /** Writes what became of a roll-out; its notices and reads are not logged. */
+    private fun writeRollout(effect: RolloutEffect) {
+        when (effect) {
+            is RolloutEffect.Log -> {
+                metrics.rollouts.labelValues(effect.change).inc()
+                event(
+                    "rollout",
+                    "pool" to effect.subject,
+                    "change" to effect.change,
+                    "reason" to effect.reason
+                )
+            }
+
+            is RolloutEffect.Write,
+            is RolloutEffect.Send,
+            is RolloutEffect.Follow,
+            RolloutEffect.Read -> Unit
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -31,6 +31,9 @@
     /** Datagrams between hosts; the label says whether sent, received, failed or unreadable. */
     val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
 
+    /** Changes of roll-outs, as they are logged. */
+    val rollouts: Counter = counter("rollout_changes", "Changes of roll-outs", "change")
+
     private val durations = Histogram.builder()
         .name("cowslipcart_gateway_answer_seconds")
         .help("Time from the arrival of a request to the end of its answer")
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/InstrumentedStore.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/InstrumentedStore.kt
@@ -30,11 +30,20 @@
         value: ByteArray
     ): Either<StoreError, Unit> = store.put(table, key, value).also { count("put", it) }
 
+    override suspend fun putAt(
+        table: StoreTable,
+        key: String,
+        value: ByteArray,
+        expectedEnd: LogOffset
+    ): Either<StoreError, Unit> =
+        store.putAt(table, key, value, expectedEnd).also { count("put-at", it) }
+
     private fun count(operation: String, outcome: Either<StoreError, Any>) {
         val result = when (outcome.leftOrNull()) {
             null -> "answered"
             is StoreError.Unavailable -> "failed"
             StoreError.Trimmed -> "trimmed"
+            StoreError.Conflict -> "conflict"
         }
         metrics.storeCalls.labelValues(operation, result).inc()
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
+import cowslipcart.core.rollout.RolloutNotice
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.wire.datagram.DatagramCodec
@@ -34,6 +35,9 @@
 
     /** What the other host read from the store. */
     class StoreRead(val update: StoreUpdate) : PeerEvent
+
+    /** What the other host knows of an unfinished roll-out. */
+    class RolloutNoticed(val notice: RolloutNotice) : PeerEvent
 }
 
 /**
@@ -49,6 +53,7 @@
 ) : StoreUpdatePublisher {
     private val addresses = ConcurrentHashMap<HostId, InetSocketAddress>()
     private val outgoing = Channel<PeerDatagram>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val notices = Channel<RolloutNotice>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val relayBuffer = RelayBuffer()
     private lateinit var socket: BoundDatagramSocket
 
@@ -81,6 +86,11 @@
         outgoing.trySend(PeerDatagram.Update(update))
     }
 
+    /** Queues [notice] for all other hosts, of other groups as well; never blocks. */
+    fun publish(notice: RolloutNotice) {
+        notices.trySend(notice)
+    }
+
     /** Adds the addresses of [hosts], which the platform lists. */
     fun onHosts(hosts: Map<HostId, SocketAddressSetting>) {
         for ((host, address) in hosts) {
@@ -97,6 +107,7 @@
         socket = aSocket(selector).udp().bind(InetSocketAddress(listen.ip, listen.port))
         scope.launch { while (isActive) guard("receive") { receive() } }
         scope.launch { for (datagram in outgoing) guard("send") { sendToGroup(datagram) } }
+        scope.launch { for (notice in notices) guard("send") { sendToAll(notice) } }
         scope.launch {
             while (isActive) {
                 delay(RELAY_INTERVAL_MS)
@@ -123,6 +134,9 @@
         if (datagram is PeerDatagram.LoadReport) send(bytes, plan.relays)
     }
 
+    private suspend fun sendToAll(notice: RolloutNotice) =
+        send(DatagramCodec.encode(PeerDatagram.Rollout(notice)), addresses.keys)
+
     /**
      * Leaves out a configuration that is too large for a datagram; the others read it themselves.
      */
@@ -183,6 +197,7 @@
                 when (message) {
                     is PeerDatagram.Update -> deliver(PeerEvent.StoreRead(message.update))
                     is PeerDatagram.LoadReport -> onDirectReport(message, from)
+                    is PeerDatagram.Rollout -> deliver(PeerEvent.RolloutNoticed(message.notice))
                     is PeerDatagram.Bundle -> message.reports.forEach { onRelayedReport(it) }
                 }
             }
@@ -202,7 +217,10 @@
         when (val message = DatagramCodec.decode(relayed.encoded).getOrNull()) {
             is PeerDatagram.LoadReport -> onReport(message)
 
-            is PeerDatagram.Bundle, is PeerDatagram.Update, null -> {
+            is PeerDatagram.Bundle,
+            is PeerDatagram.Rollout,
+            is PeerDatagram.Update,
+            null -> {
                 metrics.peerReports.labelValues("unreadable").inc()
                 eventLog.event("report-unreadable", "relayed" to relayed.host.value)
             }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -190,7 +190,7 @@
 
             StoreError.Trimmed -> endpoints.onTrimmed()
 
-            is StoreError.Unavailable -> endpoints.onFailed(
+            StoreError.Conflict, is StoreError.Unavailable -> endpoints.onFailed(
                 clock.nowMs() + endpointHealth.retryDelayMs()
             )
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreHealth.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreHealth.kt
@@ -39,6 +39,9 @@
 
             StoreError.Trimmed -> eventLog.event("store-trimmed", "table" to table.name)
 
+            // The store has answered; the caller logs what it wanted to write.
+            StoreError.Conflict -> failures = 0
+
             null -> {
                 if (failures > 0) {
                     eventLog.event("store-regained", "table" to table.name, "failures" to failures)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
@@ -79,6 +79,13 @@
             key: String,
             value: ByteArray
         ): Either<StoreError, Unit> = Unit.right()
+
+        override suspend fun putAt(
+            table: StoreTable,
+            key: String,
+            value: ByteArray,
+            expectedEnd: LogOffset
+        ): Either<StoreError, Unit> = Unit.right()
     }
 
     private object RevisionDecoder : RecordDecoder {
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -87,6 +87,13 @@
             key: String,
             value: ByteArray
         ): Either<StoreError, Unit> = Unit.right()
+
+        override suspend fun putAt(
+            table: StoreTable,
+            key: String,
+            value: ByteArray,
+            expectedEnd: LogOffset
+        ): Either<StoreError, Unit> = Unit.right()
     }
 
     private object StateDecoder : RecordDecoder {
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/KeyedLog.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/KeyedLog.kt
@@ -29,6 +29,15 @@
         return topic.end++
     }
 
+    /** As [append], if the topic ends at [expectedEnd]; else returns null. */
+    @Synchronized
+    public fun appendAt(
+        topicName: String,
+        key: String,
+        value: ByteArray,
+        expectedEnd: Long
+    ): Long? = if (topicOf(topicName).end == expectedEnd) append(topicName, key, value) else null
+
     /** Returns the records from offset [from] on, or null if [compact] removed some of them. */
     @Synchronized
     public fun read(topicName: String, from: Long): List<KeyedRecord>? {
--- a/standins/src/main/kotlin/cowslipcart/standins/platform/PlatformStoreServer.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/platform/PlatformStoreServer.kt
@@ -117,7 +117,18 @@
         val keyLength = body[LENGTH_BYTES].toInt()
         val keyEnd = LENGTH_BYTES + 1 + keyLength
         val key = body.decodeToString(LENGTH_BYTES + 1, keyEnd)
-        val offset = log.append(topic, key, body.copyOfRange(keyEnd, body.size))
+        val value = body.copyOfRange(keyEnd, body.size)
+        val at = queryParameters["at"]?.toLong()
+        val offset = if (at == null) {
+            log.append(topic, key, value)
+        } else {
+            log.appendAt(topic, key, value, at)
+        }
+        if (offset == null) {
+            val end = """{"endOffset":${log.end(topic)}}"""
+            respondText(end, status = HttpStatusCode.PreconditionFailed)
+            return
+        }
         respondText(
             """{"offset":$offset,"endOffset":${offset + 1}}""",
             ContentType.Application.Json
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -23,23 +23,46 @@
     private var lastSequence = 0L
 
     /** Starts a runner and registers it for [service]. */
-    fun startRunner(id: String, service: String, eventGapMs: Long = 0): RunnerServer {
+    fun startRunner(
+        id: String,
+        service: String,
+        eventGapMs: Long = 0,
+        version: String = "v1"
+    ): RunnerServer {
         val runner = RunnerServer(id, eventGapMs)
         runners += runner
-        register(id, runner, service)
+        register(id, runner.address, service, "ready", version = version)
         return runner
     }
 
+    /** Orders that the traffic of [service] move to runners of version [to]. */
+    fun orderRollout(service: String, to: String, durationS: Int) {
+        val order = """{"service":"$service","to":"$to","durationS":$durationS}"""
+        store.log.append("keyed.op", "rollout/$service", order.toByteArray())
+    }
+
+    /** Returns all states that the gateways have written about a roll-out of [service]. */
+    fun rolloutStates(service: String): List<String> = store.log.read("keyed.status", 0).orEmpty()
+        .filter { it.key == "rollout/$service" }
+        .map { it.value.decodeToString() }
+
     /** Writes the registry entry of [runner] to the store. */
     fun register(id: String, runner: RunnerServer, service: String, state: String = "ready") =
         register(id, runner.address, service, state)
 
     /** Writes the registry entry of a runner that listens on [address] to the store. */
     @Synchronized
-    fun register(id: String, address: String, service: String, state: String, slots: Int = 4) {
+    fun register(
+        id: String,
+        address: String,
+        service: String,
+        state: String,
+        slots: Int = 4,
+        version: String = "v1"
+    ) {
         lastSequence++
         val entry = """{"service":"$service","address":"$address","zone":"a",""" +
-            """"version":"v1","slots":$slots,"state":"$state","coldLeftMs":0,""" +
+            """"version":"$version","slots":$slots,"state":"$state","coldLeftMs":0,""" +
             """"sequence":$lastSequence}"""
         store.log.append("keyed.servers", id, entry.toByteArray())
     }
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.rollout.RolloutNotice
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.wire.WireError
 import kotlinx.serialization.SerializationException
@@ -19,6 +20,9 @@
     /** Load reports of several hosts, forwarded by a relay. */
     public data class Bundle(public val reports: List<RelayedReport>) : PeerDatagram
 
+    /** What a host knows of an unfinished roll-out. */
+    public data class Rollout(public val notice: RolloutNotice) : PeerDatagram
+
     /** Changes that a host of the group read from the store. */
     public data class Update(public val update: StoreUpdate) : PeerDatagram
 }
@@ -42,6 +46,7 @@
     private const val LOAD_REPORT: Byte = 1
     private const val STORE_UPDATE: Byte = 2
     private const val BUNDLE: Byte = 3
+    private const val ROLLOUT: Byte = 7
 
     /** Encodes [datagram]. */
     public fun encode(datagram: PeerDatagram): ByteArray = when (datagram) {
@@ -50,6 +55,9 @@
 
         is PeerDatagram.Bundle -> byteArrayOf(BUNDLE) + BundleCodec.encode(datagram)
 
+        is PeerDatagram.Rollout ->
+            byteArrayOf(ROLLOUT) + RolloutNoticeCodec.encode(datagram.notice)
+
         is PeerDatagram.Update -> byteArrayOf(STORE_UPDATE) +
             StoreUpdateCodec.encode(datagram.update)
     }
@@ -63,6 +71,7 @@
                 LOAD_REPORT -> LoadReportCodec.decode(body)
                 BUNDLE -> BundleCodec.decode(body).right()
                 STORE_UPDATE -> PeerDatagram.Update(StoreUpdateCodec.decode(body)).right()
+                ROLLOUT -> PeerDatagram.Rollout(RolloutNoticeCodec.decode(body)).right()
                 else -> malformed("kind $kind")
             }
         } catch (e: SerializationException) {
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreUpdate
@@ -92,7 +93,9 @@
             entry.slotCount,
             entry.isDraining,
             record.startedAtMs,
-            record.sequence
+            record.sequence,
+            SoftwareDocument(entry.version.value, entry.isCold)
+                .takeIf { entry.version != VersionId.NONE || entry.isCold }
         )
     }
 
@@ -107,7 +110,9 @@
                     record.port,
                     record.domain,
                     record.slotCount,
-                    record.isDraining
+                    record.isDraining,
+                    version = VersionId(record.software?.version.orEmpty()),
+                    isCold = record.software?.isCold == true
                 ),
                 record.startedAtMs,
                 record.beatNumber
@@ -168,5 +173,10 @@
     val slotCount: Int,
     val isDraining: Boolean,
     val startedAtMs: Long,
-    val beatNumber: Long
+    val beatNumber: Long,
+    val software: SoftwareDocument? = null
 )
+
+@Serializable
+@CborArray
+private class SoftwareDocument(val version: String, val isCold: Boolean)
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -18,6 +18,7 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreUpdate
@@ -70,11 +71,28 @@
         )
     )
 
+    /** An update with what earlier builds do not read; they read the store instead. */
+    private val versioned = PeerDatagram.Update(
+        StoreUpdate.Endpoints(
+            LogOffset(4),
+            LogOffset(9),
+            listOf(
+                EndpointChange(
+                    id,
+                    EndpointRecord(entry.copy(version = VersionId("v2"), isCold = true), 11, 12),
+                    LogOffset(5)
+                )
+            ),
+            ageMs = 4,
+            recoveredForMs = null
+        )
+    )
+
     @Nested
     inner class RoundTrip {
         @Test
         fun `load reports and store updates survive a round trip`() {
-            for (sample in samples) {
+            for (sample in samples + versioned) {
                 assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
             }
         }
