--- a/core/src/main/kotlin/cowslipcart/core/rollout/RolloutEvidence.kt
+++ b/core/src/main/kotlin/cowslipcart/core/rollout/RolloutEvidence.kt
@@ -119,7 +119,7 @@
         return added
     }
 
-    /** Takes the totals of [host] and returns what is new in them; notices may come in any order. */
+    /** Takes the totals of [host], in any order, and returns what is new in them. */
     fun onPeer(
         host: HostId,
         incarnation: IncarnationId,
--- a/core/src/main/kotlin/cowslipcart/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/cowslipcart/core/rollout/RolloutVerdict.kt
@@ -4,7 +4,7 @@
 
 /** What the answers say about the new version. */
 public sealed interface Verdict {
-    /** [missing] names a route without enough evidence; [isLikelyGood] if none speaks against it. */
+    /** [missing] names a route with too little evidence; [isLikelyGood] if none is against it. */
     public data class Undecided(public val missing: String, public val isLikelyGood: Boolean) :
         Verdict
 
