--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -12,6 +12,7 @@
     private val quotas = known.quotas
     private val quarantine = known.quarantine
     private val reporter = known.reporter
+    private val rollouts = known.rollouts
     private val retries = RetryRule(known.settings, quarantine) { hostRegistry.knownCount }
     private val placement = Placement(known.cacheIndex, known.settings.profile.domain, random)
     private val copies = SecondCopies(known, retries, placement)
@@ -70,7 +71,7 @@
             return true
         }
         if (known.listAge.isOutdated(nowMs)) return endIfOver(state, nowMs)
-        val inPool = endpoints.inPool(call.pool)
+        val inPool = known.eligibleEndpoints(state, nowMs)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
             is PlacementResult.Found -> {
@@ -126,6 +127,7 @@
             nowMs
         )
         quarantine.onDispatched(state.call, nowMs)
+        rollouts.answers.onSent(state.call, state.sentCount, selected.endpoint.entry, nowMs)
         reporter.onChange()
         copies.onDispatched(state, nowMs)
     }
@@ -139,6 +141,7 @@
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.hasStarted = true
         copies.onFirstEvent(state, attempt, nowMs)
+        rollouts.answers.onResponseStarted(input, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
         quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
@@ -155,6 +158,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         releaseAttempt(state, attempt)
+        rollouts.answers.onEnded(input, nowMs)
         val tokensPerEvent = known.routingTable?.pool(state.call.pool)?.tokensPerEvent ?: 0
         attempt.endpoint.speed.onStream(input.gapCount * tokensPerEvent, input.gapDurationMs)
         reporter.onChange()
@@ -301,7 +305,8 @@
     private fun retryAfterMs(call: ForwardedCall, nowMs: Long, earliestMs: Long = nowMs): Long? =
         AdmissionRule.retryAfterMs(call, random.nextDouble(), nowMs, earliestMs)
 
-    fun onCallClosed(id: CallId) {
+    fun onCallClosed(id: CallId, nowMs: Long) {
+        rollouts.answers.onClosed(id, nowMs)
         val state = calls[id] ?: return
         forget(state)
         waiting -= state
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -1,6 +1,8 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.HostId
+import cowslipcart.core.rollout.RolloutController
+import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.routing.RoutingTable
 import kotlin.random.Random
 
@@ -51,12 +53,14 @@
 
             is ForwardingInput.AttemptEnded -> calls.onAttemptEnded(input, nowMs)
 
-            is ForwardingInput.CallClosed -> calls.onCallClosed(input.call)
+            is ForwardingInput.CallClosed -> calls.onCallClosed(input.call, nowMs)
 
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
 
-            is ForwardingInput.EndpointsChanged ->
+            is ForwardingInput.EndpointsChanged -> {
                 known.effects += known.endpoints.onEntries(input.entries)
+                rollOut { onListed(input.entries) }
+            }
 
             is ForwardingInput.EndpointsKnown ->
                 known.listAge.onKnown(input.asOfMs, input.isStoreLost)
@@ -73,6 +77,9 @@
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
 
+            is ForwardingInput.RolloutsChanged ->
+                rollOut { handle(input.change, nowMs, input.wallNowMs) }
+
             ForwardingInput.Tick -> onTick(nowMs)
         }
         known.effects += known.quarantine.takeChanges()
@@ -154,6 +161,13 @@
         known.countHosts(nowMs)
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
         calls.copySlow(nowMs)
+        rollOut { tick(nowMs) }
+    }
+
+    /** Takes the decisions of [step], unless the settings allow no roll-outs. */
+    private fun rollOut(step: RolloutController.() -> List<RolloutEffect>) {
+        if (known.settings.rolloutBounds == null) return
+        known.effects += known.rollouts.step().map { ForwardingEffect.Rollout(it) }
     }
 
     private fun logHost(host: HostId, change: String, reason: String) {
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingSettings.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.rollout.RolloutBounds
 
 /**
  * Settings of a [ForwardingController].
@@ -14,6 +15,8 @@
  * the requests of a pool; 0 for none
  * @property quotaTolerance by how much the limits of organisations may be exceeded; null if that is
  * not known
+ * @property rolloutBounds bounds on what a version without a verdict may get;
+ * null if versions are not told apart
  */
 public data class ForwardingSettings(
     public val host: HostId,
@@ -23,5 +26,6 @@
     public val retryBudgetShare: Double,
     public val retryBudgetSlack: Int,
     public val hedgeShare: Double = 0.0,
-    public val quotaTolerance: QuotaTolerance? = null
+    public val quotaTolerance: QuotaTolerance? = null,
+    public val rolloutBounds: RolloutBounds? = null
 )
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -1,5 +1,7 @@
 package cowslipcart.core.forwarding
 
+import cowslipcart.core.rollout.RolloutBounds
+import cowslipcart.core.rollout.RolloutController
 import cowslipcart.core.routing.RoutingTable
 import kotlin.random.Random
 
@@ -17,6 +19,13 @@
     val quarantine = CrashQuarantine(settings.host)
     val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
 
+    val rollouts = RolloutController(
+        settings.host,
+        settings.incarnation,
+        settings.rolloutBounds ?: RolloutBounds(),
+        endpoints::inPool
+    )
+
     /** Configuration in force; null until the first one is known. */
     var routingTable: RoutingTable? = null
 
@@ -32,6 +41,13 @@
         return hostRegistry.counts(nowMs)
     }
 
+    /** Endpoints of the pool of [state] whose version it may be sent to now. */
+    fun eligibleEndpoints(state: CallState, nowMs: Long): List<TrackedEndpoint> {
+        val inPool = endpoints.inPool(state.call.pool)
+        if (settings.rolloutBounds == null) return inPool
+        return rollouts.gate.eligible(state.call, inPool, state.tried, nowMs)
+    }
+
     private companion object {
         /** Share of the burst that a restarted host starts with; others may have used the limit. */
         const val RESTART_QUOTA_SHARE = 0.3
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
@@ -95,7 +95,7 @@
         val call = state.call
         val command = commandFor(call.route.kind) ?: return null
         if (known.listAge.isOutdated(nowMs)) return null
-        val inPool = known.endpoints.inPool(call.pool)
+        val inPool = known.eligibleEndpoints(state, nowMs)
         val topology = known.hostRegistry.topology
         val result = placement.choose(call, inPool, state.tried, topology, nowMs)
         val selected = result as? PlacementResult.Found ?: return null
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -9,6 +9,7 @@
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.model.Revision
 import cowslipcart.core.model.Tier
+import cowslipcart.core.rollout.RolloutBounds
 import cowslipcart.core.routing.CallerLimits
 import cowslipcart.core.routing.OrganisationAccess
 import cowslipcart.core.routing.PoolProfile
@@ -27,7 +28,8 @@
     seed: Int = 1,
     hedgeShare: Double = 0.0,
     host: String = "host-1",
-    quotaTolerance: QuotaTolerance? = null
+    quotaTolerance: QuotaTolerance? = null,
+    rolloutBounds: RolloutBounds? = null
 ) {
     val host = HostId(host)
 
@@ -40,7 +42,8 @@
             retryBudgetShare = 0.2,
             retryBudgetSlack = 100,
             hedgeShare = hedgeShare,
-            quotaTolerance = quotaTolerance
+            quotaTolerance = quotaTolerance,
+            rolloutBounds = rolloutBounds
         ),
         Random(seed)
     )
