Keep the wish for quiet of an endpoint whose entry lapses

Cause: EndpointRegistry.onEntries made a new TrackedEndpoint when an entry returned, without the backoff of the one before, and a wish that was read while the entry was missing was dropped. Change: UnlistedBackoffs keeps both until the endpoint is listed again; a later start ends them. Result: two of the three new cases of EndpointNoticesTest were red before (e1 was used in its backoff) and pass now; the third, a new start, passed before and after.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRegistry.kt
@@ -10,6 +10,7 @@
     private var byPool = mapOf<PoolId, List<TrackedEndpoint>>()
     private val peerLoads = mutableMapOf<HostId, Map<EndpointId, HostLoad>>()
     private val leaving = LeavingEndpoints()
+    private val unlisted = UnlistedBackoffs()
 
     fun inPool(pool: PoolId): List<TrackedEndpoint> = byPool[pool].orEmpty()
 
@@ -36,14 +37,17 @@
         val changes = mutableListOf<ForwardingEffect.LogStateChange>()
         val listed = entries.associateBy { it.id }
         for (id in byId.keys - listed.keys) {
-            byId.remove(id)
+            byId.remove(id)?.let { unlisted.add(id, it.entry.startedAtMs, it.backoffUntilMs) }
             cacheIndex.forget(id)
             changes += change(id, "endpoint-gone", "entry removed")
         }
         for (entry in entries) {
             val known = byId[entry.id]
             if (known == null) {
-                byId[entry.id] = TrackedEndpoint(entry).also { addPeerLoads(it) }
+                byId[entry.id] = TrackedEndpoint(entry).also {
+                    addPeerLoads(it)
+                    it.onBackoffRequested(unlisted.take(entry))
+                }
                 changes += change(entry.id, "endpoint-added", "entry listed")
             } else {
                 if (known.entry.isDraining != entry.isDraining) {
@@ -79,6 +83,20 @@
         return change(endpoint.id, "endpoint-leaving", "told by $source")
     }
 
+    /**
+     * [id] wants no requests from this host until [untilMs]. Returns until when it gets none, since
+     * an earlier wish may last longer.
+     */
+    fun onBackoffRequested(id: EndpointId, untilMs: Long): Long {
+        val endpoint = byId[id]
+        if (endpoint == null) {
+            unlisted.add(id, UnlistedBackoffs.ANY_START, untilMs)
+            return untilMs
+        }
+        endpoint.onBackoffRequested(untilMs)
+        return endpoint.backoffUntilMs
+    }
+
     /** The endpoints of which this host tells the others that they leave. */
     fun leavingToReport(nowMs: Long): List<LeavingEndpoint> = leaving.toReport(nowMs) { id ->
         byId[id]?.let { it.isLeaving && !it.entry.isDraining } ?: false
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -118,14 +118,14 @@
 
     /** Spreads the return of the hosts over a while, as they may all have been refused at once. */
     private fun onBackoffRequested(input: ForwardingInput.BackoffRequested, nowMs: Long) {
-        val endpoint = known.endpoints[input.endpoint] ?: return
         val durationMs = input.durationMs.coerceIn(0, MAX_BACKOFF_MS)
         val spreadMs = minOf(durationMs / RETURN_SPREAD_DIVISOR, MAX_RETURN_SPREAD_MS)
-        endpoint.onBackoffRequested(nowMs + durationMs + random.nextLong(spreadMs + 1))
+        val wishMs = nowMs + durationMs + random.nextLong(spreadMs + 1)
+        val untilMs = known.endpoints.onBackoffRequested(input.endpoint, wishMs)
         known.effects += ForwardingEffect.LogStateChange(
             input.endpoint.value,
             "endpoint-backoff",
-            "asked for ${input.durationMs} ms, until ${endpoint.backoffUntilMs}"
+            "asked for ${input.durationMs} ms, until $untilMs"
         )
     }
 
@@ -149,9 +149,6 @@
     }
 
     private companion object {
-        /** Far above the time in which an overloaded endpoint recovers, in ms. */
-        const val MAX_BACKOFF_MS = 600_000L
-
         /** The return after a backoff is spread over a quarter of it, at most 300 ms. */
         const val RETURN_SPREAD_DIVISOR = 4
         const val MAX_RETURN_SPREAD_MS = 300L
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -7,6 +7,9 @@
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.routing.RoutingTable
 
+/** Longest backoff that is heeded, far above the time in which an endpoint recovers, in ms. */
+public const val MAX_BACKOFF_MS: Long = 600_000L
+
 /** An event for the control thread. */
 public sealed interface ForwardingInput {
     /** A request was received in full. */
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/EndpointNoticesTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/EndpointNoticesTest.kt
@@ -156,6 +156,38 @@
             assertEquals(EndpointId("e2"), dispatchedTo(arrive()))
         }
 
+        /** Entries lapse while the store is away, and return with it. */
+        @Test
+        fun `an entry that lapses and returns does not end it`() {
+            fixture.listEndpoints(entry("e1", slots = 100), entry("e2", slots = 100))
+            backOff("e1", 3_000)
+            fixture.listEndpoints(entry("e2", slots = 100))
+            fixture.listEndpoints(entry("e1", slots = 100), entry("e2", slots = 100))
+            for (nowMs in 0L until 3_000 step 100) {
+                fixture.nowMs = nowMs
+                assertEquals(EndpointId("e2"), dispatchedTo(arrive()))
+            }
+        }
+
+        @Test
+        fun `a wish of an endpoint whose entry has lapsed holds when it returns`() {
+            fixture.listEndpoints(entry("e2", slots = 100))
+            backOff("e1", 3_000)
+            fixture.listEndpoints(entry("e1", slots = 100), entry("e2", slots = 100))
+            repeat(10) { assertEquals(EndpointId("e2"), dispatchedTo(arrive())) }
+        }
+
+        /** An endpoint that has started anew knows nothing of what it said before. */
+        @Test
+        fun `a new start ends it`() {
+            val first = entry("e1", slots = 100).copy(startedAtMs = 1_000)
+            fixture.listEndpoints(first)
+            backOff("e1", 3_000)
+            fixture.listEndpoints()
+            fixture.listEndpoints(first.copy(startedAtMs = 2_000))
+            assertEquals(EndpointId("e1"), dispatchedTo(arrive()))
+        }
+
         @Test
         fun `endpoints that all back off for long refuse at once, with a time to return`() {
             fixture.listEndpoints(entry("e1"), entry("e2"))
