Withhold attempts that are not sent when their endpoint asks for quiet

Change: EndpointExchange notes the backoff of each answer as it is read (QuietEndpoints) and looks at it right before the first byte of another attempt, which goes back to control as withheld. This closes one way to a third request.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -49,6 +49,7 @@
     private val clock: RuntimeClock
 ) {
     private val activity = EndpointActivity(clock)
+    private val quietEndpoints = QuietEndpoints(clock)
     private val budget = BufferBudget(MAX_BUFFERED_BYTES)
 
     /**
@@ -74,7 +75,7 @@
         val closing = caller.onClose { connection.abort() }
         try {
             caller.confirmOpen()
-            if (clock.nowMs() > dispatch.validUntilMs) {
+            if (clock.nowMs() > dispatch.validUntilMs || endpoint in quietEndpoints) {
                 return ExchangeResult(AttemptOutcome.Withheld)
             }
             val result = attempt.run()
@@ -240,7 +241,7 @@
             metadata: ResponseMetadata,
             reader: BodyReader
         ): ExchangeResult {
-            listener.onBackoff(metadata.backoff)
+            onBackoff(metadata.backoff)
             reader.skipAll(MAX_DECLINE_BYTES)
             val reason = when (head.status) {
                 WRONG_ENDPOINT_STATUS -> DeclineReason.WRONG_ENDPOINT
@@ -249,13 +250,19 @@
             return ExchangeResult(AttemptOutcome.Declined(reason))
         }
 
+        /** Control is told first, so that it has the wish before an attempt that is withheld. */
+        private fun onBackoff(request: BackoffRequest) {
+            listener.onBackoff(request)
+            quietEndpoints.onAnswer(endpoint, request)
+        }
+
         private suspend fun receiveComplete(
             head: ResponseHead,
             metadata: ResponseMetadata,
             reader: BodyReader,
             isFramed: Boolean
         ): ExchangeResult {
-            listener.onBackoff(metadata.backoff)
+            onBackoff(metadata.backoff)
             val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndlessResponseTest.kt
@@ -37,7 +37,7 @@
     private fun assertBroken(
         kind: WorkKind = WorkKind.Idempotent,
         respond: OutputStream.(ReceivedRequest) -> Unit
-    ): Unit = ExchangeFixture(respond).use { fixture ->
+    ): Unit = ExchangeFixture(respond = respond).use { fixture ->
         runBlocking {
             val running = CoroutineScope(Dispatchers.IO).async { fixture.run("r1", kind) }
             val result = withTimeoutOrNull(BOUND_MS) { running.await() }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
@@ -23,11 +23,14 @@
 import kotlinx.coroutines.launch
 
 /** Sends requests with an [EndpointExchange] to an endpoint that answers with [respond]. */
-internal class ExchangeFixture(respond: OutputStream.(ReceivedRequest) -> Unit) : AutoCloseable {
+internal class ExchangeFixture(
+    codec: HeaderCodec = TestHeaderCodec,
+    respond: OutputStream.(ReceivedRequest) -> Unit
+) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
     private val clock = RuntimeClock()
     private val connections = EndpointConnections(selector, clock) { MAX_IDLE_CONNECTIONS }
-    private val exchange = EndpointExchange(connections, TestHeaderCodec, clock)
+    private val exchange = EndpointExchange(connections, codec, clock)
     private val scope = CoroutineScope(Dispatchers.IO)
     val endpoint = RespondingEndpoint(respond)
 
@@ -37,12 +40,13 @@
         scope.launch { aSocket(selector).tcp().bind("127.0.0.1", 0).use { it.accept() } }
     }
 
-    /** Runs the only attempt of a request with [id]; a stream goes to [caller]. */
+    /** Runs the only attempt of a request of [monitor] with [id]; a stream goes to [caller]. */
     suspend fun run(
         id: String,
         kind: WorkKind = WorkKind.AtMostOnce,
         caller: ByteChannel = ByteChannel(),
-        body: ByteArray = ByteArray(0)
+        body: ByteArray = ByteArray(0),
+        monitor: CallerMonitor = OpenCaller
     ): ExchangeResult {
         val response = CallerResponse(ChannelSink(caller), isHeadRequest = false) { false }
         val head =
@@ -52,7 +56,7 @@
             BufferedRequest(head, body),
             CallCommand.Dispatch(endpoint.entry, attempt = 1),
             StreamRelay(response, clock),
-            OpenCaller,
+            monitor,
             SilentListener
         )
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ResponseOwnershipTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ResponseOwnershipTest.kt
@@ -17,7 +17,7 @@
     private fun withEndpoint(
         respond: OutputStream.(ReceivedRequest) -> Unit,
         block: suspend ExchangeFixture.() -> Unit
-    ): Unit = ExchangeFixture(respond).use { runBlocking { it.block() } }
+    ): Unit = ExchangeFixture(respond = respond).use { runBlocking { it.block() } }
 
     @Nested
     inner class RepeatedResponses {
