Take only a begun answer for the acceptance of a takeover

Cause: Takeover ended the attempt of the silent endpoint 150 ms after the request was sent to another one. An endpoint that declined after 400 ms then cut a sound stream. Change: the silent endpoint goes on until the other one begins its answer. A request runs from its first token on (PROTOCOL.md), so both run it only until the connection to the silent one is closed; TWICE allows 400 ms. While both endpoints are silent no third one is asked.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -172,8 +172,8 @@
     }
 
     /** Returns the takeover from [silent], or null if that has ended meanwhile. */
-    private fun CoroutineScope.takeOver(silent: RunningAttempt?): Takeover? = silent?.let {
-        Takeover(this, it.replaced) {
+    private fun takeOver(silent: RunningAttempt?): Takeover? = silent?.let {
+        Takeover(it.replaced) {
             val outcome = it.result.await().outcome
             outcome is AttemptOutcome.Answered && outcome.isSuccess
         }
@@ -182,7 +182,6 @@
     /** Takes the response of [attempt]; returns whether the caller gets it. */
     private fun onAttemptEnded(attempt: RunningAttempt, result: ExchangeResult): Boolean {
         running -= attempt
-        attempt.takeover?.cancel()
         lastResponse = result.response
         val outcome = result.outcome
         val isDone = outcome is AttemptOutcome.Answered && outcome.isSuccess
@@ -201,10 +200,6 @@
 
         override val replaced = Job()
 
-        override fun onSent() {
-            takeover?.onSent()
-        }
-
         override suspend fun onAccepted() {
             takeover?.complete()
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -129,7 +129,6 @@
 
         suspend fun run(): ExchangeResult = coroutineScope {
             val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
-            listener.onSent()
             try {
                 receive(sending)
             } finally {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
@@ -23,9 +23,6 @@
     /** Completes when another attempt replaces this one, which ends then. */
     val replaced: Job
 
-    /** The request is on its way to the endpoint. */
-    fun onSent()
-
     /**
      * The endpoint has accepted the request and begins a stream. Returns once the attempt that this
      * one replaces has ended, so that only one of them forwards events.
