End the response to HEAD on a streaming route with its head

Cause: StreamRelay ends a stream of no events with the last chunk, also for HEAD. The caller took the bytes for the beginning of its next answer. Change: CallerResponse writes no chunk of a response to HEAD. Result: CallerResponseTest was red before (five bytes after the head) and passes.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerResponse.kt
@@ -24,7 +24,7 @@
  * Writes the response to one request on the caller's connection, once: either complete, or as a
  * stream that is finished or aborted.
  *
- * @property isHeadRequest whether the body is left out, as for `HEAD`
+ * @property isHeadRequest whether the body is left out, as for `HEAD`, with its chunks
  * @property mustClose whether the connection has to be closed after the response
  */
 internal class CallerResponse(
@@ -65,7 +65,8 @@
 
     /** Writes [bytes] as a chunk of the body, after [head] if this is the first call. */
     suspend fun writeStreamed(head: ResponseHead, bytes: ByteArray) {
-        var message = if (bytes.isEmpty()) bytes else MessageWriter.chunk(bytes)
+        val hasChunk = bytes.isNotEmpty() && !isHeadRequest
+        var message = if (hasChunk) MessageWriter.chunk(bytes) else ByteArray(0)
         if (!isStarted) {
             isStarted = true
             status = head.status
@@ -78,7 +79,7 @@
 
     /** Ends a streamed response with its last chunk. */
     suspend fun finish() {
-        sendToCaller(MessageWriter.LAST_CHUNK)
+        if (!isHeadRequest) sendToCaller(MessageWriter.LAST_CHUNK)
         isConnectionReusable = !mustClose()
     }
 
