Accept streams whose event ids rise by more than one

Cause: PROTOCOL.md promises increasing ids. StreamRelay broke off a stream whose ids rose by more. Change: ids of one endpoint only have to increase. Where another endpoint goes on, a step larger than any before still ends the stream, since an event is missing then.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -9,7 +9,7 @@
 /** A stream without a length ended where the endpoint can't have ended it. */
 internal class IncompleteStreamException : EOFException("connection closed within the stream")
 
-/** An event of the stream is missing. */
+/** An event of the stream is missing, or can't be placed. */
 internal class EventOrderException(message: String) : IOException(message)
 
 /**
@@ -21,6 +21,12 @@
     private var splitter = EventSplitter()
     private var head: ResponseHead? = null
 
+    /** Largest difference between the ids of two events in a row. */
+    private var largestStep = 1L
+
+    /** Whether the next event is the first one after those of another endpoint. */
+    private var isResuming = false
+
     /** Complete events that were not looked at yet. */
     private var received = emptyList<StreamEvent>()
 
@@ -50,6 +56,7 @@
             throw EventOrderException("expected a stream with event ids, found one without")
         }
         if (head == null || !isStarted) head = next
+        isResuming = isStarted
         splitter = EventSplitter()
         received = emptyList()
     }
@@ -62,7 +69,7 @@
 
     /**
      * Forwards the complete events that were not forwarded before. Throws [EventOrderException] if
-     * one is missing.
+     * one is missing where another endpoint goes on with the stream.
      */
     suspend fun forward() {
         val events = received.filter { isNext(it) }
@@ -89,14 +96,21 @@
         response.finish()
     }
 
-    /** Returns false for an event that was already forwarded; throws if one is missing. */
+    /**
+     * Returns false for an event that was already forwarded. Ids of one endpoint only have to
+     * increase. Where another endpoint goes on, a step larger than those before throws, since an
+     * event is missing then.
+     */
     private fun isNext(event: StreamEvent): Boolean {
         val id = event.id ?: return true
         val last = lastEventId ?: return true.also { lastEventId = id }
         if (id <= last) return false
-        if (id != last + 1) {
-            throw EventOrderException("expected event ${last + 1}, found $id")
+        val step = id - last
+        if (isResuming && step > largestStep) {
+            throw EventOrderException("expected event ${last + largestStep} at most, found $id")
         }
+        isResuming = false
+        largestStep = maxOf(largestStep, step)
         lastEventId = id
         return true
     }
