--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -9,6 +9,9 @@
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.routing.RoutingTable
 
+/** Longest backoff that is heeded, far above the time in which an endpoint recovers, in ms. */
+public const val MAX_BACKOFF_MS: Long = 600_000L
+
 /** An event for the control thread. */
 public sealed interface ForwardingInput {
     /** A request was received in full. */
--- a/core/src/test/kotlin/cowslipcart/core/rollout/RolloutGateTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/rollout/RolloutGateTest.kt
@@ -70,6 +70,24 @@
 
     private fun countNew(requests: Int): Int = (1..requests).count { versionOfNext() == new }
 
+    /** Guards deployments without roll-outs, whose endpoints are replaced without an order. */
+    @Nested
+    inner class WithoutBounds {
+        @Test
+        fun `versions are not told apart`() {
+            val unbounded = ForwardingFixture()
+            unbounded.listEndpoints(*oldEntries.toTypedArray())
+            unbounded.listEndpoints(*(oldEntries + newEntries).toTypedArray())
+            val ordered = ForwardingInput.RolloutsChanged(RolloutChange.Ordered(order), 0)
+            assertEquals(emptyList(), unbounded.send(ordered))
+            val versions = (1..MANY).mapNotNull {
+                val command = unbounded.arrive(unbounded.call()).firstOrNull()
+                (command as? CallCommand.Send)?.endpoint?.version
+            }
+            assertEquals(setOf(old, new), versions.toSet())
+        }
+    }
+
     @Nested
     inner class WithoutOrder {
         /** Guards against requests to a version that no order names. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -50,6 +50,7 @@
     private val budget: BufferBudget = BufferBudget(MAX_BUFFERED_BYTES)
 ) {
     private val activity = EndpointActivity(clock)
+    private val quietEndpoints = QuietEndpoints(clock)
 
     /** Returns the account for the responses to one request. */
     fun openBuffers(): BufferBudget.Owner = budget.Owner()
@@ -78,7 +79,7 @@
         val closing = caller.onClose { connection.abort() }
         try {
             caller.confirmOpen()
-            if (clock.nowMs() > dispatch.validUntilMs) {
+            if (clock.nowMs() > dispatch.validUntilMs || endpoint in quietEndpoints) {
                 return ExchangeResult(AttemptOutcome.Withheld)
             }
             val result = attempt.run()
@@ -133,7 +134,6 @@
 
         suspend fun run(): ExchangeResult = coroutineScope {
             val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
-            listener.onSent()
             try {
                 receive(sending)
             } finally {
@@ -256,7 +256,7 @@
             metadata: ResponseMetadata,
             reader: BodyReader
         ): ExchangeResult {
-            listener.onBackoff(metadata.backoff)
+            onBackoff(metadata.backoff)
             reader.skipAll(MAX_DECLINE_BYTES)
             val reason = when (head.status) {
                 WRONG_ENDPOINT_STATUS -> DeclineReason.WRONG_ENDPOINT
@@ -265,13 +265,19 @@
             return ExchangeResult(AttemptOutcome.Declined(reason))
         }
 
+        /** Control is told first, so that it has the wish before an attempt that is withheld. */
+        private fun onBackoff(request: BackoffRequest) {
+            listener.onBackoff(request)
+            quietEndpoints.onAnswer(endpoint, request)
+        }
+
         private suspend fun receiveComplete(
             head: ResponseHead,
             metadata: ResponseMetadata,
             reader: BodyReader,
             isFramed: Boolean
         ): ExchangeResult {
-            listener.onBackoff(metadata.backoff)
+            onBackoff(metadata.backoff)
             val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
