Count only excess bad answers against a version that one cohort fails

Cause: the limit of 35 bad answers counted those of a usual rate as well, so after some thousand answers a single faulty endpoint would have condemned a good version. Change: bad answers beyond the earlier version's rate count.

--- a/core/src/main/kotlin/cowslipcart/core/rollout/RolloutVerdict.kt
+++ b/core/src/main/kotlin/cowslipcart/core/rollout/RolloutVerdict.kt
@@ -42,7 +42,7 @@
                 comparison.onEarlier(tally, nowMs)
             } else {
                 comparison.onNew(key.cohort, tally)
-                val isBad = comparison.isBad || (badCount >= MOST_BAD && comparison.isSuspect)
+                val isBad = comparison.isBad || (excessCount >= MOST_BAD && comparison.isSuspect)
                 if (isBad && bad == null) {
                     bad = Verdict.Bad(key.route, property, comparison.evidence())
                 }
@@ -54,6 +54,10 @@
     val badCount: Int
         get() = comparisons.values.sumOf { routes -> routes.values.maxOf { it.newTotal.bad } }
 
+    /** Bad answers beyond those that the earlier version would have had. */
+    private val excessCount: Double
+        get() = comparisons.values.sumOf { routes -> routes.values.maxOf { it.excess } }
+
     /** Returns the verdict; one that is bad stays so. */
     fun judge(nowMs: Long): Verdict {
         bad?.let { return it }
@@ -79,8 +83,8 @@
 
     private companion object {
         /**
-         * With so many bad answers a version is given up, even if one cohort had them all. After 50
-         * the time to the roll-back counts.
+         * With so many more bad answers a version is given up, even if one cohort had them all.
+         * After 50 the time to the roll-back counts.
          */
         const val MOST_BAD = 35
     }
@@ -101,6 +105,10 @@
     var newTotal = Tally()
         private set
 
+    /** Bad answers beyond those of the earlier version's rate; forgets good times as [sum] does. */
+    var excess = 0.0
+        private set
+
     /** Logarithm of the ratio of the probabilities of all answers, bad version to good one. */
     private var ratio = 0.0
 
@@ -130,6 +138,7 @@
         val change = tally.bad * Math.log(badRate / goodRate) +
             (tally.judged - tally.bad) * Math.log((1 - badRate) / (1 - goodRate))
         ratio += change
+        excess = maxOf(0.0, excess + tally.bad - tally.judged * goodRate)
         sum = maxOf(0.0, sum + change)
         for (index in sumWithout.indices) {
             if (index != cohort.value) sumWithout[index] = maxOf(0.0, sumWithout[index] + change)
