--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -148,7 +148,9 @@
         /** Extra time that a request takes on a full endpoint, in ms. */
         const val CONTENTION_MS = 120.0
 
-        /** About the prefill of a long prompt, the usual difference between two endpoints, in ms. */
+        /**
+         * About the prefill of a long prompt, the usual difference between two endpoints, in ms.
+         */
         const val MEAN_RANDOM_COST_MS = 40.0
 
         /** Interval between two ends of requests on a full reference engine, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaReserve.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuotaReserve.kt
@@ -2,7 +2,9 @@
 
 /** What the bucket of an organisation must hold before a request takes its units. */
 internal sealed interface QuotaReserve {
-    /** Returns the units that a request of [cost] needs while hosts share [liveShare] of [burst]. */
+    /**
+     * Returns the units that a request of [cost] needs while hosts share [liveShare] of [burst].
+     */
     fun neededUnits(cost: Double, burst: Double, liveShare: Double): Double = when (this) {
         is Kept -> {
             val capacity = burst * liveShare
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/PlacementLoadTest.kt
@@ -157,7 +157,8 @@
     }
 
     /**
-     * Load pattern: a fifth of the endpoints is 2.5 times slower for 0.6 s at a time. Guards against
+     * Load pattern: a fifth of the endpoints is 2.5 times slower for 0.6 s at a time. Guards
+     * against
      * prompts that go to an endpoint that has just stated its slowness.
      */
     @Nested
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -57,7 +57,8 @@
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
-     * returned, and counts in [buffers] until these are released. The connection to the endpoint is closed before a replaced attempt returns.
+     * returned, and counts in [buffers] until these are released. The connection to the endpoint is
+     * closed before a replaced attempt returns.
      * Throws [CallerDisconnectedException] if the caller can't be written to; failures of the
      * endpoint are returned as an outcome.
      */
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/BrokenAnswerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/BrokenAnswerTest.kt
@@ -75,7 +75,9 @@
             assertNotWhole(WorkKind.AtMostOnce, answer, 0 until answer.length)
         }
 
-        /** Behind the head the end of the connection is the end of the answer, unless it is empty. */
+        /**
+         * Behind the head the end of the connection is the end of the answer, unless it is empty.
+         */
         @Test
         fun `an answer without a length`() {
             val head = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n"
