--- a/core/src/main/kotlin/cowslipcart/core/intake/IntakeBudget.kt
+++ b/core/src/main/kotlin/cowslipcart/core/intake/IntakeBudget.kt
@@ -143,7 +143,7 @@
     private inline fun yieldingBytes(filter: (Hold) -> Boolean): Long =
         holds.values.sumOf { if (it.isRefused && filter(it)) it.bytes else 0L }
 
-    /** Returns by how much the bytes that [hold] asks for exceed the room; 0 or less if they fit. */
+    /** Returns by how much what [hold] asks for exceeds the room; 0 or less if it fits. */
     private fun shortageBytes(hold: Hold): Long =
         maxOf(shortageOfAllBytes(hold), largeShortageBytes(hold))
 
--- a/core/src/test/kotlin/cowslipcart/core/intake/IntakeBudgetTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/intake/IntakeBudgetTest.kt
@@ -43,7 +43,7 @@
             assertEquals(LARGEST_BYTES, budget.heldBytes)
         }
 
-        /** Guards against ordinary requests that are kept out by large ones that wait for answers. */
+        /** Guards against ordinary requests that are kept out by large ones in work. */
         @Test
         fun `a small request finds room beside large ones`() {
             budget.complete(hold("a", limits.largeRequestBytes))
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointConnections.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.model.PoolId
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteSource
+import cowslipcart.daemon.http1.RequestBody
 import cowslipcart.daemon.http1.ResponseHead
 import cowslipcart.daemon.http1.SocketInput
 import cowslipcart.daemon.http1.SocketSink
@@ -34,6 +35,16 @@
      */
     suspend fun send(bytes: ByteArray) = sink.send(bytes)
 
+    /**
+     * Sends [head] and [body]. The first piece goes out together with the head, so that a short
+     * request is one packet.
+     */
+    suspend fun send(head: ByteArray, body: RequestBody) {
+        val pieces = body.pieces
+        send(if (pieces.isEmpty()) head else head + pieces.first())
+        for (index in 1 until pieces.size) send(pieces[index])
+    }
+
     /** Closes the connection; what was sent still reaches the peer. */
     fun close() = socket.close()
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -56,9 +56,9 @@
 
     /**
      * Runs one attempt. Events of a stream go to [relay] as they arrive; any other response is
-     * returned, and counts in [buffers] until these are released. The connection to the endpoint is closed before a replaced attempt returns.
-     * Throws [CallerDisconnectedException] if the caller can't be written to; failures of the
-     * endpoint are returned as an outcome.
+     * returned, and counts in [buffers] until these are released. The connection to the endpoint is
+     * closed before a replaced attempt returns. Throws [CallerDisconnectedException] if the caller
+     * can't be written to; failures of the endpoint are returned as an outcome.
      */
     suspend fun run(
         call: ForwardedCall,
@@ -156,7 +156,7 @@
                     request.head.target,
                     headers
                 )
-                sendMessage(head)
+                connection.send(head, request.body)
             } catch (_: IOException) {
                 connection.abort()
             } catch (_: CancellationException) {
@@ -165,16 +165,6 @@
             }
         }
 
-        /**
-         * Sends [head] and the body. The first piece goes out together with the head, so that a
-         * short request is one packet.
-         */
-        private suspend fun sendMessage(head: ByteArray) {
-            val pieces = request.body.pieces
-            connection.send(if (pieces.isEmpty()) head else head + pieces.first())
-            for (index in 1 until pieces.size) connection.send(pieces[index])
-        }
-
         private fun lengthHeader(): List<Header> {
             val isNeeded = request.body.size > 0 || request.head.method !in BODILESS_METHODS
             return if (isNeeded) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayState.kt
@@ -67,7 +67,7 @@
      */
     suspend fun readUnlessClosing(closing: Job? = null, read: suspend () -> Boolean): Boolean =
         coroutineScope {
-            // Starts undispatched, so that bytes which have arrived are read although it is closing.
+            // Starts undispatched, so that what has arrived is read although it is closing.
             val reading = async(start = CoroutineStart.UNDISPATCHED) { read() }
             select {
                 reading.onAwait { it }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/IntakeHold.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/IntakeHold.kt
@@ -17,7 +17,7 @@
 
 /** The memory of one request of a caller, until its answer has ended. */
 internal class IntakeHold(val id: HoldId, private val intake: CallerIntake) : BufferAccount {
-    /** Completes when the bytes that the request waits for are granted; null if it does not wait. */
+    /** Completes when what the request waits for is granted; null if it does not wait. */
     @Volatile
     var wait: CompletableJob? = null
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -37,8 +37,8 @@
 
     /**
      * Reads up to [length] bytes (at least one) of the body into [buffer] from [start] on; returns
-     * their number, or -1 at the end of the body. Throws an IOException if the connection ends first
-     * or the framing is malformed.
+     * their number, or -1 at the end of the body. Throws an IOException if the connection ends
+     * first or the framing is malformed.
      */
     suspend fun read(buffer: ByteArray, start: Int, length: Int): Int {
         if (isComplete) return -1
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/WatchedInput.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/WatchedInput.kt
@@ -16,7 +16,7 @@
 import kotlinx.coroutines.yield
 
 /**
- * Reads from a TCP connection like [SocketInput], and bytes that nobody asks for stay in the kernel.
+ * Reads from a TCP connection like [SocketInput]; bytes that nobody asks for stay in the kernel.
  * Unlike there, a read can be cancelled and repeated, and the end of the connection is found on the
  * thread of the selector, also while the coroutines of this host are behind with their work:
  * [onEnd] is called there.
