--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/ChunkedBodyCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/ChunkedBodyCrowdTest.kt
@@ -3,13 +3,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /**
  * Guards against a gateway that ends for want of memory when many send chunked bodies at once. The
  * length of such a body is known only when it has ended.
  */
-@Tag("known-red")
 class ChunkedBodyCrowdTest {
     private val fixture = CrowdFixture()
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/ConnectionCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/ConnectionCrowdTest.kt
@@ -3,10 +3,8 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /** Guards against a gateway that opens more descriptors than its machine has. */
-@Tag("known-red")
 class ConnectionCrowdTest {
     private val fixture = CrowdFixture()
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/LargeBodyCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/LargeBodyCrowdTest.kt
@@ -3,10 +3,8 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /** Guards against a gateway that ends for want of memory when many send large bodies at once. */
-@Tag("known-red")
 class LargeBodyCrowdTest {
     private val fixture = CrowdFixture()
     private val bodyBytes = CrowdMachine.LOWERED.bodyBytes
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/OversizedBodyCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/OversizedBodyCrowdTest.kt
@@ -3,13 +3,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /**
  * Guards against a gateway that keeps bodies far over the limit, or what their clients go on to
  * send after the refusal.
  */
-@Tag("known-red")
 class OversizedBodyCrowdTest {
     private val fixture = CrowdFixture()
 
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/SlowReaderCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/SlowReaderCrowdTest.kt
@@ -4,13 +4,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /**
  * Guards against a gateway that ends for want of memory with answers that their clients do not
  * read.
  */
-@Tag("known-red")
 class SlowReaderCrowdTest {
     private val fixture = CrowdFixture()
     private val answers = LargeAnswerRunner(ANSWER_BYTES)
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/SmallestMachineCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/SmallestMachineCrowdTest.kt
@@ -3,13 +3,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /**
  * Guards against a gateway that ends, or opens too many descriptors, with the start line of its
  * deployment on the smallest machine.
  */
-@Tag("known-red")
 class SmallestMachineCrowdTest {
     private val machine = CrowdMachine.SMALLEST
     private val fixture = CrowdFixture(machine)
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/UnusualBodyCrowdTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/crowd/UnusualBodyCrowdTest.kt
@@ -3,13 +3,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 
 /**
  * Guards against a gateway that ends for want of memory when many send large bodies in less usual
  * ways.
  */
-@Tag("known-red")
 class UnusualBodyCrowdTest {
     private val fixture = CrowdFixture()
     private val bodyBytes = CrowdMachine.LOWERED.bodyBytes
