Copy slow idempotent requests only, and learn the times of the losers

Cause, from the review of this part by one who did not write it: a stream that was only slow could be ended after it had begun, and counted as a failure of its endpoint; times of attempts that were replaced or broke were not learned; a tick that fails left its copy due and the control thread without a pause; a first attempt that was not sent freed the number of the copy in flight; requests over a limit earned copies. Change: copies of slow requests are for idempotent requests, once each; losers and failed attempts count with their time so far; ticks for copies are 5 ms apart; CallState.onNothingSent keeps numbers apart.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -20,7 +20,7 @@
     private val waiting = mutableListOf<CallState>()
 
     /** Time on the monotonic clock at which [copySlow] is due; [Long.MAX_VALUE] if it is not. */
-    val nextCopyAtMs: Long get() = copies.nextAtMs
+    val nextCopyAtMs: Long get() = copies.nextCheckAtMs
 
     /** Whether a request waits for a slot. */
     val hasWaiting: Boolean get() = waiting.isNotEmpty()
@@ -28,7 +28,6 @@
     fun onArrived(call: ForwardedCall, nowMs: Long) {
         val state = CallState(call)
         retries.recordRequest(call.pool, nowMs)
-        copies.recordRequest(call.pool)
         when (val admission = quotas.tryTake(call, known.countHosts(nowMs), nowMs)) {
             is SharedQuota.Admission.Later -> {
                 val spread = random.nextDouble()
@@ -38,6 +37,7 @@
             }
 
             SharedQuota.Admission.Taken -> {
+                copies.recordRequest(call.pool)
                 calls[call.id] = state
                 enqueue(state)
             }
@@ -140,7 +140,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.hasStarted = true
-        copies.onFirstEvent(state, attempt, nowMs)
+        copies.onAnswerBegun(state, attempt, nowMs)
         rollouts.answers.onResponseStarted(input, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
         quarantine.onResponseStarted(state.call, nowMs)
@@ -170,7 +170,7 @@
             is AttemptOutcome.NotSent -> onNotSent(state, attempt, nowMs)
 
             is AttemptOutcome.Withheld -> {
-                state.sentCount--
+                state.onNothingSent(attempt)
                 state.tried -= attempt.endpoint.entry.id
                 if (state.inFlight.isEmpty()) requeue(state, nowMs)
             }
@@ -224,7 +224,7 @@
 
     private fun onNotSent(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
         attempt.endpoint.health.onUnreachable(nowMs)
-        state.sentCount--
+        state.onNothingSent(attempt)
         state.connectFailures++
         if (state.inFlight.isNotEmpty()) return
         if (state.connectFailures > MAX_CONNECT_FAILURES) {
@@ -236,6 +236,7 @@
 
     private fun onUnanswered(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
         state.mayHaveRun = true
+        copies.onUnanswered(state, attempt, nowMs)
         attempt.endpoint.health.onFailure(nowMs)
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -24,14 +24,25 @@
     /** Time on the monotonic clock at which the request is refused if no slot is free. */
     var waitUntilMs = call.arrivedAtMs + AdmissionRule.maxWaitMs(call)
 
-    /** Time on the monotonic clock at which a second copy may be due. */
+    /** Time on the monotonic clock at which a second copy may be due; [Long.MAX_VALUE] if none. */
     var copyDueAtMs = Long.MAX_VALUE
 
+    /** Whether a second copy was sent because the request was slow. */
+    var isCopied = false
+
     /** Time until the caller gives up, in ms. */
     fun remainingMs(nowMs: Long): Long = call.deadlineAtMs - nowMs
 
     fun hasTimeForAttempt(nowMs: Long): Boolean = remainingMs(nowMs) >= MIN_ATTEMPT_MS
 
+    /**
+     * No byte of [attempt] was sent, so it does not count. With a later attempt in flight its
+     * number stays taken, or the next attempt would have the number of that one.
+     */
+    fun onNothingSent(attempt: CurrentAttempt) {
+        if (attempt.number == sentCount) sentCount--
+    }
+
     private companion object {
         /** An attempt is not worthwhile with less time left, in ms. */
         const val MIN_ATTEMPT_MS = 15L
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HedgeRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HedgeRule.kt
@@ -12,7 +12,7 @@
  * pool has free slots.
  */
 internal class HedgeRule(private val maxShare: Double) {
-    private val timesByKind = LinkedHashMap<Kind, KindTimes>()
+    private val timesByKind = LinkedHashMap<Kind, KindTimes>(MAX_KINDS, LOAD_FACTOR, true)
     private val allowances = mutableMapOf<PoolId, Double>()
 
     /** Requests of one route with prompts of about the same size. */
@@ -29,17 +29,14 @@
     /** Whether any copies may be sent. */
     val isEnabled: Boolean get() = maxShare > 0
 
-    /** Counts a request that a caller sent. */
+    /** Counts a request that was admitted. */
     fun recordRequest(pool: PoolId) {
         if (!isEnabled) return
         allowances[pool] = minOf(MAX_ALLOWANCE, (allowances[pool] ?: 0.0) + maxShare)
     }
 
-    /**
-     * The first event of [call], or its whole answer, came [tookMs] after it was sent, or had not
-     * come by then.
-     */
-    fun onFirstEvent(call: ForwardedCall, tookMs: Long) {
+    /** The answer to [call] began [tookMs] after it was sent, or had not begun by then. */
+    fun recordTime(call: ForwardedCall, tookMs: Long) {
         if (!isEnabled) return
         val known = timesOf(call)
         val sample = if (tookMs > slowAfterMs(call)) 1.0 else 0.0
@@ -47,7 +44,7 @@
         known.times.add(tookMs)
     }
 
-    /** Returns the time without a first event after which [call] is slow for its kind, in ms. */
+    /** Returns the time without an answer after which [call] is slow for its kind, in ms. */
     fun slowAfterMs(call: ForwardedCall): Long {
         val times = timesOf(call).times
         val objectiveMs = call.route.objectiveMs
@@ -59,8 +56,8 @@
         return maxOf(slowMs, objectiveMs / SHORTEST_DIVISOR)
     }
 
-    /** Whether so many answers of the kind of [call] are slow that a copy would be slow as well. */
-    fun isAllSlow(call: ForwardedCall): Boolean = timesOf(call).slowShare > MAX_SLOW_SHARE
+    /** Whether so many answers to requests like [call] are slow that a copy would be slow too. */
+    fun isMostlySlow(call: ForwardedCall): Boolean = timesOf(call).slowShare > MAX_SLOW_SHARE
 
     /** Whether the allowance of [pool] has a copy left. */
     fun hasAllowance(pool: PoolId): Boolean = (allowances[pool] ?: 0.0) >= 1
@@ -85,7 +82,7 @@
         /** Where more than 5 in 100 answers are slow, the quantile is the time of a slow answer. */
         const val SLOW_MEDIANS = 2
 
-        /** With fewer samples the quantile is that of the slowest one or two. */
+        /** With fewer samples the 95th percentile is the slowest one. */
         const val MIN_SAMPLES = 20
 
         /** Without samples, the copy has the other half of the objective. */
@@ -97,13 +94,14 @@
         /** Six times the share that is slow by definition. */
         const val MAX_SLOW_SHARE = 0.3
 
-        /** Half of it is made up by the last seven answers. */
+        /** Half of the average comes from the last seven answers. */
         const val SLOW_SHARE_WEIGHT = 0.1
 
         /** A host that saves up more would send a burst of copies. */
         const val MAX_ALLOWANCE = 1.0
 
-        /** Configurations may have thousands of routes; the oldest kinds are learned anew. */
+        /** Configurations may have thousands of routes; the least recently used kinds are dropped. */
         const val MAX_KINDS = 128
+        const val LOAD_FACTOR = 0.75f
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
@@ -2,7 +2,6 @@
 
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.routing.WorkKind
-import cowslipcart.core.routing.isRetryable
 
 /** An endpoint for a second copy, and the command that sends it there. */
 internal class SecondCopy(
@@ -22,48 +21,65 @@
     private val hedges = HedgeRule(known.settings.hedgeShare)
 
     /** Time on the monotonic clock at which a request may become slow. */
-    var nextAtMs = Long.MAX_VALUE
+    var nextCheckAtMs = Long.MAX_VALUE
         private set
 
-    /** Counts a request that a caller sent. */
+    /** Counts a request that was admitted. */
     fun recordRequest(pool: PoolId) = hedges.recordRequest(pool)
 
     /** An attempt of [state] was dispatched. */
     fun onDispatched(state: CallState, nowMs: Long) {
-        val mayRepeat = state.call.route.kind.isRetryable && state.inFlight.size == 1
-        if (!hedges.isEnabled || !mayRepeat) return
+        val mayBeCopied = isCopyable(state.call) && state.inFlight.size == 1 && !state.isCopied
+        if (!hedges.isEnabled || !mayBeCopied) return
         state.copyDueAtMs = nowMs + hedges.slowAfterMs(state.call)
-        nextAtMs = minOf(nextAtMs, state.copyDueAtMs)
+        nextCheckAtMs = minOf(nextCheckAtMs, state.copyDueAtMs)
     }
 
     /**
-     * The first event of [attempt] arrived. If that is the second copy, the first one would have
+     * The answer of [attempt] has begun. If that is the second copy, the first attempt would have
      * taken longer.
      */
-    fun onFirstEvent(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
-        if (!state.call.route.kind.isRetryable) return
+    fun onAnswerBegun(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
+        recordTime(state, attempt, nowMs)
         val oldest = state.inFlight.first()
-        hedges.onFirstEvent(state.call, nowMs - attempt.sentAtMs)
-        if (oldest !== attempt) hedges.onFirstEvent(state.call, nowMs - oldest.sentAtMs)
+        if (oldest !== attempt && !oldest.hasStarted) recordTime(state, oldest, nowMs)
+    }
+
+    /** [attempt] ended without an answer. */
+    fun onUnanswered(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
+        if (!attempt.hasStarted) recordTime(state, attempt, nowMs)
+    }
+
+    private fun recordTime(state: CallState, attempt: CurrentAttempt, nowMs: Long) {
+        if (isCopyable(state.call)) hedges.recordTime(state.call, nowMs - attempt.sentAtMs)
+    }
+
+    /**
+     * Whether a slow request may run at two endpoints at once. A stream may not: it would have to
+     * leave an endpoint that is only slow, and might have begun there meanwhile.
+     */
+    private fun isCopyable(call: ForwardedCall): Boolean = when (call.route.kind) {
+        WorkKind.Idempotent -> true
+        WorkKind.AtMostOnce, is WorkKind.EventStream -> false
     }
 
     /** Returns the requests of [calls] that have become slow, and schedules the next look. */
     fun takeSlow(calls: Collection<CallState>, nowMs: Long): List<CallState> {
-        if (nowMs < nextAtMs) return emptyList()
+        if (nowMs < nextCheckAtMs) return emptyList()
         val slow = calls.filter { nowMs >= it.copyDueAtMs }
         for (state in slow) {
             val isWaitingForFirst = state.inFlight.singleOrNull()?.hasStarted == false
             val mayBeCopied = isWaitingForFirst && retries.isAllowed(state, nowMs)
             state.copyDueAtMs = if (mayBeCopied) nowMs + RECHECK_MS else Long.MAX_VALUE
         }
-        nextAtMs = calls.minOfOrNull { it.copyDueAtMs } ?: Long.MAX_VALUE
+        nextCheckAtMs = calls.minOfOrNull { it.copyDueAtMs } ?: Long.MAX_VALUE
         return slow.filter { it.copyDueAtMs != Long.MAX_VALUE }
     }
 
     /** Returns where a copy of the slow request [state] goes; null if none is sent now. */
     fun forSlow(state: CallState, nowMs: Long): SecondCopy? {
         val call = state.call
-        if (!hedges.hasAllowance(call.pool) || hedges.isAllSlow(call)) return null
+        if (!hedges.hasAllowance(call.pool) || hedges.isMostlySlow(call)) return null
         val inPool = known.endpoints.inPool(call.pool)
         if (freeShare(inPool, nowMs) < MIN_FREE_SHARE) return null
         val slowAfterMs = hedges.slowAfterMs(call)
@@ -71,6 +87,7 @@
             it.endpoint.freeSlots > 0 && it.firstTokenMs < slowAfterMs
         } ?: return null
         hedges.spend(call.pool)
+        state.isCopied = true
         state.copyDueAtMs = Long.MAX_VALUE
         return copy
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -52,6 +52,9 @@
     private var nextReportAtMs = 0L
     private var nextTickAtMs = 0L
 
+    /** Bounds the rate of ticks for copies, also if a tick fails and its copy stays due. */
+    private var nextCopyTickAtMs = 0L
+
     /** Queues an input; never blocks. */
     fun submit(input: ForwardingInput) {
         metrics.controlInputs.labelValues("submitted").inc()
@@ -76,7 +79,7 @@
     fun start(scope: CoroutineScope) {
         scope.launch(dispatcher) {
             while (isActive) {
-                val untilCopyMs = controller.nextCopyAtMs() - clock.nowMs()
+                val untilCopyMs = copyTickAtMs() - clock.nowMs()
                 val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
                     .coerceAtMost(maxOf(0, untilCopyMs))
                 val next = messages.receiveOrNull(waitMs)
@@ -168,11 +171,14 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        if (nowMs < minOf(nextTickAtMs, controller.nextCopyAtMs())) return
+        if (nowMs < minOf(nextTickAtMs, copyTickAtMs())) return
         nextTickAtMs = nowMs + controller.nextTickMs()
+        nextCopyTickAtMs = nowMs + MIN_COPY_TICK_MS
         handle(ForwardingInput.Tick)
     }
 
+    private fun copyTickAtMs(): Long = maxOf(controller.nextCopyAtMs(), nextCopyTickAtMs)
+
     private fun report() {
         val nowMs = clock.nowMs()
         if (nowMs < nextReportAtMs) return
@@ -190,5 +196,8 @@
          * Interval of load reports, in ms; bounds the age of the loads on which other hosts decide.
          */
         const val REPORT_INTERVAL_MS = 200L
+
+        /** Delays a copy by less than the time that an answer takes, in ms. */
+        const val MIN_COPY_TICK_MS = 5L
     }
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
@@ -11,6 +11,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -40,6 +41,22 @@
             }
     }
 
+    /** Has a copy due at [copyAtMs], which a tick sends, or fails to send if [isFailing]. */
+    private class CopyingController(private val copyAtMs: Long, private val isFailing: Boolean) :
+        IdleController() {
+        val ticksAtMs = mutableListOf<Long>()
+        private var isSent = false
+
+        override fun nextCopyAtMs(): Long = if (isSent) Long.MAX_VALUE else copyAtMs
+
+        override fun handle(input: ForwardingInput, nowMs: Long): List<ForwardingEffect> {
+            ticksAtMs += nowMs
+            check(!isFailing) { "unexpected" }
+            if (nowMs >= copyAtMs) isSent = true
+            return emptyList()
+        }
+    }
+
     private val controller = RecordingController()
 
     private fun TestScope.createLoop(controller: ForwardingController): ForwardingLoop {
@@ -50,6 +67,27 @@
         return ForwardingLoop(controller, clock, eventLog, metrics, dispatcher) { _, _ -> }
     }
 
+    @Nested
+    inner class Copies {
+        /** Guards against a copy that is sent only with the next regular tick. */
+        @Test
+        fun `a tick comes when a copy is due`() = runTest {
+            val copying = CopyingController(COPY_AT_MS, isFailing = false)
+            createLoop(copying).start(backgroundScope)
+            delay(COPY_AT_MS + 1)
+            assertEquals(COPY_AT_MS, copying.ticksAtMs.last())
+        }
+
+        /** Guards against a control thread that spins since a failed tick leaves its copy due. */
+        @Test
+        fun `ticks that fail are repeated at a bounded rate`() = runTest {
+            val failing = CopyingController(COPY_AT_MS, isFailing = true)
+            createLoop(failing).start(backgroundScope)
+            delay(COPY_AT_MS + 1_000)
+            assertTrue(failing.ticksAtMs.size in 100..300, "found ${failing.ticksAtMs.size}")
+        }
+    }
+
     @Nested
     inner class Inputs {
         /** Guards against requests that get no answer, since the control thread never saw them. */
@@ -107,6 +145,7 @@
     }
 
     private companion object {
+        const val COPY_AT_MS = 50L
         const val TICK_MS = IdleController.TICK_MS
     }
 }
