--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HedgeRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HedgeRule.kt
@@ -100,7 +100,9 @@
         /** A host that saves up more would send a burst of copies. */
         const val MAX_ALLOWANCE = 1.0
 
-        /** Configurations may have thousands of routes; the least recently used kinds are dropped. */
+        /**
+         * Configurations may have thousands of routes; the least recently used ones are dropped.
+         */
         const val MAX_KINDS = 128
         const val LOAD_FACTOR = 0.75f
     }
--- a/core/src/test/kotlin/cowslipcart/core/membership/StableHasherTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/membership/StableHasherTest.kt
@@ -21,7 +21,9 @@
             }
         }
 
-        /** Guards against a hash that changes with the build, as hosts of two builds run at once. */
+        /**
+         * Guards against a hash that changes with the build, as hosts of two builds run at once.
+         */
         @Test
         fun `the hash of a text stays`() {
             assertEquals(-3_586_984_135_100_079_204L, stableHash("shop POST /a/ \u00ff"))
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -11,11 +11,9 @@
 import cowslipcart.daemon.http1.BodyReader
 import cowslipcart.daemon.http1.HeadParser
 import cowslipcart.daemon.http1.Header
-import cowslipcart.daemon.http1.MalformedMessageException
 import cowslipcart.daemon.http1.MessageWriter
 import cowslipcart.daemon.http1.RequestHead
 import cowslipcart.daemon.http1.ResponseHead
-import cowslipcart.daemon.http1.TooLongException
 import java.io.EOFException
 import java.io.IOException
 import kotlinx.coroutines.CancellationException
@@ -36,12 +34,6 @@
 /** Wraps the result of a read, so that a null result differs from a timeout. */
 private class ReadResult<T>(val value: T)
 
-/** Ends an attempt that another one replaces. */
-private class AttemptReplacedException(message: String) : IOException(message)
-
-/** The response is incomplete, not authenticated or not valid for its request. */
-private class InvalidResponseException(message: String) : IOException(message)
-
 /** Runs attempts: sends a request to an endpoint and receives its response. */
 internal class EndpointExchange(
     private val connections: EndpointConnections,
@@ -105,7 +97,7 @@
             if (caller.isClosed) throw CallerDisconnectedException()
             val reason = e.message ?: e.javaClass.simpleName
             return ExchangeResult(
-                AttemptOutcome.Broken(reason, isConnectionLost(e), attempt.isAnswerBegun)
+                AttemptOutcome.Broken(reason, e.isConnectionLost, attempt.isAnswerBegun)
             )
         } finally {
             closing.dispose()
@@ -369,14 +361,6 @@
         }
     }
 
-    /** Whether the endpoint ended the connection; otherwise it sent nothing or a wrong answer. */
-    private fun isConnectionLost(failure: IOException): Boolean = when (failure) {
-        is InvalidResponseException, is EventOrderException -> false
-        is MalformedMessageException, is TooLongException -> false
-        is EventTooLongException, is BufferBudgetException -> false
-        else -> true
-    }
-
     private fun isEventStream(head: ResponseHead): Boolean = head.status == OK_STATUS &&
         head.headers["Content-Type"]?.startsWith("text/event-stream") == true
 
