Close another connection for one whose request crossed the close

The log had 526 connections all the time, 62 over the limit. Cause: a connection that was accepted and not read yet counts as idle and was chosen to be closed; its request then crossed the close and it stayed. With an eighth over the limit open, and none being closed, new connections waited for a close that nobody had begun. Change: a new connection that has to wait has another one closed, as long as less than an eighth is.

--- a/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
+++ b/core/src/main/kotlin/cowslipcart/core/intake/ConnectionLimit.kt
@@ -13,8 +13,11 @@
     /** The connection has to be closed: requests are in work on all others. */
     public data object Refused : ConnectionAdmission
 
-    /** The connection has to wait until others that are being closed are closed. */
-    public data object Busy : ConnectionAdmission
+    /**
+     * The connection has to wait until others that are being closed are closed; [closing] has to be
+     * closed as well, null if none.
+     */
+    public data class Busy(public val closing: ConnectionId?) : ConnectionAdmission
 }
 
 /**
@@ -43,7 +46,12 @@
             victim = idle.firstOrNull() ?: reading.firstOrNull()
                 ?: return ConnectionAdmission.Refused
         }
-        if (open.size >= limits.maxConnections + maxClosing) return ConnectionAdmission.Busy
+        if (open.size >= limits.maxConnections + maxClosing) {
+            // Those whose requests crossed the close stay open, so others have to be closed.
+            if (closing.size >= maxClosing) return ConnectionAdmission.Busy(null)
+            victim?.let { beginClosing(it) }
+            return ConnectionAdmission.Busy(victim)
+        }
         victim?.let { beginClosing(it) }
         val id = ConnectionId(++lastId)
         open += id
--- a/core/src/test/kotlin/cowslipcart/core/intake/ConnectionLimitTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/intake/ConnectionLimitTest.kt
@@ -50,7 +50,21 @@
             repeat(1_000) { limit.open() }
             assertEquals(limits.maxConnections + 1, limit.openCount)
 
-            assertEquals(ConnectionAdmission.Busy, limit.open())
+            assertEquals(ConnectionAdmission.Busy(null), limit.open())
+        }
+
+        /** Guards against requests that crossed a close and keep all new connections out. */
+        @Test
+        fun `another connection is closed for one whose request crossed the close`() {
+            val first = open().id
+            val (second, third) = List(2) { open().id }
+            assertEquals(first, open().closing)
+            limit.onReading(first)
+
+            assertEquals(ConnectionAdmission.Busy(second), limit.open())
+            assertEquals(ConnectionAdmission.Busy(null), limit.open())
+            limit.onClosed(second)
+            assertEquals(third, open().closing)
         }
 
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerIntake.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallerIntake.kt
@@ -42,19 +42,25 @@
     suspend fun openConnection(): ConnectionSlot? {
         repeat(BUSY_ATTEMPTS) {
             var closing: ConnectionSlot? = null
-            val (admission, slot) = synchronized(lock) {
-                val admission = connectionLimit.open()
-                val slot = (admission as? ConnectionAdmission.Accepted)?.let { accepted ->
-                    closing = accepted.closing?.let { slots[it] }
-                    ConnectionSlot(accepted.id).also { slots[accepted.id] = it }
+            var slot: ConnectionSlot? = null
+            val admission = synchronized(lock) {
+                connectionLimit.open().also { admission ->
+                    when (admission) {
+                        is ConnectionAdmission.Accepted -> {
+                            closing = admission.closing?.let { slots[it] }
+                            slot = ConnectionSlot(admission.id).also { slots[admission.id] = it }
+                        }
+
+                        is ConnectionAdmission.Busy ->
+                            closing = admission.closing?.let { slots[it] }
+
+                        ConnectionAdmission.Refused -> Unit
+                    }
                 }
-                admission to slot
-            }
-            if (admission != ConnectionAdmission.Busy) {
-                if (slot == null || closing != null) strike("connections")
-                closing?.close()
-                return slot
             }
+            if (closing != null || admission == ConnectionAdmission.Refused) strike("connections")
+            closing?.close()
+            if (admission !is ConnectionAdmission.Busy) return slot
             delay(BUSY_PAUSE_MS)
         }
         strike("connections")
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.standins.platform.PlatformStoreServer
 import cowslipcart.standins.platform.RunnerServer
+import java.io.IOException
 import java.net.DatagramSocket
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -125,10 +126,23 @@
         store.close()
     }
 
-    private fun freeTcpPort(): Int = ServerSocket(0).use { it.localPort }
+    /**
+     * Returns a port below those that the kernel gives to outgoing connections, since one of these
+     * may take the port before the gateway binds it.
+     */
+    private fun freeTcpPort(): Int =
+        generateSequence { LISTEN_PORTS.random() }.take(MAX_PORT_TRIES).first { port ->
+            try {
+                ServerSocket(port).use { true }
+            } catch (_: IOException) {
+                false
+            }
+        }
 
     companion object {
         const val KEY = "sample-key"
+        private val LISTEN_PORTS = 20_000..32_000
+        private const val MAX_PORT_TRIES = 100
         private const val CHAT = """{"name":"chat","host":"shop.example","pathPrefix":"/chat/",""" +
             """"kind":"streaming","timeoutMs":4000,"targetLatencyMs":500,"priority":0,""" +
             """"service":"model","maxAttempts":2,"sticky":true,"streamResume":true,""" +
