--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLimitsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/CallerLimitsTest.kt
@@ -65,6 +65,8 @@
         fun `a body without room is refused with 503 while its caller sends on`() {
             val fixture = fixture { it.copy(maxWaitMs = 200) }
             val stalled = List(2) { fixture.send(HALF_BYTES + 1, HALF_BYTES) }
+            // Otherwise the large one may be read and answered before them.
+            await { fixture.heldBytes >= 2 * HALF_BYTES }
             val large = fixture.send(HALF_BYTES, HALF_BYTES)
 
             val texts = (stalled + large).map { it.readAll() }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/SessionFixture.kt
@@ -124,6 +124,7 @@
         EndpointEntry(EndpointId("e1"), pool, LOOPBACK, endpointPort, "a", 1, isDraining = false)
     val metrics = GatewayMetrics()
     private val eventLog = GatewayEventLog(clock, metrics)
+    private val intake = CallerIntake(limits, clock, metrics, eventLog)
     private val state = GatewayState()
     val controller = SingleEndpointController(endpoint, decisionMs)
     val connections = EndpointConnections(selector, clock) { 1 }
@@ -131,6 +132,9 @@
     /** Number of open connections of callers. */
     val connectionCount: Int get() = state.openConnections.get()
 
+    /** Bytes that the requests of all callers hold. */
+    val heldBytes: Long get() = intake.heldBytes
+
     /** Port that callers connect to. */
     val port: Int
 
@@ -148,7 +152,7 @@
             metrics,
             clock,
             probe,
-            intake = CallerIntake(limits, clock, metrics, eventLog),
+            intake = intake,
             openInput = { socket, onEnd -> WatchedInput(socket, callerSelector, onEnd) },
             openSink = { SocketSink(it, callerSelector) }
         )
