--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Compiles the cases of the second review and their stand-ins.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p target/classes-2
+javac -d target/classes-2 shared-2/*.java [6-9]/*.java $(ls 10/*.java 2>/dev/null || true)
