--- a/review/shared-2/R2Case.java
+++ b/review/shared-2/R2Case.java
@@ -43,6 +43,9 @@
         for (R2Gateway gateway : gateways) {
             gateway.close();
         }
+        if (record == null || temporary == null) {
+            return;
+        }
         record.close();
         try (var files = Files.walk(temporary)) {
             if (System.getenv("KEEP") == null) {
