Follow the store although a record nests deeper than the stack

Cause: PlatformRecords read `version` and `coldLeftMs`, and PlatformRollouts `to`, as trees of JSON, which is recursive; the StackOverflowError ended the coroutine that follows the table, since the guards caught exceptions only. Counters unreadable_records and store_failures. HostileDatagramTest was green before: datagrams of peers are decoded without recursion.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -97,6 +97,8 @@
         } catch (e: RuntimeException) {
             currentCoroutineContext().ensureActive()
             onException(e)
+        } catch (e: StackOverflowError) {
+            onException(e)
         } finally {
             buffers.release()
             context.loop.unregister(call.id)
@@ -109,7 +111,7 @@
     }
 
     /** Ends a request that a fault of this program has interrupted; it may have run. */
-    private suspend fun onException(exception: RuntimeException) {
+    private suspend fun onException(exception: Throwable) {
         end = "exception"
         context.eventLog.event(
             "request-failed",
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -6,9 +6,12 @@
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.core.store.TableRecord
+import cowslipcart.daemon.catchFailure
+import cowslipcart.daemon.catchStepFailure
 import cowslipcart.daemon.control.RuntimeClock
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 
 /** Components that the followers of all tables use. */
 internal class StoreFollowing(
@@ -20,8 +23,33 @@
     val clock: RuntimeClock,
     val orders: OrderListener = OrderListener { false }
 ) {
-    val unreadable = UnreadableRecords { key ->
-        eventLog.event("record-unreadable", "key" to key)
+    private val unreadable = UnreadableRecords { table, key ->
+        eventLog.unreadableRecord(table, key)
+    }
+
+    /**
+     * Decodes the value of [record] of [table] by [decode]. Returns null for a deleted record, and
+     * for one that [decode] does not accept or fails on, which is reported: it may be of another
+     * writer, and the others have to be followed all the same.
+     */
+    fun <T : Any> decodeOrReport(
+        table: StoreTable,
+        record: TableRecord,
+        decode: (ByteArray) -> T?
+    ): T? {
+        val value = record.value ?: return null
+        var decoded: T? = null
+        val failure = catchFailure { decoded = decode(value) }
+        if (failure != null) eventLog.storeFailure(table, failure, record.key)
+        if (decoded == null) unreadable.report(table, record)
+        return decoded
+    }
+
+    /** Runs [step]; logs its failure and pauses, so that [table] is followed further. */
+    suspend fun guard(table: StoreTable, step: suspend () -> Unit) {
+        val failure = catchStepFailure(step) ?: return
+        eventLog.storeFailure(table, failure)
+        delay(StoreHealth.FIRST_RETRY_DELAY_MS)
     }
 }
 
@@ -100,15 +128,12 @@
     private fun notifyRouting(records: List<TableRecord>): TableRecord? {
         var newest: TableRecord? = null
         for (record in records) {
-            val value = record.value ?: continue
-            if (following.orders.onRecord(record)) continue
-            val table = following.decoder.decodeRouting(record.key, value)
-            if (table == null) {
-                following.unreadable.report(StoreTable.CONFIGURATION, record)
-            } else {
-                newest = record
-                following.listener.onRouting(table)
-            }
+            if (record.value == null || following.orders.onRecord(record)) continue
+            val table = following.decodeOrReport(StoreTable.CONFIGURATION, record) {
+                following.decoder.decodeRouting(record.key, it)
+            } ?: continue
+            newest = record
+            following.listener.onRouting(table)
         }
         return newest
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -11,6 +11,7 @@
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
 import cowslipcart.core.rollout.RolloutEffect
+import cowslipcart.daemon.catchFailure
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -158,15 +159,12 @@
         }
     }
 
-    /** Runs [step]; logs its exception, so that the loop goes on, and returns false then. */
-    @Suppress("TooGenericExceptionCaught")
-    private fun guard(name: String, step: () -> Unit): Boolean = try {
-        step()
-        true
-    } catch (e: RuntimeException) {
-        val origin = e.stackTrace.firstOrNull()
-        eventLog.event("control-failed", "step" to name, "reason" to "$e", "at" to "$origin")
-        false
+    /** Runs [step]; logs its failure, so that the loop goes on, and returns false then. */
+    private fun guard(name: String, step: () -> Unit): Boolean {
+        val failure = catchFailure(step) ?: return true
+        val origin = failure.stackTrace.firstOrNull()
+        eventLog.event("control-failed", "step" to name, "reason" to "$failure", "at" to "$origin")
+        return false
     }
 
     private fun tick() {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -13,6 +13,7 @@
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.TableRecord
 import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.catchStepFailure
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.SocketSink
 import cowslipcart.daemon.http1.WatchedInput
@@ -263,17 +264,22 @@
                 delay(ACCEPT_PAUSE_MS)
                 continue
             }
-            serve(socket)
+            guard("accept-failed") { serve(socket) }
         }
     }
 
     private suspend fun evictIdleConnections() {
         while (true) {
             delay(IDLE_EVICTION_INTERVAL_MS)
-            connections.evict(listedEndpoints)
+            guard("eviction-failed") { connections.evict(listedEndpoints) }
         }
     }
 
+    /** Runs [step]; logs its failure under [name], so that the loop around it goes on. */
+    private suspend fun guard(name: String, step: suspend () -> Unit) {
+        catchStepFailure(step)?.let { eventLog.event(name, "reason" to "$it") }
+    }
+
     private companion object {
         /**
          * Time from the stop signal until new requests are rejected, in ms. The load balancer
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.rollout.RolloutEffect
+import cowslipcart.core.store.StoreTable
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -148,6 +149,27 @@
             ?.log("rejected")
     }
 
+    /** Writes and counts that the record at [key] of [table] can't be read. */
+    fun unreadableRecord(table: StoreTable, key: String) {
+        metrics.unreadableRecords.labelValues(table.name).inc()
+        event("record-unreadable", "table" to table.name, "key" to key)
+    }
+
+    /**
+     * Writes and counts that a step which follows [table] threw [failure], at the record with
+     * [key] if not null.
+     */
+    fun storeFailure(table: StoreTable, failure: Throwable, key: String? = null) {
+        metrics.storeFailures.labelValues(table.name).inc()
+        event(
+            "store-failed",
+            "table" to table.name,
+            "reason" to "$failure",
+            "at" to "${failure.stackTrace.firstOrNull()}",
+            "key" to key
+        )
+    }
+
     /** Writes a process event such as start, stop, reload, or a dependency lost or regained. */
     fun event(name: String, vararg fields: Pair<String, Any?>) {
         var builder = line() ?: return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -34,6 +34,14 @@
     /** Calls to the platform's store, by operation and result. */
     val storeCalls: Counter = counter("store_calls", "Calls to the store", "call", "result")
 
+    /** Records of the store that can't be read, each time that one is new. */
+    val unreadableRecords: Counter =
+        counter("unreadable_records", "Records of the store that can't be read", "table")
+
+    /** Steps of following a table of the store that threw; the table is followed further. */
+    val storeFailures: Counter =
+        counter("store_failures", "Failed steps of following the store", "table")
+
     /** Datagrams between hosts; the label says whether sent, received, failed or unreadable. */
     val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.rollout.RolloutNotice
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.catchStepFailure
 import cowslipcart.wire.datagram.DatagramCodec
 import cowslipcart.wire.datagram.PeerDatagram
 import cowslipcart.wire.datagram.RelayedReport
@@ -20,9 +21,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
@@ -172,18 +171,12 @@
         onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
     }
 
-    /**
-     * Runs [step]; logs its exception and waits a moment, so that the exchange of reports goes on.
-     */
-    @Suppress("TooGenericExceptionCaught")
+    /** Runs [step]; logs its failure and waits a moment, so that the exchange goes on. */
     private suspend fun guard(name: String, step: suspend () -> Unit) {
-        try {
-            step()
-        } catch (e: Exception) {
-            currentCoroutineContext().ensureActive()
-            eventLog.event("report-failed", "step" to name, "reason" to "$e")
-            delay(FAILURE_DELAY_MS)
-        }
+        val failure = catchStepFailure(step) ?: return
+        metrics.peerReports.labelValues("failed").inc()
+        eventLog.event("report-failed", "step" to name, "reason" to "$failure")
+        delay(FAILURE_DELAY_MS)
     }
 
     private fun onReceived(bytes: ByteArray, from: InetSocketAddress?) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RolloutFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RolloutFollower.kt
@@ -15,9 +15,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 
@@ -66,9 +63,8 @@
 ) {
     private val following = links.following
     private val clock = following.clock
-    private val eventLog = following.eventLog
     private val table = StoreTable.ROLLOUTS
-    private val health = StoreHealth(table, eventLog, random)
+    private val health = StoreHealth(table, following.eventLog, random)
     private val freshness = TableFreshness(FIRST_MAX_AGE_MS, LONGEST_MAX_AGE_MS)
     private val wakeUps = Channel<Unit>(Channel.CONFLATED)
     private val writes =
@@ -90,12 +86,8 @@
     /** Takes the orders that this host reads in the table of configurations. */
     fun onOrder(record: TableRecord): Boolean {
         if (!codec.isOrder(record.key)) return false
-        val order = codec.decodeOrder(record)
-        if (order == null) {
-            following.unreadable.report(StoreTable.CONFIGURATION, record)
-        } else {
-            links.submit(RolloutChange.Ordered(order))
-        }
+        following.decodeOrReport(StoreTable.CONFIGURATION, record) { codec.decodeOrder(record) }
+            ?.let { links.submit(RolloutChange.Ordered(it)) }
         return true
     }
 
@@ -127,8 +119,8 @@
 
     /** Follows the table until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
-        scope.launch { while (isActive) guard { followOnce() } }
-        scope.launch { for (write in writes) guard { write(write) } }
+        scope.launch { while (isActive) following.guard(table) { followOnce() } }
+        scope.launch { for (write in writes) following.guard(table) { write(write) } }
     }
 
     private fun askRead() {
@@ -187,11 +179,10 @@
         links.submit(read)
     }
 
-    private fun decode(records: List<TableRecord>): List<StoredRollout> = records.mapNotNull {
-        val stored = if (it.value == null) null else codec.decodeRollout(it)
-        if (stored == null && it.value != null) following.unreadable.report(table, it)
-        stored
-    }
+    private fun decode(records: List<TableRecord>): List<StoredRollout> =
+        records.mapNotNull { record ->
+            following.decodeOrReport(table, record) { codec.decodeRollout(record) }
+        }
 
     private suspend fun write(write: RolloutEffect.Write) {
         val encoded = codec.encodeRollout(write.record)
@@ -204,24 +195,6 @@
         askRead()
     }
 
-    /** Runs [step]; logs its exception and pauses, so that the table is followed further. */
-    @Suppress("TooGenericExceptionCaught")
-    private suspend fun guard(step: suspend () -> Unit) {
-        try {
-            step()
-        } catch (e: RuntimeException) {
-            currentCoroutineContext().ensureActive()
-            val origin = e.stackTrace.firstOrNull()
-            eventLog.event(
-                "store-failed",
-                "table" to table.name,
-                "reason" to "$e",
-                "at" to "$origin"
-            )
-            delay(StoreHealth.FIRST_RETRY_DELAY_MS)
-        }
-    }
-
     private companion object {
         /** Age at which the first host of a group reads the table again, in ms. */
         const val FIRST_MAX_AGE_MS = 900L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -20,7 +20,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
@@ -70,7 +69,6 @@
     private val store = following.store
     private val listener = following.listener
     private val publisher = following.publisher
-    private val eventLog = following.eventLog
     private val clock = following.clock
     private val endpoints = EndpointFeed()
     private val endpointHealth = healthOf(StoreTable.ENDPOINTS)
@@ -88,31 +86,22 @@
 
     /** Starts following the store, and registers [self] with [record] in it. */
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
+        scope.launch { repeatGuarded(StoreTable.CONFIGURATION) { configuration.followOnce() } }
+        scope.launch { repeatGuarded(StoreTable.ENDPOINTS) { followEndpoints() } }
         scope.launch {
-            while (isActive) guard(StoreTable.CONFIGURATION) { configuration.followOnce() }
+            var isRegistered = false
+            while (!isRegistered) {
+                following.guard(StoreTable.HOSTS) {
+                    register(self, record)
+                    isRegistered = true
+                }
+            }
         }
-        scope.launch { while (isActive) guard(StoreTable.ENDPOINTS) { followEndpoints() } }
-        scope.launch { guard(StoreTable.HOSTS) { register(self, record) } }
-        scope.launch { while (isActive) guard(StoreTable.HOSTS) { listHosts() } }
+        scope.launch { repeatGuarded(StoreTable.HOSTS) { listHosts() } }
     }
 
-    /** Runs [step]; logs its exception and pauses, so that the table is followed further. */
-    @Suppress("TooGenericExceptionCaught")
-    private suspend fun guard(table: StoreTable, step: suspend () -> Unit) {
-        try {
-            step()
-        } catch (e: RuntimeException) {
-            // A closed channel can throw a CancellationException although nothing is cancelled.
-            currentCoroutineContext().ensureActive()
-            val origin = e.stackTrace.firstOrNull()
-            eventLog.event(
-                "store-failed",
-                "table" to table.name,
-                "reason" to "$e",
-                "at" to "$origin"
-            )
-            delay(StoreHealth.FIRST_RETRY_DELAY_MS)
-        }
+    private suspend fun repeatGuarded(table: StoreTable, step: suspend () -> Unit) {
+        while (currentCoroutineContext().isActive) following.guard(table, step)
     }
 
     /** Queues an update that another host read from the store; never blocks. */
@@ -199,9 +188,8 @@
     private fun decodeEndpoints(records: List<TableRecord>): List<EndpointChange> =
         records.map { record ->
             val id = EndpointId(record.key)
-            val decoded = record.value?.let { following.decoder.decodeEndpoint(id, it) }
-            if (decoded == null && record.value != null) {
-                following.unreadable.report(StoreTable.ENDPOINTS, record)
+            val decoded = following.decodeOrReport(StoreTable.ENDPOINTS, record) {
+                following.decoder.decodeEndpoint(id, it)
             }
             EndpointChange(id, decoded, record.offset)
         }
@@ -239,9 +227,8 @@
 
     private fun decodeHosts(records: List<TableRecord>): Map<HostId, HostRecord> =
         records.mapNotNull { record ->
-            val decoded = record.value?.let { HostRecord.decode(it) }
-            if (decoded == null) following.unreadable.report(StoreTable.HOSTS, record)
-            decoded?.let { HostId(record.key) to it }
+            following.decodeOrReport(StoreTable.HOSTS, record) { HostRecord.decode(it) }
+                ?.let { HostId(record.key) to it }
         }.toMap()
 
     private companion object {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/UnreadableRecords.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/UnreadableRecords.kt
@@ -9,7 +9,7 @@
  * Reports the key of each unreadable record once to [log], although every snapshot holds the record
  * again.
  */
-internal class UnreadableRecords(private val log: (String) -> Unit) {
+internal class UnreadableRecords(private val log: (StoreTable, String) -> Unit) {
     private data class RecordKey(val table: StoreTable, val key: String)
 
     private val reportedOffsets = ConcurrentHashMap<RecordKey, LogOffset>()
@@ -18,7 +18,7 @@
     fun report(table: StoreTable, record: TableRecord) {
         if (reportedOffsets.size >= MAX_RECORDS) reportedOffsets.clear()
         val before = reportedOffsets.put(RecordKey(table, record.key), record.offset)
-        if (before != record.offset) log(record.key)
+        if (before != record.offset) log(table, record.key)
     }
 
     private companion object {
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
@@ -0,0 +1,218 @@
+package cowslipcart.daemon.gateway
+
+import arrow.core.Either
+import arrow.core.right
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.Revision
+import cowslipcart.core.routing.CallerLimits
+import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.store.EndpointRecord
+import cowslipcart.core.store.KeyedStore
+import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreTable
+import cowslipcart.core.store.StoreUpdate
+import cowslipcart.core.store.TableChanges
+import cowslipcart.core.store.TableRecord
+import cowslipcart.core.store.TableSnapshot
+import cowslipcart.daemon.SocketAddressSetting
+import cowslipcart.daemon.control.RuntimeClock
+import java.io.IOException
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Nested
+
+/**
+ * Guards against one record of another writer that ends what follows the store: the decoder of the
+ * platform overflowed the stack on lists nested in each other, and no gateway served again.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+class OddStoreRecordsTest {
+    /** Store with the tables of endpoints and configurations, which have the same offsets. */
+    private class SmallStore : KeyedStore {
+        private val records = mutableMapOf<StoreTable, MutableList<TableRecord>>()
+
+        /** Thrown by the next read of the endpoints. */
+        var failure: Throwable? = null
+
+        fun write(table: StoreTable, key: String, value: String) {
+            val written = records.getOrPut(table) { mutableListOf() }
+            val offset = LogOffset(written.size.toLong())
+            written += TableRecord(key, value.encodeToByteArray(), offset)
+        }
+
+        private fun recordsOf(table: StoreTable): List<TableRecord> = records[table].orEmpty()
+
+        override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> {
+            val newest = recordsOf(table).associateBy { it.key }.values.toList()
+            return TableSnapshot(newest, LogOffset(recordsOf(table).size.toLong())).right()
+        }
+
+        override suspend fun changes(
+            table: StoreTable,
+            from: LogOffset,
+            waitMs: Long,
+            responseTimeoutMs: Long
+        ): Either<StoreError, TableChanges> {
+            failure?.takeIf { table == StoreTable.ENDPOINTS }?.let {
+                failure = null
+                throw it
+            }
+            delay(POLL_MS)
+            val next = LogOffset(recordsOf(table).size.toLong())
+            return TableChanges(recordsOf(table).filter { it.offset >= from }, next).right()
+        }
+
+        override suspend fun put(table: StoreTable, key: String, value: ByteArray) =
+            Either.Right(Unit)
+
+        override suspend fun putAt(
+            table: StoreTable,
+            key: String,
+            value: ByteArray,
+            expectedEnd: LogOffset
+        ) = Either.Right(Unit)
+    }
+
+    /** Decodes the revision of a configuration and any endpoint, but throws on [ODD] values. */
+    private object FailingDecoder : RecordDecoder {
+        private fun read(value: ByteArray): String {
+            val text = value.decodeToString()
+            if (text == ODD) throw StackOverflowError()
+            return text
+        }
+
+        override fun decodeRouting(key: String, value: ByteArray): RoutingTable = RoutingTable(
+            Revision(read(value).toLong()),
+            emptyList(),
+            emptyList(),
+            emptyMap(),
+            CallerLimits(1, 1, 1, 1),
+            requiresKey = false
+        )
+
+        override fun decodeEndpoint(id: EndpointId, value: ByteArray): EndpointRecord {
+            val entry = EndpointEntry(id, PoolId(read(value)), "127.0.0.1", 1, "a", 4, false)
+            return EndpointRecord(entry, startedAtMs = 1, sequence = 1)
+        }
+    }
+
+    private object SilentPublisher : StoreUpdatePublisher {
+        override val groupRank = 0
+
+        override fun publish(update: StoreUpdate) = Unit
+    }
+
+    private val store = SmallStore()
+    private var endpoints = emptySet<String>()
+    private var revision = 0L
+
+    private fun TestScope.follow() {
+        val clock = RuntimeClock(testTimeSource)
+        val listener = object : StoreListener {
+            override fun onRouting(table: RoutingTable) {
+                revision = table.revision.value
+            }
+
+            override fun onEndpoints(entries: List<EndpointEntry>) {
+                endpoints = entries.map { it.id.value }.toSet()
+            }
+
+            override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
+
+            override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
+        }
+        val log = GatewayEventLog(clock, GatewayMetrics())
+        val following =
+            StoreFollowing(store, FailingDecoder, listener, SilentPublisher, log, clock)
+        val record = HostRecord(SocketAddressSetting("127.0.0.1", 1), HostProfile("a", 1.0))
+        StoreFollower(following, configurationBoundMs = 2_000, Random(3))
+            .start(backgroundScope, HostId("h"), record)
+    }
+
+    @Nested
+    inner class Records {
+        @Test
+        fun `the endpoints beside an odd record are known at the start`() = runTest {
+            store.write(StoreTable.ENDPOINTS, "e1", "p")
+            store.write(StoreTable.ENDPOINTS, "odd", ODD)
+            store.write(StoreTable.ENDPOINTS, "e2", "p")
+            follow()
+            delay(SETTLE_MS)
+
+            assertEquals(setOf("e1", "e2"), endpoints)
+        }
+
+        @Test
+        fun `endpoints are followed further after an odd record`() = runTest {
+            store.write(StoreTable.ENDPOINTS, "e1", "p")
+            follow()
+            delay(SETTLE_MS)
+            store.write(StoreTable.ENDPOINTS, "odd", ODD)
+            store.write(StoreTable.ENDPOINTS, "e2", "p")
+            delay(SETTLE_MS)
+            store.write(StoreTable.ENDPOINTS, "e3", "p")
+            delay(SETTLE_MS)
+
+            assertEquals(setOf("e1", "e2", "e3"), endpoints)
+        }
+
+        @Test
+        fun `a configuration is in force after an odd one`() = runTest {
+            store.write(StoreTable.CONFIGURATION, "config", "7")
+            follow()
+            delay(SETTLE_MS)
+            store.write(StoreTable.CONFIGURATION, "config", ODD)
+            delay(SETTLE_MS)
+            store.write(StoreTable.CONFIGURATION, "config", "9")
+            delay(SETTLE_MS)
+
+            assertEquals(9, revision)
+        }
+    }
+
+    @Nested
+    inner class Steps {
+        /** The step that reads may fail as well, with whatever a library throws. */
+        @Test
+        fun `the store is followed further after any error and exception`() = runTest {
+            store.write(StoreTable.ENDPOINTS, "e0", "p")
+            follow()
+            delay(SETTLE_MS)
+            val failures = listOf(
+                StackOverflowError(),
+                NoClassDefFoundError("lost"),
+                IOException("closed"),
+                IllegalStateException("unexpected")
+            )
+            for ((number, failure) in failures.withIndex()) {
+                store.failure = failure
+                while (store.failure != null) delay(POLL_MS)
+                store.write(StoreTable.ENDPOINTS, "e${number + 1}", "p")
+                delay(SETTLE_MS)
+                assertTrue("e${number + 1}" in endpoints, "after $failure: $endpoints")
+            }
+        }
+    }
+
+    private companion object {
+        const val ODD = "odd"
+
+        /** Time of a read, in ms. */
+        const val POLL_MS = 10L
+
+        /** Several reads and the pause after a failed one, in ms. */
+        const val SETTLE_MS = 4_000L
+    }
+}
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/UnreadableRecordsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/UnreadableRecordsTest.kt
@@ -9,7 +9,7 @@
 
 class UnreadableRecordsTest {
     private val logged = mutableListOf<String>()
-    private val unreadable = UnreadableRecords { logged += it }
+    private val unreadable = UnreadableRecords { _, key -> logged += key }
 
     private fun record(key: String, offset: Long) =
         TableRecord(key, ByteArray(1), LogOffset(offset))
