Keep the daemon's loops going after an error

Cause: as in a gateway, an exception or an error in a step ended the reading of a log stream, of the list of hosts or of loads, the accept loop of peers or the report of progress for good. Change: these loops run through repeatGuarded, which logs the failure and pauses; the control loop catches errors too. Red before: PlatformStreamsTest, "a stream is read further after its read or its page has failed" (StackOverflow). The other loops have no test of their own.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -51,7 +51,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
@@ -179,12 +178,10 @@
     }
 
     /** Periodically submits the progress of running streams to the controller. */
-    private suspend fun CoroutineScope.reportProgress() {
-        while (isActive) {
-            delay(PROGRESS_INTERVAL_MS)
-            val progress = registry.collectProgress()
-            if (progress.isNotEmpty()) controlLoop.submit(HostInput.StreamProgress(progress))
-        }
+    private suspend fun reportProgress() = repeatGuarded(log, "report of progress") {
+        delay(PROGRESS_INTERVAL_MS)
+        val progress = registry.collectProgress()
+        if (progress.isNotEmpty()) controlLoop.submit(HostInput.StreamProgress(progress))
     }
 
     private fun registerGauges() {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/control/ControlLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/control/ControlLoop.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.host.HostController
 import cowslipcart.core.host.HostEffect
 import cowslipcart.core.host.HostInput
+import cowslipcart.daemon.catchFailure
 import java.util.concurrent.Executors
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -74,30 +75,23 @@
     /** Returns the number of open requests, read on the control thread. */
     suspend fun openRequestCount(): Int = withContext(dispatcher) { controller.openRequestCount }
 
-    /** Logs an exception from the controller, so that it does not stop the handling of inputs. */
-    @Suppress("TooGenericExceptionCaught")
+    /** Logs a failure of the controller, so that it does not stop the handling of inputs. */
     private fun handle(input: HostInput) {
         val startNs = clock.nowNs()
-        try {
+        catchFailure {
             val nowMs = clock.nowMs()
             val effects = controller.handle(input, nowMs)
             if (effects.isNotEmpty()) decisions.trySend(Decision(effects, nowMs))
-        } catch (e: RuntimeException) {
-            log.error("controller failed to handle input {}", input.javaClass.simpleName, e)
-        }
+        }?.let { log.error("controller failed to handle input {}", input.javaClass.simpleName, it) }
         decidingNs += clock.nowNs() - startNs
     }
 
-    /** Logs an exception from one effect and goes on with the next. */
-    @Suppress("TooGenericExceptionCaught")
+    /** Logs a failure of one effect and goes on with the next. */
     private fun perform(decision: Decision, handler: EffectHandler) {
         val startNs = clock.nowNs()
         for (effect in decision.effects) {
-            try {
-                handler.perform(effect, decision.decidedAtMs)
-            } catch (e: RuntimeException) {
-                log.error("failed to perform effect {}", effect.javaClass.simpleName, e)
-            }
+            catchFailure { handler.perform(effect, decision.decidedAtMs) }
+                ?.let { log.error("failed to perform effect {}", effect.javaClass.simpleName, it) }
         }
         performingNs += clock.nowNs() - startNs
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/LoadPoller.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/LoadPoller.kt
@@ -3,12 +3,13 @@
 import cowslipcart.core.host.HostInput
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.EndpointSpec
+import cowslipcart.daemon.repeatGuarded
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
 
 /** Polls the load reports of the endpoints in the shards that this host owns. */
 internal class LoadPoller(
@@ -16,6 +17,7 @@
     private val probe: EndpointProbe,
     private val submit: (HostInput) -> Unit
 ) {
+    private val log = LoggerFactory.getLogger(LoadPoller::class.java)
     private val jobs = ConcurrentHashMap<EndpointId, Pair<EndpointSpec, Job>>()
 
     /** Replaces the polled endpoints by [endpoints]; unchanged ones are polled on. */
@@ -32,8 +34,8 @@
         }
     }
 
-    private suspend fun CoroutineScope.poll(endpoint: EndpointSpec) {
-        while (isActive) {
+    private suspend fun poll(endpoint: EndpointSpec) =
+        repeatGuarded(log, "polling of ${endpoint.id}") {
             val report = probe.readLoad(endpoint)
             submit(
                 if (report == null) {
@@ -44,7 +46,6 @@
             )
             delay(POLL_INTERVAL_MS)
         }
-    }
 
     private companion object {
         const val POLL_INTERVAL_MS = 500L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/OrderRunner.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/OrderRunner.kt
@@ -4,11 +4,12 @@
 import cowslipcart.core.host.OrderEffect
 import cowslipcart.core.host.OrderInput
 import cowslipcart.core.model.EndpointSpec
+import cowslipcart.daemon.repeatGuarded
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
 
 /**
  * Sends orders to engines and polls what they have deployed. Not thread-safe: effects are performed
@@ -19,6 +20,7 @@
     private val orders: EndpointOrders,
     private val submit: (HostInput) -> Unit
 ) {
+    private val log = LoggerFactory.getLogger(OrderRunner::class.java)
     private var polls = emptyList<Job>()
 
     /** Sends an order in the background and submits its result to the controller. */
@@ -35,13 +37,12 @@
         polls = endpoints.map { scope.launch { poll(it) } }
     }
 
-    private suspend fun CoroutineScope.poll(endpoint: EndpointSpec) {
-        while (isActive) {
+    private suspend fun poll(endpoint: EndpointSpec) =
+        repeatGuarded(log, "polling of ${endpoint.id}") {
             val deployed = orders.readDeployed(endpoint)
             if (deployed != null) submit(OrderInput.DeploymentRead(endpoint.id, deployed))
             delay(POLL_INTERVAL_MS)
         }
-    }
 
     private companion object {
         const val POLL_INTERVAL_MS = 5_000L
--- a/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/peer/PeerServer.kt
@@ -5,6 +5,7 @@
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.http1.SocketSink
+import cowslipcart.daemon.repeatGuarded
 import cowslipcart.wire.WireError
 import cowslipcart.wire.peer.EnvelopePeerCodec
 import cowslipcart.wire.peer.PeerProtocol
@@ -18,7 +19,6 @@
 import java.io.IOException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.supervisorScope
 import kotlinx.coroutines.withTimeout
@@ -42,7 +42,7 @@
 
     /** A failed connection ends neither the others nor the accept loop. */
     private suspend fun accept(server: ServerSocket) = supervisorScope {
-        while (isActive) {
+        repeatGuarded(log, "accepting of peers") {
             val socket = server.accept()
             launch { serve(socket) }
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/HostListPoller.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/HostListPoller.kt
@@ -5,18 +5,19 @@
 import cowslipcart.core.membership.ListedHost
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.daemon.repeatGuarded
 import io.ktor.client.HttpClient
 import io.ktor.client.request.get
 import io.ktor.client.statement.bodyAsText
 import java.io.IOException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.slf4j.LoggerFactory
 
 /** Polls the platform's list of hosts and endpoints: `GET /hosts`. */
 internal class HostListPoller(
@@ -24,6 +25,8 @@
     private val baseUrl: String,
     private val submit: (HostInput) -> Unit
 ) {
+    private val log = LoggerFactory.getLogger(HostListPoller::class.java)
+
     @Serializable
     private class ListEntry(
         val id: String,
@@ -35,7 +38,7 @@
     /** Polls in [scope] and submits each list, or the failure, to the controller. */
     fun start(scope: CoroutineScope) {
         scope.launch {
-            while (isActive) {
+            repeatGuarded(log, "reading of the list of hosts") {
                 val list = readList()
                 submit(list?.let { HostInput.HostListRead(it) } ?: HostInput.HostListFailed)
                 delay(POLL_INTERVAL_MS)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/platform/StreamTail.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/platform/StreamTail.kt
@@ -6,9 +6,9 @@
 import cowslipcart.core.model.StreamName
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.repeatGuarded
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
@@ -41,7 +41,7 @@
     ) {
         scope.launch {
             var next = LogOffset(0)
-            while (isActive) {
+            repeatGuarded(logger, "reading of stream $stream") {
                 val sentAtMs = clock.nowMs()
                 log.read(stream, next, MAX_RECORDS, LONG_POLL_MS).fold(
                     { error ->
--- a/daemon/src/test/kotlin/cowslipcart/daemon/platform/PlatformStreamsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/platform/PlatformStreamsTest.kt
@@ -18,6 +18,7 @@
 import kotlin.test.assertEquals
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 
@@ -57,11 +58,39 @@
         assertEquals(listOf(record(0, entry), record(2, entry)), epochs())
     }
 
+    /** Guards against a failed read or page after which the stream is never read again. */
+    @Test
+    fun `a stream is read further after its read or its page has failed`() {
+        for (failure in listOf(StackOverflowError(), IllegalStateException("unexpected"))) {
+            inputs.clear()
+            var submitFailure: Throwable? = failure
+            runTest {
+                val log = OnePageLog(listOf(valid), failure)
+                val streams = PlatformStreams(log, backgroundScope, Metrics(), RuntimeClock()) {
+                    submitFailure?.let { failure ->
+                        submitFailure = null
+                        throw failure
+                    }
+                    inputs += it
+                }
+                streams.start()
+                delay(SETTLE_MS)
+            }
+            assertEquals(listOf(record(0, entry)), epochs(), "after $failure")
+        }
+    }
+
     private fun record(index: Int, entry: EpochEntry?) =
         EpochRecord(LogOffset(index.toLong()), index * 10L, entry)
 
-    /** Returns one page of the stream `epochs` and suspends on every other call. */
-    private class OnePageLog(private val payloads: List<ByteArray>) : LogPort {
+    /**
+     * Returns one page of the stream `epochs` and suspends on every other call. Its first read
+     * throws [failure] if not null.
+     */
+    private class OnePageLog(
+        private val payloads: List<ByteArray>,
+        private var failure: Throwable? = null
+    ) : LogPort {
         override suspend fun append(
             stream: StreamName,
             payload: ByteArray
@@ -74,10 +103,19 @@
             waitMs: Long
         ): Either<LogError, LogPage> {
             if (stream.value != "epochs" || from.value > 0) awaitCancellation()
+            failure?.let {
+                failure = null
+                throw it
+            }
             val records = payloads.mapIndexed { index, payload ->
                 LogRecord(LogOffset(index.toLong()), index * 10L, payload)
             }
             return LogPage(records, LogOffset(0), LogOffset(payloads.size.toLong())).right()
         }
     }
+
+    private companion object {
+        /** Longer than the pauses after two failures, in ms. */
+        const val SETTLE_MS = 5_000L
+    }
 }
