Tell a host that starts which requests are quarantined

Cause: a report repeats the crashes that its own process saw. No process tells one that starts later what it knows from others, so the quarantine ended with the processes that had seen the crashes. Change: hosts repeat the quarantines that they know, once a second. Ages are relative and the higher one counts, so that passing them around does not renew them; a later answer refutes them.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -50,9 +50,13 @@
     fun onPeerReport(report: HostLoadReport, isRestarted: Boolean, nowMs: Long) {
         if (isRestarted) requests.onPeerRestarted(report.host)
         requests.onPeerNotices(report.host, report.crashes, report.answers, nowMs)
+        requests.onPeerQuarantines(report.host, report.quarantines, nowMs)
         parts.onPeerReport(report.suspectedParts, nowMs)
     }
 
+    /** Returns the quarantined requests that the next report tells. */
+    fun takeQuarantines(nowMs: Long): List<QuarantinedRequest> = requests.takeQuarantines(nowMs)
+
     /** Returns what the next report tells about suspected parts. */
     fun takeSuspectedParts(nowMs: Long): List<SuspectedPart> = parts.takeReport(nowMs)
 
@@ -60,3 +64,12 @@
     fun takeChanges(): List<ForwardingEffect.LogStateChange> =
         requests.takeChanges() + parts.takeChanges()
 }
+
+/** Values of [ForwardingEffect.LogStateChange.change] that concern quarantines. */
+public val QUARANTINE_CHANGES: Set<String> = setOf(
+    "request-quarantined",
+    "request-probed",
+    "request-released",
+    "part-quarantined",
+    "part-released"
+)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -163,7 +163,8 @@
     public val crashes: List<CrashNotice>,
     public val suspectedParts: List<SuspectedPart> = emptyList(),
     public val leavingEndpoints: List<LeavingEndpoint> = emptyList(),
-    public val answers: List<AnswerNotice> = emptyList()
+    public val answers: List<AnswerNotice> = emptyList(),
+    public val quarantines: List<QuarantinedRequest> = emptyList()
 )
 
 /** [endpoint] has prefilled [part], so its prefix cache may hold it. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -48,7 +48,8 @@
             crashes = quarantine.crashNotices,
             suspectedParts = quarantine.takeSuspectedParts(nowMs),
             leavingEndpoints = endpoints.leavingToReport(nowMs),
-            answers = quarantine.answerNotices(nowMs)
+            answers = quarantine.answerNotices(nowMs),
+            quarantines = quarantine.takeQuarantines(nowMs)
         )
     }
 
--- /dev/null
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineRecord.kt
@@ -0,0 +1,120 @@
+package cowslipcart.core.forwarding
+
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+
+/**
+ * What a host tells the others about a request that it refuses. Times are relative, since the
+ * clocks of hosts differ.
+ *
+ * @property endpoints endpoints whose connection was lost while they ran the request
+ * @property failedProbes requests that tested the quarantine and crashed an endpoint
+ * @property crashedAgoMs time since the last crash
+ * @property seenAgoMs time since the request last came to any host
+ */
+public data class QuarantinedRequest(
+    public val fingerprint: Fingerprint,
+    public val endpoints: Set<EndpointId>,
+    public val failedProbes: Int,
+    public val crashedAgoMs: Long,
+    public val seenAgoMs: Long
+)
+
+/** Crashes of the endpoints that ran one request, as far as this host knows them. */
+internal class QuarantineRecord {
+    private val lostAt = mutableSetOf<EndpointId>()
+
+    /** Endpoints whose connection was lost. */
+    val endpoints: Set<EndpointId> get() = lostAt
+
+    var lastCrashAtMs = NEVER_MS
+        private set
+
+    /** Last time at which the request came to a host while it was quarantined. */
+    private var seenAtMs = NEVER_MS
+
+    /** Last time at which this host sent the quarantined request. */
+    var probedAtMs = NEVER_MS
+
+    /** Last time at which the record was reported to the other hosts. */
+    var reportedAtMs = NEVER_MS
+
+    var failedProbes = 0
+        private set
+
+    val isQuarantined: Boolean get() = lostAt.size >= QUARANTINE_COUNT
+
+    /** Time without a crash after which the request is probed. */
+    val lapseMs: Long get() = FIRST_LAPSE_MS shl failedProbes.coerceAtMost(MAX_DOUBLINGS)
+
+    /** Whether the record is too old to matter. */
+    fun isExpired(nowMs: Long): Boolean = nowMs - maxOf(lastCrashAtMs, seenAtMs) >=
+        if (isQuarantined) QUARANTINE_LIFETIME_MS else SUSPICION_LIFETIME_MS
+
+    /** The request came while it is quarantined. */
+    fun onSeen(nowMs: Long) {
+        seenAtMs = nowMs
+    }
+
+    /** Adds a crash; returns whether it was that of a probe. */
+    fun onCrash(endpoint: EndpointId, nowMs: Long): Boolean {
+        // Only a probe is sent so late; other requests that break had been sent before.
+        val isProbe = isQuarantined && nowMs - lastCrashAtMs >= lapseMs
+        if (isProbe) failedProbes++
+        if (lostAt.size < MAX_ENDPOINTS) lostAt += endpoint
+        lastCrashAtMs = nowMs
+        return isProbe
+    }
+
+    /**
+     * Adds what another host told at [nowMs]. Of two times for one event the earlier one is the
+     * exact one, since a report takes some time; adding the same again changes nothing.
+     */
+    fun onTold(told: QuarantinedRequest, nowMs: Long) {
+        val crashedAtMs = nowMs - told.crashedAgoMs
+        if (!isQuarantined || told.failedProbes > failedProbes) {
+            lastCrashAtMs = crashedAtMs
+        } else if (told.failedProbes == failedProbes) {
+            lastCrashAtMs = minOf(lastCrashAtMs, crashedAtMs)
+        }
+        failedProbes = maxOf(failedProbes, told.failedProbes)
+        lostAt += told.endpoints.take(MAX_ENDPOINTS - lostAt.size)
+        val toldSeenAtMs = nowMs - told.seenAgoMs
+        if (toldSeenAtMs > seenAtMs + SAME_TIME_MS) seenAtMs = toldSeenAtMs
+    }
+
+    fun toQuarantinedRequest(fingerprint: Fingerprint, nowMs: Long) = QuarantinedRequest(
+        fingerprint,
+        lostAt.toSet(),
+        failedProbes,
+        nowMs - lastCrashAtMs,
+        nowMs - maxOf(seenAtMs, lastCrashAtMs)
+    )
+
+    companion object {
+        /** A time before all others. */
+        const val NEVER_MS = Long.MIN_VALUE / 4
+
+        /** Two crashes may be caused by another request that ran at the same endpoints. */
+        const val QUARANTINE_COUNT = 3
+
+        /** Bounds the record and its entry in a report. */
+        const val MAX_ENDPOINTS = 6
+
+        /** Time from the last crash until a quarantine is forgotten, in ms. */
+        const val QUARANTINE_LIFETIME_MS = 1_800_000L
+
+        /**
+         * Time without a crash after which a request is probed, in ms; each failed probe doubles
+         * it. Endpoints that reset connections for a while are sound again within seconds.
+         */
+        private const val FIRST_LAPSE_MS = 5_000L
+        private const val MAX_DOUBLINGS = 10
+
+        /** A caller whose request crashes endpoints sends it again within this time, in ms. */
+        private const val SUSPICION_LIFETIME_MS = 60_000L
+
+        /** Longer than a report takes, also by a relay, in ms. */
+        private const val SAME_TIME_MS = 10_000L
+    }
+}
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -9,28 +9,21 @@
  * Counts by request fingerprint, over all hosts, the endpoints whose connection was lost while they
  * ran the request. A request that broke several endpoints is quarantined (refused), since it would
  * crash the next one as well. A connection can also be lost for another reason, so a quarantine
- * lapses: one request then tests whether it holds.
+ * lapses: one request then tests whether it holds. Hosts repeat the quarantines that they know to
+ * each other, so a host that starts later learns of them too.
  *
- * Load pattern: a request that crashes every endpoint is retried by its caller through any host;
- * endpoints reset connections for a while, and a resource that is read by many is among them.
+ * Load pattern: a request that crashes every endpoint is retried by its caller through any host,
+ * also one that started since; endpoints reset connections for a while, and a resource that is read
+ * by many is among them.
  */
 internal class QuarantineTracker(private val self: HostId) {
-    private class Record {
-        val endpoints = mutableSetOf<EndpointId>()
-        var lastCrashAtMs = 0L
-        var probedAtMs = NEVER_MS
-        var lapseMs = FIRST_LAPSE_MS
-
-        val isQuarantined: Boolean get() = endpoints.size >= QUARANTINE_COUNT
-
-        fun isExpired(nowMs: Long): Boolean = nowMs - lastCrashAtMs >=
-            if (isQuarantined) QUARANTINE_LIFETIME_MS else SUSPICION_LIFETIME_MS
-    }
-
-    private val records = LinkedHashMap<Fingerprint, Record>()
+    private val records = LinkedHashMap<Fingerprint, QuarantineRecord>()
     private val lastNoticeByHost = mutableMapOf<HostId, Long>()
     private val recentCrashes = ArrayDeque<CrashNotice>()
     private val answeredAtMs = LinkedHashMap<AnswerNotice, Long>()
+
+    /** Time of the last answer of requests that were suspected, which refutes older quarantines. */
+    private val refutedAtMs = LinkedHashMap<Fingerprint, Long>()
     private var ownNoticeCount = 0L
     private val changes = mutableListOf<ForwardingEffect.LogStateChange>()
 
@@ -43,10 +36,29 @@
         return answeredAtMs.keys.toList()
     }
 
-    /** Whether the request is refused by this host at [nowMs]. */
+    /** Returns the quarantines for a report at [nowMs], the least recently told ones first. */
+    fun takeQuarantines(nowMs: Long): List<QuarantinedRequest> {
+        if (records.isEmpty()) return emptyList()
+        forgetExpired(nowMs)
+        return records.entries
+            .filter { (_, record) -> record.isQuarantined && isReportDue(record, nowMs) }
+            .sortedBy { (_, record) -> record.reportedAtMs }
+            .take(MAX_REPORTED)
+            .map { (fingerprint, record) ->
+                record.reportedAtMs = nowMs
+                record.toQuarantinedRequest(fingerprint, nowMs)
+            }
+    }
+
+    private fun isReportDue(record: QuarantineRecord, nowMs: Long): Boolean =
+        nowMs - record.reportedAtMs >= QUARANTINE_REPEAT_MS
+
+    /** Whether the request, which came to this host, is refused at [nowMs]. */
     fun isQuarantined(fingerprint: Fingerprint, nowMs: Long): Boolean {
         val record = records[fingerprint] ?: return false
-        return record.isQuarantined && !isProbeDue(fingerprint, record, nowMs)
+        if (!record.isQuarantined) return false
+        record.onSeen(nowMs)
+        return !isProbeDue(fingerprint, record, nowMs)
     }
 
     /** The request is sent. If it is quarantined, this is its probe. */
@@ -69,7 +81,7 @@
         if (fingerprint !in records) return
         answeredAtMs[AnswerNotice(++ownNoticeCount, fingerprint)] = nowMs
         if (answeredAtMs.size > MAX_RECENT) answeredAtMs -= answeredAtMs.keys.first()
-        clear(fingerprint, "answered")
+        clear(fingerprint, "answered", nowMs)
     }
 
     /** Counts the notices of [host] that are newer than the last one taken from it, in order. */
@@ -84,12 +96,27 @@
         for (notice in next) {
             when (notice) {
                 is CrashNotice -> add(notice.fingerprint, notice.endpoint, nowMs)
-                is AnswerNotice -> clear(notice.fingerprint, "answered at $host")
+                is AnswerNotice -> clear(notice.fingerprint, "answered at $host", nowMs)
             }
         }
         next.lastOrNull()?.let { lastNoticeByHost[host] = it.number }
     }
 
+    /** Adds the quarantines that [host] knows. Adding the same again changes nothing. */
+    fun onPeerQuarantines(host: HostId, quarantines: List<QuarantinedRequest>, nowMs: Long) {
+        for (told in quarantines) {
+            val refutedMs = refutedAtMs[told.fingerprint] ?: QuarantineRecord.NEVER_MS
+            if (nowMs - told.crashedAgoMs <= refutedMs) continue
+            val record = records.getOrPut(told.fingerprint) { QuarantineRecord() }
+            val wasQuarantined = record.isQuarantined
+            record.onTold(told, nowMs)
+            if (record.isQuarantined && !wasQuarantined) {
+                logQuarantine(told.fingerprint, record, "told by $host, ")
+            }
+        }
+        forgetSurplus()
+    }
+
     /** [host] restarted, so its notices are numbered from 1 again. */
     fun onPeerRestarted(host: HostId) {
         lastNoticeByHost -= host
@@ -100,24 +127,27 @@
         changes.toList().also { changes.clear() }
 
     private fun add(fingerprint: Fingerprint, endpoint: EndpointId, nowMs: Long) {
-        if (records[fingerprint]?.isExpired(nowMs) == true) records -= fingerprint
-        val record = records.getOrPut(fingerprint) { Record() }
+        if (records[fingerprint]?.isExpired(nowMs) == true) forget(fingerprint, "expired")
+        val record = records.getOrPut(fingerprint) { QuarantineRecord() }
         val wasQuarantined = record.isQuarantined
-        // Only a probe is sent so late; other requests that break had been sent before.
-        val isProbe = wasQuarantined && nowMs - record.lastCrashAtMs >= record.lapseMs
-        if (isProbe) record.lapseMs *= 2
-        record.endpoints += endpoint
-        record.lastCrashAtMs = nowMs
+        val isProbe = record.onCrash(endpoint, nowMs)
         if (record.isQuarantined && (!wasQuarantined || isProbe)) {
-            val reason = "connections lost at ${record.endpoints.joinToString(",")}, " +
-                "probe in ${record.lapseMs} ms or more"
-            change(fingerprint, "request-quarantined", reason)
+            logQuarantine(fingerprint, record, "")
         }
-        if (records.size > MAX_FINGERPRINTS) forgetLeastSuspect()
+        forgetSurplus()
+    }
+
+    private fun logQuarantine(fingerprint: Fingerprint, record: QuarantineRecord, source: String) {
+        val reason = "${source}connections lost at ${record.endpoints.joinToString(",")}, " +
+            "${record.failedProbes} failed probes, the next in ${record.lapseMs} ms or more"
+        change(fingerprint, "request-quarantined", reason)
     }
 
-    private fun clear(fingerprint: Fingerprint, reason: String) {
+    private fun clear(fingerprint: Fingerprint, reason: String, nowMs: Long) {
         val record = records.remove(fingerprint) ?: return
+        refutedAtMs -= fingerprint
+        refutedAtMs[fingerprint] = nowMs
+        if (refutedAtMs.size > MAX_REFUTED) refutedAtMs -= refutedAtMs.keys.first()
         if (record.isQuarantined) change(fingerprint, "request-released", reason)
     }
 
@@ -125,17 +155,33 @@
      * The hosts reach this time one after another, so that a crash by the first probe renews the
      * quarantine before the others send theirs.
      */
-    private fun isProbeDue(fingerprint: Fingerprint, record: Record, nowMs: Long): Boolean {
+    private fun isProbeDue(
+        fingerprint: Fingerprint,
+        record: QuarantineRecord,
+        nowMs: Long
+    ): Boolean {
         val spread = Math.floorMod(stableHash("$self $fingerprint"), SPREAD_STEPS).toDouble()
         val afterMs = record.lapseMs * (1 + spread / SPREAD_STEPS)
         return nowMs - maxOf(record.lastCrashAtMs, record.probedAtMs) >= afterMs
     }
 
-    private fun forgetLeastSuspect() {
-        val leastSuspect = records.entries.minWith(
-            compareBy({ it.value.isQuarantined }, { it.value.lastCrashAtMs })
-        )
-        records -= leastSuspect.key
+    private fun forgetExpired(nowMs: Long) {
+        records.filterValues { it.isExpired(nowMs) }.keys.forEach { forget(it, "expired") }
+    }
+
+    /** Forgets the requests that are least suspect. */
+    private fun forgetSurplus() {
+        while (records.size > MAX_FINGERPRINTS) {
+            val leastSuspect = records.entries.minWith(
+                compareBy({ it.value.isQuarantined }, { it.value.lastCrashAtMs })
+            )
+            forget(leastSuspect.key, "too many requests are suspect")
+        }
+    }
+
+    private fun forget(fingerprint: Fingerprint, reason: String) {
+        val record = records.remove(fingerprint) ?: return
+        if (record.isQuarantined) change(fingerprint, "request-released", reason)
     }
 
     private fun change(fingerprint: Fingerprint, change: String, reason: String) {
@@ -143,11 +189,8 @@
     }
 
     private companion object {
-        const val NEVER_MS = Long.MIN_VALUE / 4
-
-        /** Two crashes may be caused by another request that ran at the same endpoints. */
-        const val QUARANTINE_COUNT = 3
         const val MAX_FINGERPRINTS = 2_048
+        const val MAX_REFUTED = 256
 
         /** Notices that each report repeats, since reports may be lost. */
         const val MAX_RECENT = 12
@@ -155,15 +198,11 @@
         /** Time for which reports repeat an answer, in ms; older builds can't read such reports. */
         const val REPEAT_MS = 3_000L
 
-        /**
-         * Time without a crash after which a request is probed, in ms; each failed probe doubles
-         * it. Endpoints that reset connections for a while are sound again within seconds.
-         */
-        const val FIRST_LAPSE_MS = 5_000L
+        /** Interval of reports of a quarantine, for hosts that start later, in ms. */
+        const val QUARANTINE_REPEAT_MS = 1_000L
 
-        /** A caller whose request crashes endpoints sends it again within this time, in ms. */
-        const val SUSPICION_LIFETIME_MS = 60_000L
-        const val QUARANTINE_LIFETIME_MS = 1_800_000L
+        /** Keeps a report within one datagram; an entry takes up to 150 bytes. */
+        const val MAX_REPORTED = 4
         const val SPREAD_STEPS = 1_000L
     }
 }
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -29,14 +29,15 @@
     hedgeShare: Double = 0.0,
     host: String = "host-1",
     quotaTolerance: QuotaTolerance? = null,
-    rolloutBounds: RolloutBounds? = null
+    rolloutBounds: RolloutBounds? = null,
+    incarnation: Long = 1
 ) {
     val host = HostId(host)
 
     val controller = createForwardingController(
         ForwardingSettings(
             host = this.host,
-            incarnation = IncarnationId(1),
+            incarnation = IncarnationId(incarnation),
             profile = HostProfile("a", 1.0),
             isFirstStart = isFirstStart,
             retryBudgetShare = 0.2,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.forwarding.CallCommand
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingEffect
+import cowslipcart.core.forwarding.QUARANTINE_CHANGES
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.store.StoreTable
@@ -27,17 +28,22 @@
     fun write(effect: ForwardingEffect) {
         when (effect) {
             is ForwardingEffect.Command -> writeCommand(effect)
-
-            is ForwardingEffect.LogStateChange -> line()
-                ?.addKeyValue("subject", effect.subject)
-                ?.addKeyValue("change", effect.change)
-                ?.addKeyValue("reason", effect.reason)
-                ?.log("belief")
-
+            is ForwardingEffect.LogStateChange -> writeStateChange(effect)
             is ForwardingEffect.Rollout -> writeRollout(effect.effect)
         }
     }
 
+    private fun writeStateChange(effect: ForwardingEffect.LogStateChange) {
+        if (effect.change in QUARANTINE_CHANGES) {
+            metrics.quarantineChanges.labelValues(effect.change).inc()
+        }
+        line()
+            ?.addKeyValue("subject", effect.subject)
+            ?.addKeyValue("change", effect.change)
+            ?.addKeyValue("reason", effect.reason)
+            ?.log("belief")
+    }
+
     /** Writes what became of a roll-out; its notices and reads are not logged. */
     private fun writeRollout(effect: RolloutEffect) {
         when (effect) {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -42,6 +42,10 @@
     val storeFailures: Counter =
         counter("store_failures", "Failed steps of following the store", "table")
 
+    /** Requests and parts of prompts that were quarantined, probed or released, as logged. */
+    val quarantineChanges: Counter =
+        counter("quarantine_changes", "Changes of quarantines", "change")
+
     /** Datagrams between hosts; the label says whether sent, received, failed or unreadable. */
     val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
 
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -14,6 +14,7 @@
 import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.QuarantinedRequest
 import cowslipcart.core.forwarding.SuspectedPart
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
@@ -40,9 +41,15 @@
     /** Far above the prompts that a host has at one endpoint. */
     private val UNREAD_TOKENS = -1_000_000_000_000L..1_000_000_000_000L
 
+    private val PROBES = 0..1_000
+
+    /** Up to a day; a quarantine is forgotten within an hour. */
+    private val AGES_MS = 0L..86_400_000L
+
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
     fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray {
-        val hasLaterFields = report.leavingEndpoints.isNotEmpty() || report.answers.isNotEmpty()
+        val hasLaterFields = report.leavingEndpoints.isNotEmpty() ||
+            report.answers.isNotEmpty() || report.quarantines.isNotEmpty()
         val cbor = if (hasLaterFields) completePeerCbor else peerCbor
         return cbor.encodeToByteArray(
             LoadReportDocument.serializer(),
@@ -66,7 +73,10 @@
     private fun isInRange(document: LoadReportDocument): Boolean =
         document.capacityCores.isFinite() &&
             document.loads.all { it.running in RUNNING && it.unreadTokens in UNREAD_TOKENS } &&
-            document.uses.all { it.units.isFinite() }
+            document.uses.all { it.units.isFinite() } &&
+            document.quarantines.all {
+                it.failedProbes in PROBES && it.crashedAgoMs in AGES_MS && it.seenAgoMs in AGES_MS
+            }
 
     private fun toDocument(report: HostLoadReport, isLeaving: Boolean) = LoadReportDocument(
         VERSION,
@@ -95,7 +105,16 @@
             )
         },
         report.leavingEndpoints.map { LeavingEndpointDocument(it.id.value, it.startedAtMs) },
-        report.answers.map { AnswerNoticeDocument(it.number, it.fingerprint.value) }
+        report.answers.map { AnswerNoticeDocument(it.number, it.fingerprint.value) },
+        report.quarantines.map { quarantined ->
+            QuarantinedRequestDocument(
+                quarantined.fingerprint.value,
+                quarantined.endpoints.map { it.value },
+                quarantined.failedProbes,
+                quarantined.crashedAgoMs,
+                quarantined.seenAgoMs
+            )
+        }
     )
 
     private fun toReport(document: LoadReportDocument) = HostLoadReport(
@@ -126,7 +145,16 @@
         leavingEndpoints = document.leavingEndpoints.map {
             LeavingEndpoint(EndpointId(it.endpoint), it.startedAtMs)
         },
-        answers = document.answers.map { AnswerNotice(it.number, Fingerprint(it.fingerprint)) }
+        answers = document.answers.map { AnswerNotice(it.number, Fingerprint(it.fingerprint)) },
+        quarantines = document.quarantines.map { quarantined ->
+            QuarantinedRequest(
+                Fingerprint(quarantined.fingerprint),
+                quarantined.endpoints.map { EndpointId(it) }.toSet(),
+                quarantined.failedProbes,
+                quarantined.crashedAgoMs,
+                quarantined.seenAgoMs
+            )
+        }
     )
 }
 
@@ -154,7 +182,8 @@
     val crashes: List<CrashNoticeDocument>,
     val suspectedParts: List<SuspectedPartDocument> = emptyList(),
     val leavingEndpoints: List<LeavingEndpointDocument> = emptyList(),
-    val answers: List<AnswerNoticeDocument> = emptyList()
+    val answers: List<AnswerNoticeDocument> = emptyList(),
+    val quarantines: List<QuarantinedRequestDocument> = emptyList()
 )
 
 @Serializable
@@ -182,6 +211,16 @@
 @CborArray
 private class AnswerNoticeDocument(val number: Long, val fingerprint: String)
 
+@Serializable
+@CborArray
+private class QuarantinedRequestDocument(
+    val fingerprint: String,
+    val endpoints: List<String>,
+    val failedProbes: Int,
+    val crashedAgoMs: Long,
+    val seenAgoMs: Long
+)
+
 @Serializable
 @CborArray
 private class LeavingEndpointDocument(val endpoint: String, val startedAtMs: Long)
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -10,6 +10,7 @@
 import cowslipcart.core.forwarding.PartCrash
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
+import cowslipcart.core.forwarding.QuarantinedRequest
 import cowslipcart.core.forwarding.SuspectedPart
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
@@ -97,6 +98,26 @@
             }
         }
 
+        @Test
+        fun `quarantined requests survive a round trip`() {
+            val quarantined = QuarantinedRequest(
+                Fingerprint("f"),
+                setOf(id, EndpointId("e2")),
+                failedProbes = 1,
+                crashedAgoMs = 90_000,
+                seenAgoMs = 40
+            )
+            val sample = PeerDatagram.LoadReport(
+                report.copy(quarantines = listOf(quarantined)),
+                false
+            )
+
+            assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+            val odd = report.copy(quarantines = listOf(quarantined.copy(crashedAgoMs = -1)))
+            val encoded = DatagramCodec.encode(PeerDatagram.LoadReport(odd, false))
+            assertTrue(DatagramCodec.decode(encoded).isLeft())
+        }
+
         @Test
         fun `suspected parts survive a round trip`() {
             val sample = PeerDatagram.LoadReport(
