Store quarantines, so that they outlast the loss of all hosts

Callers saw: a request that crashes endpoints crashed three of them again after each loss of all hosts.

Change: a host that saw a crash stores the quarantine in a table of its own and removes it at an answer; a host reads the table once when it starts, beside the others. Writes and reads in an outage are bounded.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -50,10 +50,17 @@
     fun onPeerReport(report: HostLoadReport, isRestarted: Boolean, nowMs: Long) {
         if (isRestarted) requests.onPeerRestarted(report.host)
         requests.onPeerNotices(report.host, report.crashes, report.answers, nowMs)
-        requests.onPeerQuarantines(report.host, report.quarantines, nowMs)
+        requests.onTold(report.host.value, report.quarantines, nowMs)
         parts.onPeerReport(report.suspectedParts, nowMs)
     }
 
+    /** Adds the quarantines that the platform's store holds. */
+    fun onStored(quarantines: List<QuarantinedRequest>, nowMs: Long) =
+        requests.onTold("the store", quarantines, nowMs)
+
+    /** Returns the changes of the stored quarantines since the last call. */
+    fun takeStoreEffects(): List<QuarantineEffect> = requests.takeStoreEffects()
+
     /** Returns the quarantined requests that the next report tells. */
     fun takeQuarantines(nowMs: Long): List<QuarantinedRequest> = requests.takeQuarantines(nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -80,9 +80,14 @@
             is ForwardingInput.RolloutsChanged ->
                 rollOut { handle(input.change, nowMs, input.wallNowMs) }
 
+            is ForwardingInput.QuarantinesRead ->
+                known.quarantine.onStored(input.quarantines, nowMs)
+
             ForwardingInput.Tick -> onTick(nowMs)
         }
         known.effects += known.quarantine.takeChanges()
+        known.effects +=
+            known.quarantine.takeStoreEffects().map { ForwardingEffect.Quarantine(it) }
         calls.placeWaiting(nowMs)
         return known.effects.toList().also { known.effects.clear() }
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -90,6 +90,10 @@
         public val wallNowMs: Long
     ) : ForwardingInput
 
+    /** The quarantines that the platform's store holds, read as this host started. */
+    public data class QuarantinesRead(public val quarantines: List<QuarantinedRequest>) :
+        ForwardingInput
+
     /** Lets the control thread act on elapsed time. */
     public data object Tick : ForwardingInput
 }
@@ -112,6 +116,18 @@
 
     /** A decision on the move of a pool to another version. */
     public data class Rollout(public val effect: RolloutEffect) : ForwardingEffect
+
+    /** A change of what the platform's store holds of quarantines. */
+    public data class Quarantine(public val effect: QuarantineEffect) : ForwardingEffect
+}
+
+/** A change of the stored quarantines, which outlive the hosts. */
+public sealed interface QuarantineEffect {
+    /** Stores [request] in place of what was stored of it. */
+    public data class Keep(public val request: QuarantinedRequest) : QuarantineEffect
+
+    /** Removes what was stored of the request. */
+    public data class Drop(public val fingerprint: Fingerprint) : QuarantineEffect
 }
 
 /**
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineRecord.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineRecord.kt
@@ -42,6 +42,9 @@
     var failedProbes = 0
         private set
 
+    /** Whether this host saw one of the crashes itself, so that it stores the quarantine. */
+    var hasOwnCrash = false
+
     val isQuarantined: Boolean get() = lostAt.size >= QUARANTINE_COUNT
 
     /** Whether the quarantine may still be tested; otherwise it holds as long as it is kept. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -8,8 +8,9 @@
  * Counts by request fingerprint, over all hosts, the endpoints whose connection was lost while they
  * ran the request. A request that broke several endpoints is quarantined (refused), since it would
  * crash the next one as well. A connection can also be lost for another reason, so a quarantine
- * lapses: one request then tests whether it holds, until a few such probes have crashed an endpoint. Hosts repeat the quarantines that they know to
- * each other, so a host that starts later learns of them too.
+ * lapses: one request then tests whether it holds. Some such probes may fail, later ones are not
+ * sent. Hosts repeat the quarantines that they know to each other, so a host that starts later
+ * learns of them too, and have them stored, for the case that all of them stop at once.
  *
  * Load pattern: a request that crashes every endpoint is retried by its caller through any host,
  * also one that started since; endpoints reset connections for a while, and a resource that is read
@@ -26,6 +27,7 @@
     private val refutedAtMs = LinkedHashMap<Fingerprint, Long>()
     private var ownNoticeCount = 0L
     private val changes = mutableListOf<ForwardingEffect.LogStateChange>()
+    private val storeEffects = mutableListOf<QuarantineEffect>()
 
     /** The latest crash notices of this host; each report repeats them. */
     val crashNotices: List<CrashNotice> get() = recentCrashes.toList()
@@ -73,7 +75,7 @@
     fun onOwnCrash(fingerprint: Fingerprint, endpoint: EndpointId, nowMs: Long) {
         recentCrashes += CrashNotice(++ownNoticeCount, fingerprint, endpoint)
         if (recentCrashes.size > MAX_RECENT) recentCrashes.removeFirst()
-        add(fingerprint, endpoint, nowMs)
+        add(fingerprint, endpoint, nowMs, isOwn = true)
     }
 
     /** An endpoint ran the request to its end. */
@@ -81,7 +83,7 @@
         if (fingerprint !in records) return
         answeredAtMs[AnswerNotice(++ownNoticeCount, fingerprint)] = nowMs
         if (answeredAtMs.size > MAX_RECENT) answeredAtMs -= answeredAtMs.keys.first()
-        clear(fingerprint, "answered", nowMs)
+        clear(fingerprint, "answered", nowMs, isOwn = true)
     }
 
     /** Counts the notices of [host] that are newer than the last one taken from it, in order. */
@@ -95,15 +97,18 @@
         val next = (crashes + answers).filter { it.number > last }.sortedBy { it.number }
         for (notice in next) {
             when (notice) {
-                is CrashNotice -> add(notice.fingerprint, notice.endpoint, nowMs)
-                is AnswerNotice -> clear(notice.fingerprint, "answered at $host", nowMs)
+                is CrashNotice ->
+                    add(notice.fingerprint, notice.endpoint, nowMs, isOwn = false)
+
+                is AnswerNotice ->
+                    clear(notice.fingerprint, "answered at $host", nowMs, isOwn = false)
             }
         }
         next.lastOrNull()?.let { lastNoticeByHost[host] = it.number }
     }
 
-    /** Adds the quarantines that [host] knows. Adding the same again changes nothing. */
-    fun onPeerQuarantines(host: HostId, quarantines: List<QuarantinedRequest>, nowMs: Long) {
+    /** Adds the quarantines that [source] knows. Adding the same again changes nothing. */
+    fun onTold(source: String, quarantines: List<QuarantinedRequest>, nowMs: Long) {
         for (told in quarantines) {
             val refutedMs = refutedAtMs[told.fingerprint] ?: QuarantineRecord.NEVER_MS
             if (nowMs - told.crashedAgoMs <= refutedMs) continue
@@ -111,7 +116,7 @@
             val wasQuarantined = record.isQuarantined
             record.onTold(told, nowMs)
             if (record.isQuarantined && !wasQuarantined) {
-                logQuarantine(told.fingerprint, record, "told by $host, ")
+                logQuarantine(told.fingerprint, record, "told by $source, ")
             }
         }
         forgetSurplus()
@@ -126,13 +131,22 @@
     fun takeChanges(): List<ForwardingEffect.LogStateChange> =
         changes.toList().also { changes.clear() }
 
-    private fun add(fingerprint: Fingerprint, endpoint: EndpointId, nowMs: Long) {
+    /** Returns the changes of the stored quarantines since the last call. */
+    fun takeStoreEffects(): List<QuarantineEffect> =
+        storeEffects.toList().also { storeEffects.clear() }
+
+    private fun add(fingerprint: Fingerprint, endpoint: EndpointId, nowMs: Long, isOwn: Boolean) {
         if (records[fingerprint]?.isExpired(nowMs) == true) forget(fingerprint, "expired")
         val record = records.getOrPut(fingerprint) { QuarantineRecord() }
         val wasQuarantined = record.isQuarantined
         val isProbe = record.onCrash(endpoint, nowMs)
+        if (isOwn) record.hasOwnCrash = true
         if (record.isQuarantined && (!wasQuarantined || isProbe)) {
             logQuarantine(fingerprint, record, "")
+            if (record.hasOwnCrash) {
+                val request = record.toQuarantinedRequest(fingerprint, nowMs)
+                storeEffects += QuarantineEffect.Keep(request)
+            }
         }
         forgetSurplus()
     }
@@ -144,12 +158,15 @@
         change(fingerprint, "request-quarantined", reason)
     }
 
-    private fun clear(fingerprint: Fingerprint, reason: String, nowMs: Long) {
+    private fun clear(fingerprint: Fingerprint, reason: String, nowMs: Long, isOwn: Boolean) {
         val record = records.remove(fingerprint) ?: return
         refutedAtMs -= fingerprint
         refutedAtMs[fingerprint] = nowMs
         if (refutedAtMs.size > MAX_REFUTED) refutedAtMs -= refutedAtMs.keys.first()
-        if (record.isQuarantined) change(fingerprint, "request-released", reason)
+        if (!record.isQuarantined) return
+        change(fingerprint, "request-released", reason)
+        // A host that stored it may do so only after the host with the answer has removed it.
+        if (isOwn || record.hasOwnCrash) storeEffects += QuarantineEffect.Drop(fingerprint)
     }
 
     /** Whether this host may send the request as a probe; it sends one at a time. */
@@ -176,7 +193,10 @@
 
     private fun forget(fingerprint: Fingerprint, reason: String) {
         val record = records.remove(fingerprint) ?: return
-        if (record.isQuarantined) change(fingerprint, "request-released", reason)
+        if (!record.isQuarantined) return
+        change(fingerprint, "request-released", reason)
+        // All hosts forget it at about the same time; one removes it.
+        if (slots.isOpen(fingerprint, 0)) storeEffects += QuarantineEffect.Drop(fingerprint)
     }
 
     private fun change(fingerprint: Fingerprint, change: String, reason: String) {
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.ForwardingFixture.Companion.entry
 import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.HostId
 import cowslipcart.core.routing.WorkKind
 
@@ -12,10 +13,15 @@
  * @property deliveryMs time that a report takes
  */
 internal class QuarantineFleet(hostCount: Int, private val deliveryMs: Long = 0) {
+    private class StoredQuarantine(val atMs: Long, val request: QuarantinedRequest)
+
     private class SentReport(val arrivesAtMs: Long, val report: HostLoadReport)
 
     var nowMs = 0L
         private set
+
+    /** What the platform's store holds, which outlasts the hosts. */
+    private val stored = mutableMapOf<Fingerprint, StoredQuarantine>()
     private val names = (1..hostCount).map { "host-$it" }
     private val hosts = names.map { start(it, incarnation = 1) }.toMutableList()
     private val reports = ArrayDeque<SentReport>()
@@ -35,11 +41,30 @@
     private fun start(name: String, incarnation: Long) =
         ForwardingFixture(host = name, incarnation = incarnation).also { host ->
             host.nowMs = nowMs
+            host.onEffects = ::store
+            host.send(ForwardingInput.QuarantinesRead(stored.values.map { toRead(it) }))
             val listed = names.associate { HostId(it) to HostProfile("a", 1.0) }
             host.controller.onHostsListed(listed, nowMs)
             host.listEndpoints(entry("e1", 50), entry("e2", 50), entry("e3", 50))
         }
 
+    /** The age of a stored crash is known, when the request last came is not. */
+    private fun toRead(stored: StoredQuarantine): QuarantinedRequest = stored.request.copy(
+        crashedAgoMs = nowMs - stored.atMs + stored.request.crashedAgoMs,
+        seenAgoMs = 0
+    )
+
+    private fun store(effects: List<ForwardingEffect>) {
+        for (effect in effects.filterIsInstance<ForwardingEffect.Quarantine>()) {
+            when (val change = effect.effect) {
+                is QuarantineEffect.Keep ->
+                    stored[change.request.fingerprint] = StoredQuarantine(nowMs, change.request)
+
+                is QuarantineEffect.Drop -> stored -= change.fingerprint
+            }
+        }
+    }
+
     /** Replaces the process of the host at [index], which loses what it knew. */
     fun restart(index: Int) {
         hosts[index] = start(names[index], nextIncarnation++)
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleetTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleetTest.kt
@@ -46,6 +46,42 @@
         }
     }
 
+    /** All hosts stop at once, as in a loss of power, so that no host can tell another. */
+    @Nested
+    inner class TotalLoss {
+        private fun loseAll(fleet: QuarantineFleet, hostCount: Int) {
+            repeat(hostCount) { fleet.restart(it) }
+            fleet.pass(QuarantineFleet.CONTACT_MS, everyMs = null)
+        }
+
+        @Test
+        fun `a quarantine outlasts the loss of all hosts`() {
+            val fleet = QuarantineFleet(hostCount = 4)
+            fleet.pass(4_000, everyMs = 200)
+            repeat(3) {
+                loseAll(fleet, 4)
+                fleet.pass(60_000, everyMs = 200)
+            }
+            assertTrue(
+                fleet.lateRuns() <= QuarantineFleet.MAX_LATE_RUNS,
+                "${fleet.lateRuns()} late runs, ran at ${fleet.ranAtMs}"
+            )
+        }
+
+        @Test
+        fun `a released request stays released`() {
+            val fleet = QuarantineFleet(hostCount = 2)
+            fleet.pass(2_000, everyMs = 100)
+            fleet.isDeadly = false
+            fleet.pass(20_000, everyMs = 100)
+            loseAll(fleet, 2)
+            val before = fleet.answeredAtMs.size
+            fleet.pass(2_000, everyMs = 100)
+
+            assertEquals(20, fleet.answeredAtMs.size - before)
+        }
+    }
+
     /** The request comes again without end while nothing else happens; review/10. */
     @Nested
     inner class Probes {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -45,11 +45,20 @@
         return decoded
     }
 
-    /** Runs [step]; logs its failure and pauses, so that [table] is followed further. */
-    suspend fun guard(table: StoreTable, step: suspend () -> Unit) {
-        val failure = catchStepFailure(step) ?: return
+    /**
+     * Runs [step]; logs its failure and pauses, so that [table] is followed further. Returns
+     * whether it did not fail.
+     */
+    suspend fun guard(table: StoreTable, step: suspend () -> Unit): Boolean {
+        val failure = catchStepFailure(step) ?: return true
         eventLog.storeFailure(table, failure)
         delay(StoreHealth.FIRST_RETRY_DELAY_MS)
+        return false
+    }
+
+    /** Runs [step] until it has not failed. */
+    suspend fun guardUntilDone(table: StoreTable, step: suspend () -> Unit) {
+        while (!guard(table, step)) Unit
     }
 }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
+import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.model.HostId
@@ -28,6 +29,7 @@
  *
  * @property onSuspended called when the machine was suspended, before further inputs are handled
  * @property onRollout carries out decisions on roll-outs; never blocks
+ * @property onQuarantine carries out changes of the stored quarantines; never blocks
  * @property publish receives the load report of this host, null if there is none yet, and the plan
  * that says to which hosts it goes
  */
@@ -39,6 +41,7 @@
     private val dispatcher: CoroutineDispatcher = controlThread(),
     private val onSuspended: () -> Unit = {},
     private val onRollout: (RolloutEffect) -> Unit = {},
+    private val onQuarantine: (QuarantineEffect) -> Unit = {},
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
@@ -130,6 +133,8 @@
             is ForwardingEffect.LogStateChange -> Unit
 
             is ForwardingEffect.Rollout -> onRollout(effect.effect)
+
+            is ForwardingEffect.Quarantine -> onQuarantine(effect.effect)
         }
     }
 
@@ -155,6 +160,7 @@
             is ForwardingInput.PeerReported,
             is ForwardingInput.PeerLeft,
             is ForwardingInput.RolloutsChanged,
+            is ForwardingInput.QuarantinesRead,
             ForwardingInput.Tick -> Unit
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -76,6 +76,7 @@
         metrics,
         onSuspended = { follower?.onSuspended() },
         onRollout = { rollouts?.perform(it) },
+        onQuarantine = { quarantines?.perform(it) },
         publish = peers::publish
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
@@ -104,6 +105,9 @@
 
     @Volatile
     private var rollouts: RolloutFollower? = null
+
+    @Volatile
+    private var quarantines: QuarantineKeeper? = null
     private var frontListener: Job? = null
 
     @Volatile
@@ -129,6 +133,7 @@
             StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock, orders)
         val links = RolloutLinks(following, ::submitRollout, peers::publish)
         rollouts = RolloutFollower(links, rolloutCodec, random).also { it.start(scope) }
+        quarantines = QuarantineKeeper(following, random, loop::submit).also { it.start(scope) }
         follower = StoreFollower(following, settings.configurationBoundMs, random)
             .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { evictIdleConnections() }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -30,6 +30,7 @@
             is ForwardingEffect.Command -> writeCommand(effect)
             is ForwardingEffect.LogStateChange -> writeStateChange(effect)
             is ForwardingEffect.Rollout -> writeRollout(effect.effect)
+            is ForwardingEffect.Quarantine -> Unit
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -88,15 +88,7 @@
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
         scope.launch { repeatGuarded(StoreTable.CONFIGURATION) { configuration.followOnce() } }
         scope.launch { repeatGuarded(StoreTable.ENDPOINTS) { followEndpoints() } }
-        scope.launch {
-            var isRegistered = false
-            while (!isRegistered) {
-                following.guard(StoreTable.HOSTS) {
-                    register(self, record)
-                    isRegistered = true
-                }
-            }
-        }
+        scope.launch { following.guardUntilDone(StoreTable.HOSTS) { register(self, record) } }
         scope.launch { repeatGuarded(StoreTable.HOSTS) { listHosts() } }
     }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -0,0 +1,212 @@
+package cowslipcart.daemon.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.ForwardingInput
+import cowslipcart.core.forwarding.QuarantineEffect
+import cowslipcart.core.forwarding.QuarantinedRequest
+import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.Fingerprint
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.LogOffset
+import cowslipcart.core.routing.RoutingTable
+import cowslipcart.core.store.EndpointRecord
+import cowslipcart.core.store.KeyedStore
+import cowslipcart.core.store.StoreError
+import cowslipcart.core.store.StoreTable
+import cowslipcart.core.store.StoreUpdate
+import cowslipcart.core.store.TableChanges
+import cowslipcart.core.store.TableRecord
+import cowslipcart.core.store.TableSnapshot
+import cowslipcart.daemon.control.RuntimeClock
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.test.testTimeSource
+import org.junit.jupiter.api.Nested
+
+/** Guards against a quarantine that ends when all hosts stop at once. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class QuarantineKeeperTest {
+    /** Store with one table, whose calls can be made to fail. */
+    private class OneTableStore : KeyedStore {
+        val records = LinkedHashMap<String, ByteArray>()
+        var failingCalls = 0
+        var callCount = 0
+
+        private fun <T> call(result: () -> T): Either<StoreError, T> {
+            callCount++
+            if (failingCalls > 0) {
+                failingCalls--
+                return StoreError.Unavailable("down").left()
+            }
+            return result().right()
+        }
+
+        override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> = call {
+            val records = records.map { (key, value) -> TableRecord(key, value, LogOffset(1)) }
+            TableSnapshot(records, LogOffset(2))
+        }
+
+        override suspend fun changes(
+            table: StoreTable,
+            from: LogOffset,
+            waitMs: Long,
+            responseTimeoutMs: Long
+        ): Either<StoreError, TableChanges> = awaitCancellation()
+
+        override suspend fun put(
+            table: StoreTable,
+            key: String,
+            value: ByteArray
+        ): Either<StoreError, Unit> = call {
+            if (value.isEmpty()) records -= key else records[key] = value
+        }
+
+        override suspend fun putAt(
+            table: StoreTable,
+            key: String,
+            value: ByteArray,
+            expectedEnd: LogOffset
+        ): Either<StoreError, Unit> = awaitCancellation()
+    }
+
+    private object NoDecoder : RecordDecoder {
+        override fun decodeRouting(key: String, value: ByteArray): RoutingTable? = null
+
+        override fun decodeEndpoint(id: EndpointId, value: ByteArray): EndpointRecord? = null
+    }
+
+    private object NoListener : StoreListener {
+        override fun onRouting(table: RoutingTable) = Unit
+
+        override fun onEndpoints(entries: List<EndpointEntry>) = Unit
+
+        override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
+
+        override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
+    }
+
+    private object NoPublisher : StoreUpdatePublisher {
+        override val groupRank = 0
+
+        override fun publish(update: StoreUpdate) = Unit
+    }
+
+    private val store = OneTableStore()
+    private val read = mutableListOf<QuarantinedRequest>()
+    private val request = QuarantinedRequest(
+        Fingerprint("f"),
+        setOf(EndpointId("e1"), EndpointId("e2"), EndpointId("e3")),
+        failedProbes = 1,
+        crashedAgoMs = 500,
+        seenAgoMs = 0
+    )
+
+    private fun TestScope.startKeeper(): QuarantineKeeper {
+        val clock = RuntimeClock(testTimeSource)
+        val log = GatewayEventLog(clock, GatewayMetrics())
+        val following = StoreFollowing(store, NoDecoder, NoListener, NoPublisher, log, clock)
+        val keeper = QuarantineKeeper(following, Random(3)) {
+            read += (it as ForwardingInput.QuarantinesRead).quarantines
+        }
+        keeper.start(backgroundScope)
+        return keeper
+    }
+
+    @Nested
+    inner class Storing {
+        @Test
+        fun `a host that starts reads what another one stored`() = runTest {
+            startKeeper().perform(QuarantineEffect.Keep(request))
+            delay(SETTLE_MS)
+            startKeeper()
+            delay(SETTLE_MS)
+
+            val kept = read.single()
+            assertEquals(request.endpoints, kept.endpoints)
+            assertEquals(request.failedProbes, kept.failedProbes)
+            assertTrue(kept.crashedAgoMs >= request.crashedAgoMs, "$kept")
+        }
+
+        @Test
+        fun `a quarantine that has ended is removed`() = runTest {
+            val keeper = startKeeper()
+            keeper.perform(QuarantineEffect.Keep(request))
+            keeper.perform(QuarantineEffect.Drop(request.fingerprint))
+            delay(SETTLE_MS)
+
+            assertTrue(store.records.isEmpty())
+        }
+    }
+
+    @Nested
+    inner class Outage {
+        @Test
+        fun `a quarantine is stored and read after an outage`() = runTest {
+            store.failingCalls = 6
+            startKeeper().perform(QuarantineEffect.Keep(request))
+            delay(LONG_MS)
+            assertEquals(1, store.records.size)
+
+            read.clear()
+            store.failingCalls = 6
+            startKeeper()
+            delay(LONG_MS)
+            assertEquals(1, read.size)
+        }
+
+        /** The platform charges for calls to the store, also for those that fail. */
+        @Test
+        fun `the calls in a long outage are bounded`() = runTest {
+            store.failingCalls = Int.MAX_VALUE
+            startKeeper().perform(QuarantineEffect.Keep(request))
+            delay(600_000)
+
+            assertTrue(store.callCount < 200, "${store.callCount} calls")
+        }
+    }
+
+    @Nested
+    inner class OddRecords {
+        @Test
+        fun `a record of another writer is left out and the others are read`() = runTest {
+            val odd = listOf(
+                "", " ", "1", "1 2", "x 2 e1", "1 x e1", "-1 2 e1", "1 -2 e1", "1 2 ", "1 2 e1 e2",
+                "1 99999999999999999999 e1", "99999999999 2 e1", "1 2 ${"e,".repeat(500)}"
+            )
+            for ((number, text) in odd.withIndex()) store.records["$number"] = text.toByteArray()
+            store.records["f"] = QuarantineCodec.encode(request, 1_000_000)
+            startKeeper()
+            delay(SETTLE_MS)
+
+            assertEquals(listOf(Fingerprint("f")), read.map { it.fingerprint })
+            for (text in odd) {
+                assertNull(QuarantineCodec.decode(Fingerprint("f"), text.toByteArray(), 5), text)
+            }
+        }
+
+        /** Guards against a wall clock that was set back, which would give an age below 0. */
+        @Test
+        fun `a crash in the future counts as one of now`() {
+            val encoded = QuarantineCodec.encode(request, 1_000_000)
+            val decoded = QuarantineCodec.decode(Fingerprint("f"), encoded, 1_000)
+
+            assertEquals(0, decoded?.crashedAgoMs)
+        }
+    }
+
+    private companion object {
+        const val SETTLE_MS = 1_000L
+        const val LONG_MS = 60_000L
+    }
+}
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -91,7 +91,9 @@
     fun send(host: EmulatedHost, input: ForwardingInput) {
         for (effect in host.controller.handle(input, queue.nowMs)) {
             when (effect) {
-                is ForwardingEffect.LogStateChange, is ForwardingEffect.Rollout -> Unit
+                is ForwardingEffect.LogStateChange,
+                is ForwardingEffect.Rollout,
+                is ForwardingEffect.Quarantine -> Unit
 
                 is ForwardingEffect.Command ->
                     requestsByCall[effect.call.id]?.onCommand(effect.call, effect.command)
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -43,8 +43,8 @@
 
     private val PROBES = 0..1_000
 
-    /** Up to a day; a quarantine is forgotten within an hour. */
-    private val AGES_MS = 0L..86_400_000L
+    /** Thirty years; a quarantine holds as long as its request comes. */
+    private val AGES_MS = 0L..1_000_000_000_000L
 
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
     fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray {
