--- a/standins/src/main/kotlin/cowslipcart/standins/command/PlatformCommand.kt
+++ b/standins/src/main/kotlin/cowslipcart/standins/command/PlatformCommand.kt
@@ -20,7 +20,7 @@
         repeat(runners) { index ->
             val runner = RunnerServer("runner-$index")
             val entry = """{"service":"desk","address":"${runner.address}","zone":"a",""" +
-                """"slots":$SLOTS,"state":"ready","sequence":1}"""
+                """"version":"v1","slots":$SLOTS,"state":"ready","coldLeftMs":0,"sequence":1}"""
             store.log.append("keyed.servers", "runner-$index", entry.toByteArray())
         }
         store.log.append("keyed.op", "config", CONFIG.toByteArray())
