Count a lost connection as no crash if the endpoint ran on

Cause: a lost connection was taken for a crash of the endpoint, and nothing asked whether it had stopped. Change: EndpointRuns keeps the time in which one process of an endpoint ran, by the records that it writes about itself; a connection lost in that time is taken off the records of requests and parts. The hosts that read the table tell the others.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -3,10 +3,14 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 
-/** Decides which requests are refused because they, or parts of their prompts, crash endpoints. */
+/**
+ * Decides which requests are refused because they, or parts of their prompts, crash endpoints. A
+ * connection that an endpoint lost while it ran on is no crash.
+ */
 internal class CrashQuarantine(self: HostId, otherHosts: () -> Set<HostId>) {
-    private val requests = QuarantineTracker(self, otherHosts)
-    private val parts = PartCrashHistory(self)
+    private val runs = EndpointRuns()
+    private val requests = QuarantineTracker(self, otherHosts, runs::isRefuted)
+    private val parts = PartCrashHistory(self, runs::isRefuted)
 
     /** The latest crash notices of this host; each report repeats them. */
     val crashNotices: List<CrashNotice> get() = requests.crashNotices
@@ -41,6 +45,7 @@
     ) {
         if (!outcome.isConnectionLost) return
         val endpoint: EndpointId = attempt.endpoint.entry.id
+        runs.onSuspected(endpoint, nowMs, nowMs)
         requests.onOwnCrash(call.fingerprint, endpoint, nowMs)
         if (!attempt.hasStarted) {
             parts.onCrash(call.prompt, endpoint, outcome.isAnswerBegun, nowMs)
@@ -49,11 +54,48 @@
 
     fun onPeerReport(report: HostLoadReport, isRestarted: Boolean, nowMs: Long) {
         if (isRestarted) requests.onPeerRestarted(report.host)
+        onToldCrashes(report, nowMs)
+        if (report.endpointRuns.isNotEmpty()) {
+            runs.onTold(report.endpointRuns, nowMs)
+            forgetRefuted(nowMs)
+        }
         requests.onPeerNotices(report.host, report.crashes, report.answers, nowMs)
         requests.onTold(report.host.value, report.quarantines, nowMs)
         parts.onPeerReport(report.suspectedParts, nowMs)
     }
 
+    /** Has the runs of the endpoints that [report] suspects told, if they refute that. */
+    private fun onToldCrashes(report: HostLoadReport, nowMs: Long) {
+        for (notice in report.crashes) {
+            if (requests.isNew(report.host, notice)) {
+                runs.onSuspected(notice.endpoint, nowMs, nowMs)
+            }
+        }
+        for (crash in report.suspectedParts.flatMap { it.crashes }) {
+            runs.onSuspected(crash.endpoint, nowMs - crash.agoMs, nowMs)
+        }
+        for (crash in report.quarantines.flatMap { it.crashes }) {
+            runs.onSuspected(crash.endpoint, nowMs - crash.agoMs, nowMs)
+        }
+    }
+
+    /** Only the [listed] endpoints are known further. */
+    fun onEndpoints(listed: Set<EndpointId>) = runs.retain(listed)
+
+    /** Endpoints wrote [beats] about themselves after [writtenAfterMs]. */
+    fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long, nowMs: Long) {
+        runs.onBeats(beats, writtenAfterMs, nowMs)
+        if (runs.hasSuspects) forgetRefuted(nowMs)
+    }
+
+    private fun forgetRefuted(nowMs: Long) {
+        requests.forgetRefuted(nowMs)
+        parts.forgetRefuted(nowMs)
+    }
+
+    /** Returns what the next report tells about endpoints that lost connections and ran on. */
+    fun takeEndpointRuns(nowMs: Long): List<EndpointRun> = runs.takeReport(nowMs)
+
     /** Adds the quarantines that the platform's store holds. */
     fun onStored(quarantines: List<QuarantinedRequest>, nowMs: Long) =
         requests.onTold("the store", quarantines, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -59,12 +59,16 @@
 
             is ForwardingInput.EndpointsChanged -> {
                 known.effects += known.endpoints.onEntries(input.entries)
+                known.quarantine.onEndpoints(input.entries.map { it.id }.toSet())
                 rollOut { onListed(input.entries) }
             }
 
             is ForwardingInput.EndpointsKnown ->
                 known.listAge.onKnown(input.asOfMs, input.isStoreLost)
 
+            is ForwardingInput.EndpointsBeat ->
+                known.quarantine.onBeats(input.beats, input.writtenAfterMs, nowMs)
+
             is ForwardingInput.EndpointLeaving ->
                 onLeaving(input.endpoint, "its answer", nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -74,6 +74,12 @@
     public data class EndpointsKnown(public val asOfMs: Long, public val isStoreLost: Boolean) :
         ForwardingInput
 
+    /** Records of endpoints that were written after [writtenAfterMs] of the monotonic clock. */
+    public data class EndpointsBeat(
+        public val beats: List<EndpointBeat>,
+        public val writtenAfterMs: Long
+    ) : ForwardingInput
+
     /** A load report of another host arrived. */
     public data class PeerReported(public val report: HostLoadReport) : ForwardingInput
 
@@ -180,7 +186,8 @@
     public val suspectedParts: List<SuspectedPart> = emptyList(),
     public val leavingEndpoints: List<LeavingEndpoint> = emptyList(),
     public val answers: List<AnswerNotice> = emptyList(),
-    public val quarantines: List<QuarantinedRequest> = emptyList()
+    public val quarantines: List<QuarantinedRequest> = emptyList(),
+    public val endpointRuns: List<EndpointRun> = emptyList()
 )
 
 /** [endpoint] has prefilled [part], so its prefix cache may hold it. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/LoadReporter.kt
@@ -49,7 +49,8 @@
             suspectedParts = quarantine.takeSuspectedParts(nowMs),
             leavingEndpoints = endpoints.leavingToReport(nowMs),
             answers = quarantine.answerNotices(nowMs),
-            quarantines = quarantine.takeQuarantines(nowMs)
+            quarantines = quarantine.takeQuarantines(nowMs),
+            endpointRuns = quarantine.takeEndpointRuns(nowMs)
         )
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PartCrashHistory.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PartCrashHistory.kt
@@ -12,7 +12,10 @@
  * Load pattern: one part crashes each endpoint that begins an answer on it, in requests that are
  * otherwise unlike each other; the crash breaks a dozen other requests as well.
  */
-internal class PartCrashHistory(private val self: HostId) {
+internal class PartCrashHistory(
+    private val self: HostId,
+    private val isRefuted: (EndpointId, Long) -> Boolean = { _, _ -> false }
+) {
     private val records = LinkedHashMap<PromptPartId, PartRecord>()
 
     /** Time of the last answer at this host by part, least recent first. */
@@ -80,12 +83,20 @@
                 val atMs = nowMs - crash.agoMs
                 // The other host lacks an answer that this one knows.
                 if (record.isRefuted(atMs)) record.onOwnNews(nowMs)
+                if (isRefuted(crash.endpoint, atMs)) continue
                 record.addCrash(crash.endpoint, crash.isAnswerBegun, atMs)
             }
         }
         judge(nowMs)
     }
 
+    /** Forgets the lost connections of endpoints that are known to have run on. */
+    fun forgetRefuted(nowMs: Long) {
+        var hasRefuted = false
+        for (record in records.values) hasRefuted = record.removeCrashes(isRefuted) || hasRefuted
+        if (hasRefuted) judge(nowMs)
+    }
+
     /** Returns what the next report tells the other hosts, the least recently told parts first. */
     fun takeReport(nowMs: Long): List<SuspectedPart> {
         if (records.isEmpty()) return emptyList()
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PartRecord.kt
@@ -97,6 +97,10 @@
         return crashes.removeIf { it.atMs <= atMs }
     }
 
+    /** Removes the crashes for which [isRefuted] holds; returns whether there are any. */
+    fun removeCrashes(isRefuted: (EndpointId, Long) -> Boolean): Boolean =
+        crashes.removeIf { isRefuted(it.endpoint, it.atMs) }
+
     /** Whether this part, which is a suspect, was in more crashes, and in those of [other]. */
     fun explains(other: PartRecord): Boolean {
         if (crashes.size <= other.crashes.size) return false
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineRecord.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineRecord.kt
@@ -2,30 +2,35 @@
 
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
+import kotlin.math.abs
 
 /**
  * What a host tells the others about a request that it refuses. Times are relative, since the
  * clocks of hosts differ.
  *
- * @property endpoints endpoints whose connection was lost while they ran the request
+ * @property crashes the endpoints whose connection was lost while they ran the request
  * @property failedProbes requests that tested the quarantine and crashed an endpoint
  * @property crashedAgoMs time since the last crash
  * @property seenAgoMs time since the request last came to any host
  */
 public data class QuarantinedRequest(
     public val fingerprint: Fingerprint,
-    public val endpoints: Set<EndpointId>,
+    public val crashes: List<EndpointCrash>,
     public val failedProbes: Int,
     public val crashedAgoMs: Long,
     public val seenAgoMs: Long
 )
 
+/** The last crash of [endpoint], [agoMs] before the report was made. */
+public data class EndpointCrash(public val endpoint: EndpointId, public val agoMs: Long)
+
 /** Crashes of the endpoints that ran one request, as far as this host knows them. */
 internal class QuarantineRecord {
-    private val lostAt = mutableSetOf<EndpointId>()
+    /** Time of the last crash by endpoint. */
+    private val crashedAtMs = mutableMapOf<EndpointId, Long>()
 
     /** Endpoints whose connection was lost. */
-    val endpoints: Set<EndpointId> get() = lostAt
+    val endpoints: Set<EndpointId> get() = crashedAtMs.keys
 
     var lastCrashAtMs = NEVER_MS
         private set
@@ -45,7 +50,7 @@
     /** Whether this host saw one of the crashes itself, so that it stores the quarantine. */
     var hasOwnCrash = false
 
-    val isQuarantined: Boolean get() = lostAt.size >= QUARANTINE_COUNT
+    val isQuarantined: Boolean get() = crashedAtMs.size >= QUARANTINE_COUNT
 
     /** Whether the quarantine may still be tested; otherwise it holds as long as it is kept. */
     val mayBeProbed: Boolean get() = failedProbes < MAX_FAILED_PROBES
@@ -67,31 +72,48 @@
         // Only a probe is sent so late; other requests that break had been sent before.
         val isProbe = isQuarantined && nowMs - lastCrashAtMs >= lapseMs
         if (isProbe) failedProbes++
-        if (lostAt.size < MAX_ENDPOINTS) lostAt += endpoint
+        if (endpoint in crashedAtMs || crashedAtMs.size < MAX_ENDPOINTS) {
+            crashedAtMs[endpoint] = nowMs
+        }
         lastCrashAtMs = nowMs
         return isProbe
     }
 
+    /** Removes the crashes for which [isRefuted] holds; returns whether there are any. */
+    fun removeCrashes(isRefuted: (EndpointId, Long) -> Boolean): Boolean =
+        crashedAtMs.entries.removeIf { (endpoint, atMs) -> isRefuted(endpoint, atMs) }
+
     /**
      * Adds what another host told at [nowMs]. Of two times for one event the earlier one is the
      * exact one, since a report takes some time; adding the same again changes nothing.
      */
     fun onTold(told: QuarantinedRequest, nowMs: Long) {
-        val crashedAtMs = nowMs - told.crashedAgoMs
+        val toldCrashAtMs = nowMs - told.crashedAgoMs
         if (!isQuarantined || told.failedProbes > failedProbes) {
-            lastCrashAtMs = crashedAtMs
+            lastCrashAtMs = toldCrashAtMs
         } else if (told.failedProbes == failedProbes) {
-            lastCrashAtMs = minOf(lastCrashAtMs, crashedAtMs)
+            lastCrashAtMs = minOf(lastCrashAtMs, toldCrashAtMs)
         }
         failedProbes = maxOf(failedProbes, told.failedProbes)
-        lostAt += told.endpoints.take(MAX_ENDPOINTS - lostAt.size)
+        for (crash in told.crashes) addTold(crash.endpoint, nowMs - crash.agoMs)
         val toldSeenAtMs = nowMs - told.seenAgoMs
         if (toldSeenAtMs > seenAtMs + SAME_TIME_MS) seenAtMs = toldSeenAtMs
     }
 
+    private fun addTold(endpoint: EndpointId, atMs: Long) {
+        val knownMs = crashedAtMs[endpoint]
+        if (knownMs == null && crashedAtMs.size >= MAX_ENDPOINTS) return
+        val isSame = knownMs != null && abs(atMs - knownMs) < SAME_TIME_MS
+        crashedAtMs[endpoint] = when {
+            knownMs == null -> atMs
+            isSame -> minOf(atMs, knownMs)
+            else -> maxOf(atMs, knownMs)
+        }
+    }
+
     fun toQuarantinedRequest(fingerprint: Fingerprint, nowMs: Long) = QuarantinedRequest(
         fingerprint,
-        lostAt.toSet(),
+        crashedAtMs.map { (endpoint, atMs) -> EndpointCrash(endpoint, nowMs - atMs) },
         failedProbes,
         nowMs - lastCrashAtMs,
         nowMs - maxOf(seenAtMs, lastCrashAtMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -16,7 +16,11 @@
  * also one that started since; endpoints reset connections for a while, and a resource that is read
  * by many is among them.
  */
-internal class QuarantineTracker(self: HostId, otherHosts: () -> Set<HostId> = { emptySet() }) {
+internal class QuarantineTracker(
+    self: HostId,
+    otherHosts: () -> Set<HostId> = { emptySet() },
+    private val isRefuted: (EndpointId, Long) -> Boolean = { _, _ -> false }
+) {
     private val slots = ProbeSlots(self, otherHosts)
     private val records = LinkedHashMap<Fingerprint, QuarantineRecord>()
     private val lastNoticeByHost = mutableMapOf<HostId, Long>()
@@ -112,9 +116,11 @@
         for (told in quarantines) {
             val refutedMs = refutedAtMs[told.fingerprint] ?: QuarantineRecord.NEVER_MS
             if (nowMs - told.crashedAgoMs <= refutedMs) continue
+            val crashes = told.crashes.filter { !isRefuted(it.endpoint, nowMs - it.agoMs) }
+            if (crashes.size < QuarantineRecord.QUARANTINE_COUNT) continue
             val record = records.getOrPut(told.fingerprint) { QuarantineRecord() }
             val wasQuarantined = record.isQuarantined
-            record.onTold(told, nowMs)
+            record.onTold(told.copy(crashes = crashes), nowMs)
             if (record.isQuarantined && !wasQuarantined) {
                 logQuarantine(told.fingerprint, record, "told by $source, ")
             }
@@ -122,6 +128,22 @@
         forgetSurplus()
     }
 
+    /** Forgets the lost connections of endpoints that are known to have run on. */
+    fun forgetRefuted(nowMs: Long) {
+        for ((fingerprint, record) in records.toList()) {
+            val wasQuarantined = record.isQuarantined
+            val hasRefuted = record.removeCrashes(isRefuted)
+            if (hasRefuted && wasQuarantined && !record.isQuarantined) {
+                clear(fingerprint, "its endpoints ran on", nowMs, isOwn = false)
+            }
+        }
+        records.values.removeIf { it.endpoints.isEmpty() }
+    }
+
+    /** Whether [notice] of [host] is newer than the last one taken from it. */
+    fun isNew(host: HostId, notice: RequestNotice): Boolean =
+        notice.number > (lastNoticeByHost[host] ?: 0)
+
     /** [host] restarted, so its notices are numbered from 1 again. */
     fun onPeerRestarted(host: HostId) {
         lastNoticeByHost -= host
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -131,7 +131,8 @@
         incarnation: Long = 9,
         crashes: List<CrashNotice> = emptyList(),
         msPerToken: Map<EndpointId, Double> = emptyMap(),
-        suspectedParts: List<SuspectedPart> = emptyList()
+        suspectedParts: List<SuspectedPart> = emptyList(),
+        quarantines: List<QuarantinedRequest> = emptyList()
     ) = send(
         ForwardingInput.PeerReported(
             HostLoadReport(
@@ -144,7 +145,8 @@
                 mapOf(ORGANISATION to used),
                 emptyList(),
                 crashes,
-                suspectedParts
+                suspectedParts,
+                quarantines = quarantines
             )
         )
     )
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
@@ -50,6 +50,7 @@
 
     /** The age of a stored crash is known, when the request last came is not. */
     private fun toRead(stored: StoredQuarantine): QuarantinedRequest = stored.request.copy(
+        crashes = stored.request.crashes.map { it.copy(agoMs = it.agoMs + nowMs - stored.atMs) },
         crashedAgoMs = nowMs - stored.atMs + stored.request.crashedAgoMs,
         seenAgoMs = 0
     )
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.ForwardingSettings
@@ -194,6 +195,9 @@
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) =
             loop.submit(ForwardingInput.EndpointsKnown(asOfMs, isStoreLost))
 
+        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) =
+            loop.submit(ForwardingInput.EndpointsBeat(beats, writtenAfterMs))
+
         override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/QuarantineKeeper.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/QuarantineKeeper.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.forwarding.EndpointCrash
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.QuarantinedRequest
@@ -100,7 +101,7 @@
 
     fun encode(request: QuarantinedRequest, wallNowMs: Long): ByteArray {
         val crashedAtMs = wallNowMs - request.crashedAgoMs
-        val endpoints = request.endpoints.joinToString(",")
+        val endpoints = request.crashes.joinToString(",") { it.endpoint.value }
         return "${request.failedProbes} $crashedAtMs $endpoints".encodeToByteArray()
     }
 
@@ -115,11 +116,12 @@
         val crashedAtMs = fields[1].toLongOrNull()?.takeIf { it in WALL_MS } ?: return null
         val endpoints = fields[2].split(',').filter { it.isNotEmpty() }.map { EndpointId(it) }
         if (endpoints.size !in 1..MAX_ENDPOINTS) return null
+        val agoMs = (wallNowMs - crashedAtMs).coerceAtLeast(0)
         return QuarantinedRequest(
             fingerprint,
-            endpoints.toSet(),
+            endpoints.distinct().map { EndpointCrash(it, agoMs) },
             failedProbes,
-            crashedAgoMs = (wallNowMs - crashedAtMs).coerceAtLeast(0),
+            crashedAgoMs = agoMs,
             seenAgoMs = 0
         )
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -1,6 +1,7 @@
 package cowslipcart.daemon.gateway
 
 import arrow.core.Either
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -46,6 +47,9 @@
      */
     fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean)
 
+    /** Endpoints wrote [beats] about themselves after [writtenAfterMs] on the monotonic clock. */
+    fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long)
+
     fun onHosts(hosts: Map<HostId, HostRecord>)
 }
 
@@ -149,6 +153,7 @@
 
     private suspend fun readEndpoints() {
         val from = endpoints.next
+        val knownAsOfMs = endpoints.asOfMs
         val sentAtMs = clock.nowMs()
         val table = StoreTable.ENDPOINTS
         val timeoutMs = endpointHealth.responseTimeoutMs
@@ -160,6 +165,7 @@
             store.changes(table, from, 0, timeoutMs).onRight {
                 val changes = decodeEndpoints(it.records)
                 endpoints.onChanges(changes, from, it.next, sentAtMs, clock.nowMs())
+                notifyBeats(changes, knownAsOfMs)
             }
         }
         val error = result.leftOrNull()
@@ -177,6 +183,14 @@
         }
     }
 
+    /** The records of [changes] were written after the table was known as of [knownAsOfMs]. */
+    private fun notifyBeats(changes: List<EndpointChange>, knownAsOfMs: Long) {
+        val beats = changes.mapNotNull { change ->
+            change.record?.let { EndpointBeat(change.id, it.startedAtMs, it.sequence) }
+        }
+        if (beats.isNotEmpty()) listener.onBeats(beats, knownAsOfMs)
+    }
+
     private fun decodeEndpoints(records: List<TableRecord>): List<EndpointChange> =
         records.map { record ->
             val id = EndpointId(record.key)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.right
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
@@ -149,6 +150,8 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
+        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
@@ -1,24 +1,17 @@
 package cowslipcart.daemon.gateway
 
-import arrow.core.Either
-import arrow.core.right
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
-import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.Revision
 import cowslipcart.core.routing.CallerLimits
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.EndpointRecord
-import cowslipcart.core.store.KeyedStore
-import cowslipcart.core.store.StoreError
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.StoreUpdate
-import cowslipcart.core.store.TableChanges
-import cowslipcart.core.store.TableRecord
-import cowslipcart.core.store.TableSnapshot
 import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import java.io.IOException
@@ -39,52 +32,6 @@
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 class OddStoreRecordsTest {
-    /** Store with the tables of endpoints and configurations, which have the same offsets. */
-    private class SmallStore : KeyedStore {
-        private val records = mutableMapOf<StoreTable, MutableList<TableRecord>>()
-
-        /** Thrown by the next read of the endpoints. */
-        var failure: Throwable? = null
-
-        fun write(table: StoreTable, key: String, value: String) {
-            val written = records.getOrPut(table) { mutableListOf() }
-            val offset = LogOffset(written.size.toLong())
-            written += TableRecord(key, value.encodeToByteArray(), offset)
-        }
-
-        private fun recordsOf(table: StoreTable): List<TableRecord> = records[table].orEmpty()
-
-        override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> {
-            val newest = recordsOf(table).associateBy { it.key }.values.toList()
-            return TableSnapshot(newest, LogOffset(recordsOf(table).size.toLong())).right()
-        }
-
-        override suspend fun changes(
-            table: StoreTable,
-            from: LogOffset,
-            waitMs: Long,
-            responseTimeoutMs: Long
-        ): Either<StoreError, TableChanges> {
-            failure?.takeIf { table == StoreTable.ENDPOINTS }?.let {
-                failure = null
-                throw it
-            }
-            delay(POLL_MS)
-            val next = LogOffset(recordsOf(table).size.toLong())
-            return TableChanges(recordsOf(table).filter { it.offset >= from }, next).right()
-        }
-
-        override suspend fun put(table: StoreTable, key: String, value: ByteArray) =
-            Either.Right(Unit)
-
-        override suspend fun putAt(
-            table: StoreTable,
-            key: String,
-            value: ByteArray,
-            expectedEnd: LogOffset
-        ) = Either.Right(Unit)
-    }
-
     /** Decodes the revision of a configuration and any endpoint, but throws on [ODD] values. */
     private object FailingDecoder : RecordDecoder {
         private fun read(value: ByteArray): String {
@@ -131,6 +78,8 @@
 
             override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
+            override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
         val log = GatewayEventLog(clock, GatewayMetrics())
@@ -198,7 +147,7 @@
             )
             for ((number, failure) in failures.withIndex()) {
                 store.failure = failure
-                while (store.failure != null) delay(POLL_MS)
+                while (store.failure != null) delay(SmallStore.READ_MS)
                 store.write(StoreTable.ENDPOINTS, "e${number + 1}", "p")
                 delay(SETTLE_MS)
                 assertTrue("e${number + 1}" in endpoints, "after $failure: $endpoints")
@@ -209,9 +158,6 @@
     private companion object {
         const val ODD = "odd"
 
-        /** Time of a read, in ms. */
-        const val POLL_MS = 10L
-
         /** Several reads and the pause after a failed one, in ms. */
         const val SETTLE_MS = 4_000L
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import cowslipcart.core.forwarding.EndpointBeat
+import cowslipcart.core.forwarding.EndpointCrash
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.QuarantineEffect
@@ -93,6 +95,8 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
+        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
 
@@ -106,7 +110,7 @@
     private val read = mutableListOf<QuarantinedRequest>()
     private val request = QuarantinedRequest(
         Fingerprint("f"),
-        setOf(EndpointId("e1"), EndpointId("e2"), EndpointId("e3")),
+        listOf("e1", "e2", "e3").map { EndpointCrash(EndpointId(it), 500) },
         failedProbes = 1,
         crashedAgoMs = 500,
         seenAgoMs = 0
@@ -133,7 +137,10 @@
             delay(SETTLE_MS)
 
             val kept = read.single()
-            assertEquals(request.endpoints, kept.endpoints)
+            assertEquals(
+                request.crashes.map { it.endpoint },
+                kept.crashes.map { it.endpoint }
+            )
             assertEquals(request.failedProbes, kept.failedProbes)
             assertTrue(kept.crashedAgoMs >= request.crashedAgoMs, "$kept")
         }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RolloutFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RolloutFollowerTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -123,6 +124,8 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
+        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
@@ -139,6 +140,8 @@
                 wasStoreLost = isStoreLost
             }
 
+            override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
         val eventLog = GatewayEventLog(clock, GatewayMetrics())
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/LoadReportCodec.kt
@@ -7,6 +7,8 @@
 import arrow.core.right
 import cowslipcart.core.forwarding.AnswerNotice
 import cowslipcart.core.forwarding.CrashNotice
+import cowslipcart.core.forwarding.EndpointCrash
+import cowslipcart.core.forwarding.EndpointRun
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
@@ -49,7 +51,8 @@
     /** Encodes [report]; [isLeaving] marks the last report of a host that shuts down cleanly. */
     fun encode(report: HostLoadReport, isLeaving: Boolean): ByteArray {
         val hasLaterFields = report.leavingEndpoints.isNotEmpty() ||
-            report.answers.isNotEmpty() || report.quarantines.isNotEmpty()
+            report.answers.isNotEmpty() || report.quarantines.isNotEmpty() ||
+            report.endpointRuns.isNotEmpty()
         val cbor = if (hasLaterFields) completePeerCbor else peerCbor
         return cbor.encodeToByteArray(
             LoadReportDocument.serializer(),
@@ -75,8 +78,10 @@
             document.loads.all { it.running in RUNNING && it.unreadTokens in UNREAD_TOKENS } &&
             document.uses.all { it.units.isFinite() } &&
             document.quarantines.all {
-                it.failedProbes in PROBES && it.crashedAgoMs in AGES_MS && it.seenAgoMs in AGES_MS
-            }
+                it.failedProbes in PROBES && it.crashedAgoMs in AGES_MS &&
+                    it.seenAgoMs in AGES_MS && it.crashes.all { crash -> crash.agoMs in AGES_MS }
+            } &&
+            document.endpointRuns.all { it.sinceAgoMs in AGES_MS && it.untilAgoMs in AGES_MS }
 
     private fun toDocument(report: HostLoadReport, isLeaving: Boolean) = LoadReportDocument(
         VERSION,
@@ -109,11 +114,14 @@
         report.quarantines.map { quarantined ->
             QuarantinedRequestDocument(
                 quarantined.fingerprint.value,
-                quarantined.endpoints.map { it.value },
+                quarantined.crashes.map { EndpointCrashDocument(it.endpoint.value, it.agoMs) },
                 quarantined.failedProbes,
                 quarantined.crashedAgoMs,
                 quarantined.seenAgoMs
             )
+        },
+        report.endpointRuns.map {
+            EndpointRunDocument(it.endpoint.value, it.sinceAgoMs, it.untilAgoMs)
         }
     )
 
@@ -146,10 +154,13 @@
             LeavingEndpoint(EndpointId(it.endpoint), it.startedAtMs)
         },
         answers = document.answers.map { AnswerNotice(it.number, Fingerprint(it.fingerprint)) },
+        endpointRuns = document.endpointRuns.map {
+            EndpointRun(EndpointId(it.endpoint), it.sinceAgoMs, it.untilAgoMs)
+        },
         quarantines = document.quarantines.map { quarantined ->
             QuarantinedRequest(
                 Fingerprint(quarantined.fingerprint),
-                quarantined.endpoints.map { EndpointId(it) }.toSet(),
+                quarantined.crashes.map { EndpointCrash(EndpointId(it.endpoint), it.agoMs) },
                 quarantined.failedProbes,
                 quarantined.crashedAgoMs,
                 quarantined.seenAgoMs
@@ -183,7 +194,8 @@
     val suspectedParts: List<SuspectedPartDocument> = emptyList(),
     val leavingEndpoints: List<LeavingEndpointDocument> = emptyList(),
     val answers: List<AnswerNoticeDocument> = emptyList(),
-    val quarantines: List<QuarantinedRequestDocument> = emptyList()
+    val quarantines: List<QuarantinedRequestDocument> = emptyList(),
+    val endpointRuns: List<EndpointRunDocument> = emptyList()
 )
 
 @Serializable
@@ -215,12 +227,20 @@
 @CborArray
 private class QuarantinedRequestDocument(
     val fingerprint: String,
-    val endpoints: List<String>,
+    val crashes: List<EndpointCrashDocument>,
     val failedProbes: Int,
     val crashedAgoMs: Long,
     val seenAgoMs: Long
 )
 
+@Serializable
+@CborArray
+private class EndpointCrashDocument(val endpoint: String, val agoMs: Long)
+
+@Serializable
+@CborArray
+private class EndpointRunDocument(val endpoint: String, val sinceAgoMs: Long, val untilAgoMs: Long)
+
 @Serializable
 @CborArray
 private class LeavingEndpointDocument(val endpoint: String, val startedAtMs: Long)
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -2,7 +2,9 @@
 
 import cowslipcart.core.forwarding.AnswerNotice
 import cowslipcart.core.forwarding.CrashNotice
+import cowslipcart.core.forwarding.EndpointCrash
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointRun
 import cowslipcart.core.forwarding.HostLoad
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.HostProfile
@@ -102,13 +104,16 @@
         fun `quarantined requests survive a round trip`() {
             val quarantined = QuarantinedRequest(
                 Fingerprint("f"),
-                setOf(id, EndpointId("e2")),
+                listOf(EndpointCrash(id, 90_000), EndpointCrash(EndpointId("e2"), 95_000)),
                 failedProbes = 1,
                 crashedAgoMs = 90_000,
                 seenAgoMs = 40
             )
             val sample = PeerDatagram.LoadReport(
-                report.copy(quarantines = listOf(quarantined)),
+                report.copy(
+                    quarantines = listOf(quarantined),
+                    endpointRuns = listOf(EndpointRun(id, 9_000, 40))
+                ),
                 false
             )
 
