--- a/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/Daemon.kt
@@ -87,7 +87,8 @@
         settings.cacheReadBytesPerS
     )
     private val controlLoop = ControlLoop(controller, clock)
-    private val context = EndpointContext(client, clock, metrics, settings.streamIdleTimeoutMs)
+    private val context =
+        EndpointContext(client, selector, clock, metrics, settings.streamIdleTimeoutMs)
     private val streams =
         PlatformStreams(
             HttpLog(client, settings.logUrl),
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/EndpointContext.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/EndpointContext.kt
@@ -6,6 +6,7 @@
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
 import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.network.selector.SelectorManager
 import java.io.IOException
 import java.net.ConnectException
 
@@ -16,6 +17,7 @@
  */
 internal class EndpointContext(
     val client: HttpClient,
+    val selector: SelectorManager,
     val clock: RuntimeClock,
     val metrics: Metrics,
     val idleTimeoutMs: Long
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/EndpointProbe.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/EndpointProbe.kt
@@ -7,10 +7,11 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.isSuccess
 import java.io.IOException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** Reads load reports of endpoints: `GET /load`. */
@@ -24,6 +25,7 @@
     )
 
     /** Returns the report, or null if the endpoint gave none within [TIMEOUT_MS]. */
+    @Suppress("TooGenericExceptionCaught")
     suspend fun readLoad(endpoint: EndpointSpec): LoadReport? = withTimeoutOrNull(TIMEOUT_MS) {
         try {
             val response = client.get("http://${endpoint.address}/load")
@@ -32,7 +34,9 @@
             LoadReport(endpoint.id, load.ageMs, load.running, load.waitingTokens, load.leaving)
         } catch (_: IOException) {
             null
-        } catch (_: SerializationException) {
+        } catch (_: RuntimeException) {
+            // No load report: the HTTP client and the decoder throw these for malformed answers.
+            currentCoroutineContext().ensureActive()
             null
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/endpoint/ModelExchange.kt
@@ -13,8 +13,8 @@
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.HttpStatement
+import io.ktor.client.statement.bodyAsBytes
 import io.ktor.client.statement.bodyAsChannel
-import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.contentType
@@ -24,6 +24,8 @@
 import java.io.IOException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
@@ -64,6 +66,7 @@
     private var nextSequence = 0L
     private var usage: ModelChunk.Usage? = null
 
+    @Suppress("TooGenericExceptionCaught")
     override suspend fun run(
         start: ExchangeStart,
         write: suspend (CallerOutput) -> Unit
@@ -78,6 +81,10 @@
             }
         } catch (e: IOException) {
             onEarlyEnd(start, timer, e)
+        } catch (e: RuntimeException) {
+            // The HTTP client throws other exceptions for answers that are malformed or cut.
+            currentCoroutineContext().ensureActive()
+            onEarlyEnd(start, timer, IOException(e))
         }
     }
 
@@ -227,7 +234,8 @@
         if (status !in 400..499 || start.isResume) {
             return broken(timer, "the endpoint answered with status $status", false)
         }
-        val text = response.bodyAsText().take(AnswerRecorder.MAX_BYTES)
+        // This checks the stated length, unlike bodyAsText.
+        val text = response.bodyAsBytes().decodeToString().take(AnswerRecorder.MAX_BYTES)
         recorder?.begin(status, AnswerWriter.JSON_TYPE)
         recorder?.append(text)
         write(CallerOutput.Head(status, AnswerWriter.JSON_TYPE))
--- a/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ModelExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ModelExchangeTest.kt
@@ -10,15 +10,20 @@
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.control.RuntimeClock
 import io.ktor.client.HttpClient
+import io.ktor.network.selector.SelectorManager
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.writeStringUtf8
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
@@ -50,8 +55,41 @@
         }
     }
 
-    private suspend fun run(client: HttpClient, port: Int): StreamEnd {
-        val context = EndpointContext(client, RuntimeClock(), Metrics(), idleTimeoutMs = 200)
+    /** Guards against an exception that ends the session, whose caller then gets no answer. */
+    @Nested
+    inner class Malformed {
+        private fun endOf(bytes: String): StreamEnd =
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                val answering = thread {
+                    server.accept().use { socket ->
+                        val input = socket.getInputStream().bufferedReader()
+                        while (!input.readLine().isNullOrEmpty()) Unit
+                        socket.getOutputStream().write(bytes.toByteArray())
+                    }
+                }
+                runBlocking { createHttpClient().use { run(it, server.localPort) } }
+                    .also { answering.join() }
+            }
+
+        @Test
+        fun `an answer that is no HTTP ends as broken`() {
+            assertIs<StreamEnd.Broken>(endOf("no answer\r\n\r\n"))
+            assertIs<StreamEnd.Broken>(endOf("HTTP/1.1 200 OK\r\nno header\r\n\r\n"))
+        }
+
+        @Test
+        fun `an error that is shorter than its stated length ends as broken`() {
+            val head = "HTTP/1.1 400 Bad Request\r\nContent-Length: 10\r\n\r\n"
+            assertIs<StreamEnd.Broken>(endOf(head + "12345"))
+        }
+    }
+
+    private suspend fun run(client: HttpClient, port: Int): StreamEnd =
+        SelectorManager(Dispatchers.IO).use { run(client, it, port) }
+
+    private suspend fun run(client: HttpClient, selector: SelectorManager, port: Int): StreamEnd {
+        val context =
+            EndpointContext(client, selector, RuntimeClock(), Metrics(), idleTimeoutMs = 200)
         val exchange =
             ModelExchange(context, RequestId("r"), "{}", AnswerWriter.Streamed(null), null, 1)
         return exchange.run(ExchangeStart(endpoint(port), GrantId("g"), isResume = false)) {}
