--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -82,9 +82,9 @@
     /** Only the [listed] endpoints are known further. */
     fun onEndpoints(listed: Set<EndpointId>) = runs.retain(listed)
 
-    /** Endpoints wrote [beats] about themselves after [writtenAfterMs]. */
-    fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long, nowMs: Long) {
-        runs.onBeats(beats, writtenAfterMs, nowMs)
+    /** Endpoints wrote [heartbeats] about themselves after [writtenAfterMs]. */
+    fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long, nowMs: Long) {
+        runs.onHeartbeats(heartbeats, writtenAfterMs, nowMs)
         if (runs.hasSuspects) forgetRefuted(nowMs)
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRuns.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointRuns.kt
@@ -8,7 +8,7 @@
  * @property startedAtMs wall-clock time of its start; 0 if it states none
  * @property sequence number of the record since its start
  */
-public data class EndpointBeat(
+public data class EndpointHeartbeat(
     public val endpoint: EndpointId,
     public val startedAtMs: Long,
     public val sequence: Long
@@ -58,14 +58,17 @@
         ownRuns.keys.retainAll(listed)
     }
 
-    /** Adds [beats], which were written after [writtenAfterMs] and read by [nowMs]. */
-    fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long, nowMs: Long) {
-        for (beat in beats) {
-            val run = ownRuns[beat.endpoint]
-            if (run == null || isOfOtherProcess(beat, run)) {
-                ownRuns[beat.endpoint] = OwnRun(beat.startedAtMs, beat.sequence, nowMs)
-            } else if (beat.startedAtMs == run.startedAtMs && beat.sequence > run.sequence) {
-                run.sequence = beat.sequence
+    /** Adds [heartbeats], which were written after [writtenAfterMs] and read by [nowMs]. */
+    fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long, nowMs: Long) {
+        for (heartbeat in heartbeats) {
+            val run = ownRuns[heartbeat.endpoint]
+            if (run == null || isOfOtherProcess(heartbeat, run)) {
+                ownRuns[heartbeat.endpoint] =
+                    OwnRun(heartbeat.startedAtMs, heartbeat.sequence, nowMs)
+            } else if (heartbeat.startedAtMs == run.startedAtMs &&
+                heartbeat.sequence > run.sequence
+            ) {
+                run.sequence = heartbeat.sequence
                 // A single record may have been on its way to the store when the endpoint crashed.
                 run.untilMs = run.writtenAfterMs
                 run.writtenAfterMs = writtenAfterMs
@@ -74,11 +77,11 @@
     }
 
     /** An endpoint that states no start is told apart by its records, which are numbered anew. */
-    private fun isOfOtherProcess(beat: EndpointBeat, run: OwnRun): Boolean =
-        if (beat.startedAtMs == run.startedAtMs) {
-            beat.startedAtMs == 0L && beat.sequence < run.sequence
+    private fun isOfOtherProcess(heartbeat: EndpointHeartbeat, run: OwnRun): Boolean =
+        if (heartbeat.startedAtMs == run.startedAtMs) {
+            heartbeat.startedAtMs == 0L && heartbeat.sequence < run.sequence
         } else {
-            beat.startedAtMs > run.startedAtMs
+            heartbeat.startedAtMs > run.startedAtMs
         }
 
     /** Adds what another host told at [nowMs]. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -66,8 +66,8 @@
             is ForwardingInput.EndpointsKnown ->
                 known.listAge.onKnown(input.asOfMs, input.isStoreLost)
 
-            is ForwardingInput.EndpointsBeat ->
-                known.quarantine.onBeats(input.beats, input.writtenAfterMs, nowMs)
+            is ForwardingInput.EndpointHeartbeats ->
+                known.quarantine.onHeartbeats(input.heartbeats, input.writtenAfterMs, nowMs)
 
             is ForwardingInput.EndpointLeaving ->
                 onLeaving(input.endpoint, "its answer", nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -75,8 +75,8 @@
         ForwardingInput
 
     /** Records of endpoints that were written after [writtenAfterMs] of the monotonic clock. */
-    public data class EndpointsBeat(
-        public val beats: List<EndpointBeat>,
+    public data class EndpointHeartbeats(
+        public val heartbeats: List<EndpointHeartbeat>,
         public val writtenAfterMs: Long
     ) : ForwardingInput
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/RefutedCrashTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/RefutedCrashTest.kt
@@ -40,7 +40,7 @@
         while (nowMs < endMs) {
             nowMs += REPORT_MS
             for (host in hosts) host.nowMs = nowMs
-            if (nowMs % BEAT_MS == 0L) beat()
+            if (nowMs % HEARTBEAT_MS == 0L) heartbeat()
             for (from in hosts) {
                 from.send(ForwardingInput.Tick)
                 val report = from.controller.loadReport(nowMs) ?: continue
@@ -49,13 +49,13 @@
         }
     }
 
-    private fun beat() {
+    private fun heartbeat() {
         val running = ids.filter { startedAtMs[it] != null }
         for (id in running) sequences[id] = sequences.getValue(id) + 1
-        val beats = running.map {
-            EndpointBeat(it, checkNotNull(startedAtMs[it]), sequences.getValue(it))
+        val heartbeats = running.map {
+            EndpointHeartbeat(it, checkNotNull(startedAtMs[it]), sequences.getValue(it))
         }
-        reader.send(ForwardingInput.EndpointsBeat(beats, lastReadAtMs))
+        reader.send(ForwardingInput.EndpointHeartbeats(heartbeats, lastReadAtMs))
         lastReadAtMs = nowMs
     }
 
@@ -181,7 +181,7 @@
 
     private companion object {
         const val REPORT_MS = 200L
-        const val BEAT_MS = 1_200L
+        const val HEARTBEAT_MS = 1_200L
         const val MAX_LOSSES = 20
 
         /** The platform allows 12 s until requests are served again. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -157,7 +157,7 @@
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
             is ForwardingInput.EndpointsKnown,
-            is ForwardingInput.EndpointsBeat,
+            is ForwardingInput.EndpointHeartbeats,
             is ForwardingInput.PeerReported,
             is ForwardingInput.PeerLeft,
             is ForwardingInput.RolloutsChanged,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -1,7 +1,7 @@
 package cowslipcart.daemon.gateway
 
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.ForwardingSettings
 import cowslipcart.core.forwarding.createForwardingController
@@ -195,8 +195,8 @@
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) =
             loop.submit(ForwardingInput.EndpointsKnown(asOfMs, isStoreLost))
 
-        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) =
-            loop.submit(ForwardingInput.EndpointsBeat(beats, writtenAfterMs))
+        override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) =
+            loop.submit(ForwardingInput.EndpointHeartbeats(heartbeats, writtenAfterMs))
 
         override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -1,8 +1,8 @@
 package cowslipcart.daemon.gateway
 
 import arrow.core.Either
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.routing.RoutingTable
@@ -47,8 +47,8 @@
      */
     fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean)
 
-    /** Endpoints wrote [beats] about themselves after [writtenAfterMs] on the monotonic clock. */
-    fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long)
+    /** Endpoints wrote [heartbeats] after [writtenAfterMs] on the monotonic clock. */
+    fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long)
 
     fun onHosts(hosts: Map<HostId, HostRecord>)
 }
@@ -165,7 +165,7 @@
             store.changes(table, from, 0, timeoutMs).onRight {
                 val changes = decodeEndpoints(it.records)
                 endpoints.onChanges(changes, from, it.next, sentAtMs, clock.nowMs())
-                notifyBeats(changes, knownAsOfMs)
+                notifyHeartbeats(changes, knownAsOfMs)
             }
         }
         val error = result.leftOrNull()
@@ -184,11 +184,11 @@
     }
 
     /** The records of [changes] were written after the table was known as of [knownAsOfMs]. */
-    private fun notifyBeats(changes: List<EndpointChange>, knownAsOfMs: Long) {
-        val beats = changes.mapNotNull { change ->
-            change.record?.let { EndpointBeat(change.id, it.startedAtMs, it.sequence) }
+    private fun notifyHeartbeats(changes: List<EndpointChange>, knownAsOfMs: Long) {
+        val heartbeats = changes.mapNotNull { change ->
+            change.record?.let { EndpointHeartbeat(change.id, it.startedAtMs, it.sequence) }
         }
-        if (beats.isNotEmpty()) listener.onBeats(beats, knownAsOfMs)
+        if (heartbeats.isNotEmpty()) listener.onHeartbeats(heartbeats, knownAsOfMs)
     }
 
     private fun decodeEndpoints(records: List<TableRecord>): List<EndpointChange> =
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
@@ -2,8 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.right
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -150,7 +150,7 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
-        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+        override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) = Unit
 
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointBeatsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointHeartbeatsTest.kt
@@ -1,7 +1,7 @@
 package cowslipcart.daemon.gateway
 
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -26,7 +26,7 @@
 
 /** Guards against a record of an endpoint that is taken for one written later than it was. */
 @OptIn(ExperimentalCoroutinesApi::class)
-class EndpointBeatsTest {
+class EndpointHeartbeatsTest {
     /** Decodes the sequence number of a record. */
     private object SequenceDecoder : RecordDecoder {
         override fun decodeRouting(key: String, value: ByteArray): RoutingTable? = null
@@ -43,10 +43,10 @@
         override fun publish(update: StoreUpdate) = Unit
     }
 
-    private class ToldBeats(val beats: List<EndpointBeat>, val writtenAfterMs: Long)
+    private class ToldHeartbeats(val heartbeats: List<EndpointHeartbeat>, val writtenAfterMs: Long)
 
     private val store = SmallStore()
-    private val told = mutableListOf<ToldBeats>()
+    private val told = mutableListOf<ToldHeartbeats>()
 
     private fun TestScope.follow() {
         val clock = RuntimeClock(testTimeSource)
@@ -57,8 +57,8 @@
 
             override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
-            override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) {
-                told += ToldBeats(beats, writtenAfterMs)
+            override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) {
+                told += ToldHeartbeats(heartbeats, writtenAfterMs)
             }
 
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
@@ -85,11 +85,11 @@
             store.write(StoreTable.ENDPOINTS, "e1", "4")
             delay(SETTLE_MS)
 
-            val beats = told.single()
-            assertEquals(listOf(EndpointBeat(EndpointId("e1"), 7, 4)), beats.beats)
-            val isEarlier = beats.writtenAfterMs <= writtenAtMs
-            assertTrue(isEarlier, "${beats.writtenAfterMs}, $writtenAtMs")
-            assertTrue(beats.writtenAfterMs > writtenAtMs - SETTLE_MS)
+            val heartbeats = told.single()
+            assertEquals(listOf(EndpointHeartbeat(EndpointId("e1"), 7, 4)), heartbeats.heartbeats)
+            val isEarlier = heartbeats.writtenAfterMs <= writtenAtMs
+            assertTrue(isEarlier, "${heartbeats.writtenAfterMs}, $writtenAtMs")
+            assertTrue(heartbeats.writtenAfterMs > writtenAtMs - SETTLE_MS)
         }
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
@@ -1,7 +1,7 @@
 package cowslipcart.daemon.gateway
 
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -78,7 +78,8 @@
 
             override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
-            override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+            override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) =
+                Unit
 
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointCrash
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.QuarantinedRequest
@@ -95,7 +95,7 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
-        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+        override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) = Unit
 
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RolloutFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/RolloutFollowerTest.kt
@@ -3,8 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
@@ -124,7 +124,7 @@
 
         override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
 
-        override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+        override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) = Unit
 
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StoreFollowerTest.kt
@@ -3,8 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import cowslipcart.core.forwarding.EndpointBeat
 import cowslipcart.core.forwarding.EndpointEntry
+import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
@@ -140,7 +140,8 @@
                 wasStoreLost = isStoreLost
             }
 
-            override fun onBeats(beats: List<EndpointBeat>, writtenAfterMs: Long) = Unit
+            override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) =
+                Unit
 
             override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
         }
