Tell a daemon that starts which requests are quarantined

Callers of the daemon saw: a request that had crashed two endpoints, and was refused, crashed two more after all hosts had restarted in turn.

Red before: scenario poison-request-after-restarts (runner-3 and runner-4 crashed).

--- a/core/src/main/kotlin/cowslipcart/core/host/DefaultHostController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/host/DefaultHostController.kt
@@ -44,6 +44,7 @@
     private val keyQueries = KeyQueryTracker(self.host, membership, outbox)
     private val quota = QuotaHandler(membership, outbox)
     private val suspects = createSuspectRegistry()
+    private val quarantineHandover = QuarantineHandover(self.host, membership, suspects, outbox)
     private val origin = createOriginController(process, random) { request ->
         config.configuration.pools[request.pool]?.shardCount ?: 1
     }
@@ -263,6 +264,7 @@
         shards.tick(nowMs)
         orders.tick(nowMs)
         suspects.tick(nowMs)
+        quarantineHandover.tick(nowMs)
         if (nowMs - hostsPublishedAtMs >= HOSTS_INTERVAL_MS) {
             hostsPublishedAtMs = nowMs
             outbox.emit(HostEffect.PublishHosts(describeHosts()))
--- a/core/src/main/kotlin/cowslipcart/core/quarantine/CrashHistoryRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/quarantine/CrashHistoryRegistry.kt
@@ -12,6 +12,9 @@
     /** Time of the first report of each crash, by crash id. */
     private val reportTimesMs = mutableMapOf<String, Long>()
 
+    override val quarantiningReports: List<CrashReport>
+        get() = histories.values.sortedBy { it.lastCrashMs }.mapNotNull { it.quarantiningReport }
+
     override fun statusOf(fingerprint: Fingerprint, nowMs: Long): QuarantineStatus {
         val history = histories[fingerprint]
         return when {
@@ -34,7 +37,7 @@
             history.lastCrashMs = nowMs
             val earlierEndpoints = history.endpoints + report.earlierEndpoints
             if (ranAlone && (earlierEndpoints - report.endpoint).isNotEmpty()) {
-                history.isQuarantined = true
+                history.quarantiningReport = report.copy(earlierEndpoints = earlierEndpoints)
             }
             history.endpoints += report.endpoint
         }
@@ -56,6 +59,10 @@
     private class CrashHistory {
         val endpoints = mutableSetOf<EndpointId>()
         var lastCrashMs = 0L
-        var isQuarantined = false
+
+        /** The report by which it was quarantined last; null if it is not. */
+        var quarantiningReport: CrashReport? = null
+
+        val isQuarantined: Boolean get() = quarantiningReport != null
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/quarantine/SuspectRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/quarantine/SuspectRegistry.kt
@@ -9,6 +9,12 @@
  * [ENTRY_LIFETIME_MS] after its last crash. `nowMs` is monotonic time in milliseconds.
  */
 public interface SuspectRegistry {
+    /**
+     * One report for each quarantined fingerprint, the least recent first. Each is enough for
+     * another registry to quarantine it.
+     */
+    public val quarantiningReports: List<CrashReport>
+
     /** Returns how to treat a request with [fingerprint]. */
     public fun statusOf(fingerprint: Fingerprint, nowMs: Long): QuarantineStatus
 
