Share the stand-ins of the new tests

Tests only: one endpoint that sends one answer, one sample endpoint and one listener instead of two or three copies each.

--- a/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ModelExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ModelExchangeTest.kt
@@ -1,14 +1,11 @@
 package cowslipcart.daemon.endpoint
 
-import cowslipcart.core.model.DomainId
-import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.GrantId
-import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.origin.StreamEnd
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.sampleEndpoint
 import io.ktor.client.HttpClient
 import io.ktor.network.selector.SelectorManager
 import io.ktor.server.cio.CIO
@@ -17,9 +14,6 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.writeStringUtf8
-import java.net.InetAddress
-import java.net.ServerSocket
-import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -58,18 +52,9 @@
     /** Guards against an exception that ends the session, whose caller then gets no answer. */
     @Nested
     inner class Malformed {
-        private fun endOf(bytes: String): StreamEnd =
-            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
-                val answering = thread {
-                    server.accept().use { socket ->
-                        val input = socket.getInputStream().bufferedReader()
-                        while (!input.readLine().isNullOrEmpty()) Unit
-                        socket.getOutputStream().write(bytes.toByteArray())
-                    }
-                }
-                runBlocking { createHttpClient().use { run(it, server.localPort) } }
-                    .also { answering.join() }
-            }
+        private fun endOf(bytes: String): StreamEnd = OneAnswerEndpoint(bytes).use { endpoint ->
+            runBlocking { createHttpClient().use { run(it, endpoint.port) } }
+        }
 
         @Test
         fun `an answer that is no HTTP ends as broken`() {
@@ -92,20 +77,6 @@
             EndpointContext(client, selector, RuntimeClock(), Metrics(), idleTimeoutMs = 200)
         val exchange =
             ModelExchange(context, RequestId("r"), "{}", AnswerWriter.Streamed(null), null, 1)
-        return exchange.run(ExchangeStart(endpoint(port), GrantId("g"), isResume = false)) {}
+        return exchange.run(ExchangeStart(sampleEndpoint(port), GrantId("g"), isResume = false)) {}
     }
-
-    private fun endpoint(port: Int) = EndpointSpec(
-        id = EndpointId("e"),
-        pool = PoolId("p"),
-        address = "127.0.0.1:$port",
-        domain = DomainId("d"),
-        slotCount = 1,
-        budgetTokens = 1,
-        prefillTokensPerS = 1.0,
-        decodeTokensPerS = 1.0,
-        cacheTokens = 0,
-        canResume = false,
-        checksFencing = false
-    )
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ServiceExchangeTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/endpoint/ServiceExchangeTest.kt
@@ -1,22 +1,16 @@
 package cowslipcart.daemon.endpoint
 
-import cowslipcart.core.model.DomainId
-import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.GrantId
-import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.origin.StreamEnd
 import cowslipcart.daemon.Metrics
 import cowslipcart.daemon.control.RuntimeClock
+import cowslipcart.daemon.sampleEndpoint
 import cowslipcart.daemon.session.CallerOutput
 import io.ktor.client.HttpClient
 import io.ktor.http.ContentType
 import io.ktor.network.selector.SelectorManager
-import java.io.BufferedReader
-import java.net.InetAddress
 import java.net.ServerSocket
-import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -34,40 +28,23 @@
     private var received = ""
 
     /** Returns the end of a call that gets [bytes] and then the end of its connection. */
-    private fun endOf(bytes: String, method: String = "POST"): StreamEnd =
-        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
-            val answering = thread {
-                server.accept().use { socket ->
-                    received = readRequest(socket.getInputStream().bufferedReader())
-                    socket.getOutputStream().write(bytes.toByteArray())
-                }
-            }
-            runBlocking { call(server.localPort, method) }.also { answering.join() }
+    private fun endOf(bytes: String): StreamEnd = OneAnswerEndpoint(bytes).use { endpoint ->
+        runBlocking { call(endpoint.port) }.also {
+            endpoint.close()
+            received = endpoint.received
         }
-
-    private fun readRequest(reader: BufferedReader): String {
-        val lines = generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.toList()
-        val size = lines.find { it.startsWith("Content-Length: ") }?.substringAfter(' ')?.toInt()
-        val body = CharArray(size ?: 0).also { if (it.isNotEmpty()) reader.read(it) }
-        return lines.joinToString("\n") + "\n\n" + String(body)
     }
 
-    private suspend fun call(port: Int, method: String): StreamEnd =
-        createHttpClient().use { client ->
-            SelectorManager(Dispatchers.IO).use { call(client, it, port, method) }
-        }
+    private suspend fun call(port: Int): StreamEnd = createHttpClient().use { client ->
+        SelectorManager(Dispatchers.IO).use { call(client, it, port) }
+    }
 
-    private suspend fun call(
-        client: HttpClient,
-        selector: SelectorManager,
-        port: Int,
-        method: String
-    ): StreamEnd {
+    private suspend fun call(client: HttpClient, selector: SelectorManager, port: Int): StreamEnd {
         val context =
             EndpointContext(client, selector, RuntimeClock(), Metrics(), idleTimeoutMs = 2_000)
-        val body = if (method == "POST") "{\"frame\":7}".toByteArray() else ByteArray(0)
-        val call = ServiceCall(method, "/sign-off?x=%20y", ContentType.Application.Json, body, "k")
-        val start = ExchangeStart(endpoint(port), GrantId("g"), isResume = false)
+        val body = "{\"frame\":7}".toByteArray()
+        val call = ServiceCall("POST", "/sign-off?x=%20y", ContentType.Application.Json, body, "k")
+        val start = ExchangeStart(sampleEndpoint(port), GrantId("g"), isResume = false)
         return ServiceExchange(context, RequestId("r"), call, null).run(start) { written += it }
     }
 
@@ -143,21 +120,7 @@
         @Test
         fun `a call that can't be sent is proven not to have run`() {
             val port = ServerSocket(0).use { it.localPort }
-            assertIs<StreamEnd.ProvenNotRun>(runBlocking { call(port, "POST") })
+            assertIs<StreamEnd.ProvenNotRun>(runBlocking { call(port) })
         }
     }
-
-    private fun endpoint(port: Int) = EndpointSpec(
-        id = EndpointId("e"),
-        pool = PoolId("p"),
-        address = "127.0.0.1:$port",
-        domain = DomainId("d"),
-        slotCount = 1,
-        budgetTokens = 1,
-        prefillTokensPerS = 1.0,
-        decodeTokensPerS = 1.0,
-        cacheTokens = 0,
-        canResume = false,
-        checksFencing = false
-    )
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OddStoreRecordsTest.kt
@@ -1,21 +1,14 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.core.forwarding.EndpointEntry
-import cowslipcart.core.forwarding.EndpointHeartbeat
-import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.Revision
 import cowslipcart.core.routing.CallerLimits
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreTable
-import cowslipcart.core.store.StoreUpdate
-import cowslipcart.daemon.SocketAddressSetting
-import cowslipcart.daemon.control.RuntimeClock
 import java.io.IOException
-import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -23,7 +16,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
-import kotlinx.coroutines.test.testTimeSource
 import org.junit.jupiter.api.Nested
 
 /**
@@ -55,40 +47,11 @@
         }
     }
 
-    private object SilentPublisher : StoreUpdatePublisher {
-        override val groupRank = 0
-
-        override fun publish(update: StoreUpdate) = Unit
-    }
-
     private val store = SmallStore()
-    private var endpoints = emptySet<String>()
-    private var revision = 0L
+    private lateinit var followed: RecordingStoreListener
 
     private fun TestScope.follow() {
-        val clock = RuntimeClock(testTimeSource)
-        val listener = object : StoreListener {
-            override fun onRouting(table: RoutingTable) {
-                revision = table.revision.value
-            }
-
-            override fun onEndpoints(entries: List<EndpointEntry>) {
-                endpoints = entries.map { it.id.value }.toSet()
-            }
-
-            override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
-
-            override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) =
-                Unit
-
-            override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
-        }
-        val log = GatewayEventLog(clock, GatewayMetrics())
-        val following =
-            StoreFollowing(store, FailingDecoder, listener, SilentPublisher, log, clock)
-        val record = HostRecord(SocketAddressSetting("127.0.0.1", 1), HostProfile("a", 1.0))
-        StoreFollower(following, configurationBoundMs = 2_000, Random(3))
-            .start(backgroundScope, HostId("h"), record)
+        followed = followAlone(store, FailingDecoder)
     }
 
     @Nested
@@ -101,7 +64,7 @@
             follow()
             delay(SETTLE_MS)
 
-            assertEquals(setOf("e1", "e2"), endpoints)
+            assertEquals(setOf("e1", "e2"), followed.endpoints)
         }
 
         @Test
@@ -115,7 +78,7 @@
             store.write(StoreTable.ENDPOINTS, "e3", "p")
             delay(SETTLE_MS)
 
-            assertEquals(setOf("e1", "e2", "e3"), endpoints)
+            assertEquals(setOf("e1", "e2", "e3"), followed.endpoints)
         }
 
         @Test
@@ -128,7 +91,7 @@
             store.write(StoreTable.CONFIGURATION, "config", "9")
             delay(SETTLE_MS)
 
-            assertEquals(9, revision)
+            assertEquals(9, followed.revision)
         }
     }
 
@@ -151,6 +114,7 @@
                 while (store.failure != null) delay(SmallStore.READ_MS)
                 store.write(StoreTable.ENDPOINTS, "e${number + 1}", "p")
                 delay(SETTLE_MS)
+                val endpoints = followed.endpoints
                 assertTrue("e${number + 1}" in endpoints, "after $failure: $endpoints")
             }
         }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -4,25 +4,20 @@
 import arrow.core.left
 import arrow.core.right
 import cowslipcart.core.forwarding.EndpointCrash
-import cowslipcart.core.forwarding.EndpointEntry
-import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.QuarantinedRequest
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
-import cowslipcart.core.model.HostId
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.StoreError
 import cowslipcart.core.store.StoreTable
-import cowslipcart.core.store.StoreUpdate
 import cowslipcart.core.store.TableChanges
 import cowslipcart.core.store.TableRecord
 import cowslipcart.core.store.TableSnapshot
-import cowslipcart.daemon.control.RuntimeClock
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -33,7 +28,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
-import kotlinx.coroutines.test.testTimeSource
 import org.junit.jupiter.api.Nested
 
 /** Guards against a quarantine that ends when all hosts stop at once. */
@@ -88,24 +82,6 @@
         override fun decodeEndpoint(id: EndpointId, value: ByteArray): EndpointRecord? = null
     }
 
-    private object NoListener : StoreListener {
-        override fun onRouting(table: RoutingTable) = Unit
-
-        override fun onEndpoints(entries: List<EndpointEntry>) = Unit
-
-        override fun onEndpointsKnown(asOfMs: Long, isStoreLost: Boolean) = Unit
-
-        override fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long) = Unit
-
-        override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
-    }
-
-    private object NoPublisher : StoreUpdatePublisher {
-        override val groupRank = 0
-
-        override fun publish(update: StoreUpdate) = Unit
-    }
-
     private val store = OneTableStore()
     private val read = mutableListOf<QuarantinedRequest>()
     private val request = QuarantinedRequest(
@@ -117,10 +93,7 @@
     )
 
     private fun TestScope.startKeeper(): QuarantineKeeper {
-        val clock = RuntimeClock(testTimeSource)
-        val log = GatewayEventLog(clock, GatewayMetrics())
-        val following = StoreFollowing(store, NoDecoder, NoListener, NoPublisher, log, clock)
-        val keeper = QuarantineKeeper(following, Random(3)) {
+        val keeper = QuarantineKeeper(followingAlone(store, NoDecoder), Random(3)) {
             read += (it as ForwardingInput.QuarantinesRead).quarantines
         }
         keeper.start(backgroundScope)
--- a/daemon/src/test/kotlin/cowslipcart/daemon/session/RequestSessionTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/session/RequestSessionTest.kt
@@ -3,9 +3,6 @@
 import cowslipcart.core.capacity.GrantEnd
 import cowslipcart.core.capacity.GrantReport
 import cowslipcart.core.host.HostInput
-import cowslipcart.core.model.DomainId
-import cowslipcart.core.model.EndpointId
-import cowslipcart.core.model.EndpointSpec
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.GrantId
 import cowslipcart.core.model.OrganisationId
@@ -18,6 +15,7 @@
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.endpoint.Exchange
 import cowslipcart.daemon.endpoint.ExchangeStart
+import cowslipcart.daemon.sampleEndpoint
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -65,7 +63,7 @@
             SessionCommand.Dispatch(
                 GrantId("g"),
                 ShardId(PoolId("p"), 0),
-                endpoint(),
+                sampleEndpoint(port = 1),
                 isResume = false,
                 decidedAtMs
             )
@@ -105,18 +103,4 @@
         outputTokens = 1,
         prefixBlocks = emptyList()
     )
-
-    private fun endpoint() = EndpointSpec(
-        id = EndpointId("e"),
-        pool = PoolId("p"),
-        address = "127.0.0.1:1",
-        domain = DomainId("d"),
-        slotCount = 1,
-        budgetTokens = 1,
-        prefillTokensPerS = 1.0,
-        decodeTokensPerS = 1.0,
-        cacheTokens = 0,
-        canResume = false,
-        checksFencing = false
-    )
 }
