Read the answers to sign-offs in the tests whole

Change: HttpCaller is what it was; only the callers of sign-offs, for which the change was made, use the client of the JDK (WholeAnswerCaller).

--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/HttpCaller.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/HttpCaller.kt
@@ -8,17 +8,12 @@
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpMethod
 import io.ktor.http.content.ByteArrayContent
 import io.ktor.utils.io.readLine
 import java.io.IOException
-import java.net.URI
-import java.net.http.HttpClient as JdkHttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpRequest.BodyPublishers
-import java.net.http.HttpResponse.BodyHandlers
-import kotlinx.coroutines.future.await
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -60,22 +55,11 @@
     }
 }
 
-/**
- * HTTP client for calls to daemons, gateways and stand-ins. Answers are read with the client of the
- * JDK, which tells when one is cut; the other client passes on lines as they come.
- */
+/** HTTP client for calls to daemons, gateways and stand-ins. */
 internal object HttpCaller {
     private const val MAX_CONNECTIONS = 2_000
 
-    /** Headers that the client of the JDK sends only if this property names them. */
-    private const val RESTRICTED_HEADERS = "jdk.httpclient.allowRestrictedHeaders"
-
-    private val answerClient: JdkHttpClient by lazy {
-        System.setProperty(RESTRICTED_HEADERS, "host,connection")
-        JdkHttpClient.newBuilder().version(JdkHttpClient.Version.HTTP_1_1).build()
-    }
-
-    private val lineClient = HttpClient(CIO) {
+    private val client = HttpClient(CIO) {
         expectSuccess = false
         followRedirects = false
         engine {
@@ -85,35 +69,23 @@
         }
     }
 
-    /** Returns the whole answer, or null if the connection broke or [timeoutMs] passed. */
+    /** Returns the answer, or null if the connection broke or [timeoutMs] passed. */
     suspend fun trySend(request: HttpRequestData, timeoutMs: Long = LONG_BOUND_MS): HttpAnswer? =
         try {
             withTimeoutOrNull(timeoutMs) {
-                val response =
-                    answerClient.sendAsync(
-                        toJdkRequest(request),
-                        BodyHandlers.ofByteArray()
-                    ).await()
-                HttpAnswer(
-                    response.statusCode(),
-                    response.headers().firstValue("Content-Type").orElse(null),
-                    response.headers().map().mapValues { it.value.first() },
-                    response.body().decodeToString()
-                )
+                client.prepareRequest(request.url) { fill(request) }.execute { response ->
+                    HttpAnswer(
+                        response.status.value,
+                        response.headers["Content-Type"],
+                        response.headers.entries().associate { it.key to it.value.first() },
+                        response.bodyAsText()
+                    )
+                }
             }
         } catch (_: IOException) {
             null
         }
 
-    private fun toJdkRequest(request: HttpRequestData): HttpRequest {
-        val body = request.body?.let { BodyPublishers.ofByteArray(it) }
-        val builder = HttpRequest.newBuilder(URI.create(request.url))
-            .method(request.method, body ?: BodyPublishers.noBody())
-        request.headers.forEach { (name, value) -> builder.header(name, value) }
-        if (body != null) builder.header("Content-Type", request.contentType.toString())
-        return builder.build()
-    }
-
     /** Returns the answer; fails if there is none within [timeoutMs]. */
     suspend fun send(request: HttpRequestData, timeoutMs: Long = LONG_BOUND_MS): HttpAnswer =
         checkNotNull(trySend(request, timeoutMs)) {
@@ -122,7 +94,7 @@
 
     /** Passes each line of the answer to [onLine] as it comes; returns the status. */
     suspend fun readLines(request: HttpRequestData, onLine: suspend (String) -> Unit): Int =
-        lineClient.prepareRequest(request.url) { fill(request) }.execute { response ->
+        client.prepareRequest(request.url) { fill(request) }.execute { response ->
             val channel = response.bodyAsChannel()
             while (true) onLine(channel.readLine() ?: break)
             response.status.value
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffCaller.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/SignOffCaller.kt
@@ -23,7 +23,8 @@
     suspend fun send(key: String, body: String, firstIndex: Int, maxSends: Int): SignOffResult {
         for (attempt in 0 until maxSends) {
             val daemon = daemons[(firstIndex + attempt) % daemons.size]
-            val answer = HttpCaller.trySend(daemon.signOffRequest(key, body), timeoutMs) ?: continue
+            val answer =
+                WholeAnswerCaller.trySend(daemon.signOffRequest(key, body), timeoutMs) ?: continue
             when {
                 answer.status == 201 -> return SignOffResult.Answered(answer.body)
                 answer.problem == "not-run" -> return SignOffResult.NotRun
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/HttpCallerTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/WholeAnswerCallerTest.kt
@@ -13,7 +13,7 @@
  * Guards against a caller of the tests that takes a cut answer for a whole one: an answered sign-off
  * without the hash of its content was seen in runs that kill a daemon.
  */
-class HttpCallerTest {
+class WholeAnswerCallerTest {
     /** Returns the answer to a request that gets [bytes] and then the end of its connection. */
     private fun answerOf(bytes: String): HttpAnswer? =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
@@ -25,7 +25,7 @@
                 }
             }
             val request = HttpRequestData("http://127.0.0.1:${server.localPort}/", "GET")
-            runBlocking { HttpCaller.trySend(request, timeoutMs = 5_000) }
+            runBlocking { WholeAnswerCaller.trySend(request, timeoutMs = 5_000) }
         }
 
     private fun head(vararg headers: String) =
