Admit half of the requests regardless of their size

Cause: starvation by a threshold that depends on size. The free share that admission demands grew from 0.066 to 0.198 with the work of a request, and small requests kept the free share below the demand of large ones. Change: the reserve of every second request does not depend on its size, so large requests are admitted at half of the rate of the others at least.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -2,21 +2,28 @@
 
 /**
  * Admission control for a pool. Slots are reserved for the most urgent rank: any other request is
- * admitted only while the share of free slots is at least its reserve, which grows with the size of
- * the request, since small requests release their slots soon. Engines do not support priorities, so
- * an admitted request cannot be preempted.
+ * admitted only while the share of free slots is at least its reserve. For half of the requests the
+ * reserve grows with the size of the request, since small requests release their slots soon; for
+ * the others it does not, so that large requests don't starve. Engines do not support priorities,
+ * so an admitted request cannot be preempted.
  *
- * Load pattern: a burst of all tiers that exceeds the pool for seconds.
+ * Load pattern: a burst of all tiers that exceeds the pool for seconds, with a free share that
+ * small requests keep below the reserve of large ones.
  */
 internal object AdmissionRule {
     /** Share of the pool's slots that must be free before [call] is admitted, from 0 to 1. */
     fun reservedShare(call: ForwardedCall): Double {
         if (call.rankInPool == 0) return 0.0
+        if (isAdmittedAtAnySize(call)) return RESERVED_SHARE * MEAN_SCALE
         val prefillMs = PrefillCost.ofTokens(call.inputTokens) / PrefillCost.TOKENS_PER_MS
         val workMs = prefillMs + call.expectedOutputTokens * OUTPUT_TOKEN_MS
         return RESERVED_SHARE * (workMs / MEAN_WORK_MS).coerceIn(MIN_SCALE, MAX_SCALE)
     }
 
+    /** Whether [call] is one of the half whose reserve does not depend on their size. */
+    private fun isAdmittedAtAnySize(call: ForwardedCall): Boolean =
+        call.id.value * GOLDEN_RATIO_BITS < 0
+
     /** Requests of [rank] that may queue at an endpoint that has no free slot. */
     fun queueLimit(rank: Int): Int = if (rank == 0) TOP_RANK_QUEUE_LIMIT else 0
 
@@ -141,9 +148,13 @@
     /** Work of a mean request of both deployments on the reference engine, in ms. */
     private const val MEAN_WORK_MS = 70.0
 
-    /** Bounds on how the reserve grows with the request, so that large requests don't starve. */
+    /** Bounds on how the reserve grows with the request, and the middle between them. */
     private const val MIN_SCALE = 0.3
     private const val MAX_SCALE = 0.9
+    private const val MEAN_SCALE = 0.6
+
+    /** Multiples of the golden ratio spread consecutive ids evenly over both halves. */
+    private const val GOLDEN_RATIO_BITS = -0x61c8864680b583ebL
 
     /** Share of one request in a decode step of 3.1 ms with a batch of 13, in ms. */
     private const val OUTPUT_TOKEN_MS = 0.24
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -199,7 +199,8 @@
             RequestEnd.LATE_FIRST_EVENT, RequestEnd.LATE_GAP -> worth * kind.lateWorth / kind.worth
             RequestEnd.REFUSED, RequestEnd.FAILED -> 0.0
         }
-        run.onEnded(EndedRequest(kind, arrivedAtMs, end, worth, earned))
+        val size = weightedTokens(promptTokens, outputTokens)
+        run.onEnded(EndedRequest(kind, size, arrivedAtMs, end, worth, earned))
     }
 
     private fun meanWeightedTokens(): Double = weightedTokens(
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
@@ -12,16 +12,23 @@
 /**
  * Outcome of one request.
  *
+ * @property weightedTokens size of its work, where an output token counts as ten prompt tokens
  * @property worth value of the request if it is answered on time
  * @property earned part of [worth] that the outcome is credited with
  */
 internal class EndedRequest(
     val kind: RequestKind,
+    val weightedTokens: Double,
     val arrivedAtMs: Long,
     val end: RequestEnd,
     val worth: Double,
     val earned: Double
-)
+) {
+    val isServed: Boolean get() = when (end) {
+        RequestEnd.ON_TIME, RequestEnd.LATE_FIRST_EVENT, RequestEnd.LATE_GAP -> true
+        RequestEnd.REFUSED, RequestEnd.FAILED -> false
+    }
+}
 
 /**
  * Result of one run.
@@ -40,7 +47,12 @@
     public val unheededNotices: Int = 0
 )
 
-/** Counts of requests of one kind by their end, and their earned share of worth. */
+/**
+ * Counts of requests of one kind by their end, and their earned share of worth.
+ *
+ * @property largestTenthServed served share of the tenth with the most work
+ * @property nextFifthServed served share of the fifth below that tenth
+ */
 @Serializable
 public data class KindResult(
     public val name: String,
@@ -50,7 +62,9 @@
     public val lateGap: Int,
     public val refused: Int,
     public val failed: Int,
-    public val share: Double
+    public val share: Double,
+    public val largestTenthServed: Double = 1.0,
+    public val nextFifthServed: Double = 1.0
 )
 
 /** Computes the result of a run from the outcomes of its [requests]. */
@@ -66,7 +80,8 @@
             .take(WORST_WINDOWS)
             .average(),
         workload.kinds.map { kind ->
-            val ofKind = requests.filter { it.kind === kind }
+            val ofKind = requests.filter { it.kind === kind }.sortedByDescending { it.weightedTokens }
+            val tenth = ofKind.size / LARGEST_DIVISOR
             KindResult(
                 kind.name,
                 ofKind.size,
@@ -75,11 +90,17 @@
                 ofKind.count { it.end == RequestEnd.LATE_GAP },
                 ofKind.count { it.end == RequestEnd.REFUSED },
                 ofKind.count { it.end == RequestEnd.FAILED },
-                share(ofKind)
+                share(ofKind),
+                servedShare(ofKind.take(tenth)),
+                servedShare(ofKind.subList(tenth, minOf(NEXT_TENTHS * tenth, ofKind.size)))
             )
         }
     )
 
+/** Share of [requests] that got their whole answer; 1.0 if there are none. */
+private fun servedShare(requests: List<EndedRequest>): Double =
+    if (requests.isEmpty()) 1.0 else requests.count { it.isServed }.toDouble() / requests.size
+
 /** Renders [result] as a table. */
 public fun renderGatewayResult(result: GatewayResult): String = buildString {
     appendLine(
@@ -93,7 +114,8 @@
     )
     for (kind in result.kinds) {
         appendLine(
-            "  %-16s asked %5d on time %5d late %4d + %4d refused %5d failed %4d share %.3f".format(
+            ("  %-16s asked %5d on time %5d late %4d + %4d refused %5d failed %4d share %.3f " +
+                "served of largest %.2f next %.2f").format(
                 Locale.ROOT,
                 kind.name,
                 kind.asked,
@@ -102,7 +124,9 @@
                 kind.lateGap,
                 kind.refused,
                 kind.failed,
-                kind.share
+                kind.share,
+                kind.largestTenthServed,
+                kind.nextFifthServed
             )
         )
     }
@@ -117,5 +141,9 @@
 private const val WINDOW_MS = 2_000L
 private const val WORST_WINDOWS = 2
 
+/** The largest tenth of a kind, and the end in tenths of the fifth below it. */
+private const val LARGEST_DIVISOR = 10
+private const val NEXT_TENTHS = 3
+
 /** Windows with fewer requests, such as the last of a run, are too small for a share. */
 private const val MIN_WINDOW_REQUESTS = 20
--- a/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
@@ -35,6 +35,18 @@
             }
         }
 
+        /** Guards against starvation of the largest requests of a kind under sustained overload. */
+        @Test
+        fun `the largest requests of each kind are served half as often as the kind at least`() {
+            for ((name, seed) in listOf("playsafe-grown-scale" to 1L, "shared-machines" to 2L)) {
+                for (kind in runGatewayWorkload(load(name), seed).kinds) {
+                    val half = kind.servedShare() / 2
+                    assertTrue(kind.largestTenthServed >= half, "$name: found $kind")
+                    assertTrue(kind.nextFifthServed >= half, "$name: found $kind")
+                }
+            }
+        }
+
         /** Guards against bursts that delay the most urgent kind more than the others. */
         @Test
         fun `the most urgent kind is on time at least as often as the others`() {
