--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
@@ -80,7 +80,9 @@
             .take(WORST_WINDOWS)
             .average(),
         workload.kinds.map { kind ->
-            val ofKind = requests.filter { it.kind === kind }.sortedByDescending { it.weightedTokens }
+            val ofKind = requests.filter {
+                it.kind === kind
+            }.sortedByDescending { it.weightedTokens }
             val tenth = ofKind.size / LARGEST_DIVISOR
             KindResult(
                 kind.name,
@@ -114,8 +116,10 @@
     )
     for (kind in result.kinds) {
         appendLine(
-            ("  %-16s asked %5d on time %5d late %4d + %4d refused %5d failed %4d share %.3f " +
-                "served of largest %.2f next %.2f").format(
+            (
+                "  %-16s asked %5d on time %5d late %4d + %4d refused %5d failed %4d share %.3f " +
+                    "served of largest %.2f next %.2f"
+                ).format(
                 Locale.ROOT,
                 kind.name,
                 kind.asked,
