Keep each stream at the version that began it

Cause: placement compared versions only under an order of the operator, and nobody kept which version had begun a stream; after the loss of all hosts nobody could know. Change: a request that goes on with a stream runs only at the version that began it. What no host knows goes on only if a single version can have begun it, and is refused otherwise. Which versions can is kept in the platform's store, written before a version begins streams, so that it outlasts the loss of all hosts. The relay of a response refuses events of another version too. Metric cowslipcart_gateway_stream_resumptions_total.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -1,5 +1,7 @@
 package cowslipcart.core.forwarding
 
+import cowslipcart.core.model.VersionId
+import cowslipcart.core.routing.WorkKind
 import kotlin.random.Random
 
 /**
@@ -40,6 +42,7 @@
                 copies.recordRequest(call.pool)
                 calls[call.id] = state
                 enqueue(state)
+                known.streams.onArrived(call, known.listAge.isCurrent(nowMs))
             }
         }
     }
@@ -71,6 +74,9 @@
             return true
         }
         if (known.listAge.isOutdated(nowMs)) return endIfOver(state, nowMs)
+        val place = known.placeOf(state, nowMs)
+        if (place == StreamPlace.Unknown) return endIfUnknown(state, nowMs)
+        logResumption(state, place)
         val inPool = known.eligibleEndpoints(state, nowMs)
         val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
         return when (result) {
@@ -95,6 +101,20 @@
         }
     }
 
+    /** Ends [state] if nobody has told the version of its stream; returns false if it waits on. */
+    private fun endIfUnknown(state: CallState, nowMs: Long): Boolean {
+        if (nowMs < state.call.arrivedAtMs + StreamVersions.ASK_WAIT_MS) return false
+        logResumption(state, StreamPlace.Unknown)
+        end(state, RefusalReason.UNKNOWN_STREAM, retryAfterMs(state.call, nowMs), nowMs)
+        return true
+    }
+
+    private fun logResumption(state: CallState, place: StreamPlace) {
+        if (state.isResumptionLogged || state.call.resumption == null) return
+        state.isResumptionLogged = true
+        known.streams.logResumption(state.call, place)
+    }
+
     /** Ends [state] if it may not wait longer; returns false if it waits on. */
     private fun endIfOver(state: CallState, nowMs: Long): Boolean {
         val isOver = nowMs >= state.waitUntilMs
@@ -140,6 +160,7 @@
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
         attempt.hasStarted = true
+        onStreamBegun(state, attempt.endpoint.entry.version, nowMs)
         copies.onAnswerBegun(state, attempt, nowMs)
         rollouts.answers.onResponseStarted(input, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
@@ -154,6 +175,13 @@
         }
     }
 
+    /** The first event counts, although a silent endpoint may send one after another has. */
+    private fun onStreamBegun(state: CallState, version: VersionId, nowMs: Long) {
+        if (state.startedVersion != null || state.call.route.kind !is WorkKind.EventStream) return
+        state.startedVersion = version
+        known.streams.onBegun(state.call, version, nowMs)
+    }
+
     fun onAttemptEnded(input: ForwardingInput.AttemptEnded, nowMs: Long) {
         val state = calls[input.call] ?: return
         val attempt = attemptInFlight(input.call, input.attempt) ?: return
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -1,11 +1,18 @@
 package cowslipcart.core.forwarding
 
 import cowslipcart.core.model.EndpointId
+import cowslipcart.core.model.VersionId
 
 /** Mutable state of one request on the host that received it. */
 internal class CallState(val call: ForwardedCall) {
     val tried = mutableSetOf<EndpointId>()
 
+    /** Version of the endpoint that sent the first event of the answer; null before that. */
+    var startedVersion: VersionId? = null
+
+    /** Whether the log tells where the request goes on with its stream. */
+    var isResumptionLogged = false
+
     /** Attempts that reached an endpoint, without failed connections. */
     var sentCount = 0
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointListAge.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointListAge.kt
@@ -20,6 +20,9 @@
     /** Whether the list may not be used at [nowMs]. */
     fun isOutdated(nowMs: Long): Boolean = nowMs > validUntilMs
 
+    /** Whether the list tells which versions are in service at [nowMs], with or without a store. */
+    fun isCurrent(nowMs: Long): Boolean = asOfMs?.let { nowMs <= it + MAX_AGE_MS } ?: true
+
     /** Time until which a decision by the list may be carried out. */
     val validUntilMs: Long
         get() = asOfMs?.takeIf { !isStoreLost }?.let { it + MAX_AGE_MS } ?: Long.MAX_VALUE
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardedCall.kt
@@ -58,6 +58,7 @@
  * @property prompt parts of the prompt; empty for a plain service
  * @property arrivedAtMs time on the monotonic clock at which its last byte was read
  * @property deadlineAtMs deadline on the monotonic clock, by the caller or by the route's timeout
+ * @property resumption the stream that the request goes on with; null if it begins one, or none
  */
 public data class ForwardedCall(
     public val id: CallId,
@@ -71,7 +72,8 @@
     public val prompt: List<PromptPart>,
     public val fingerprint: Fingerprint,
     public val arrivedAtMs: Long,
-    public val deadlineAtMs: Long
+    public val deadlineAtMs: Long,
+    public val resumption: Resumption? = null
 ) {
     /** Tokens of the prompt without regard to caches; 0 for a plain service. */
     public val inputTokens: Int get() = statedSize?.inputTokens ?: 0
@@ -128,6 +130,7 @@
     OVERLOADED("overloaded"),
     OVER_QUOTA("over-quota"),
     QUARANTINED("quarantined"),
+    UNKNOWN_STREAM("unknown-stream"),
     OUT_OF_TIME("out-of-time"),
     DECLINED("declined"),
     NOT_SENT("not-sent"),
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -60,6 +60,7 @@
             is ForwardingInput.EndpointsChanged -> {
                 known.effects += known.endpoints.onEntries(input.entries)
                 known.quarantine.onEndpoints(input.entries.map { it.id }.toSet())
+                known.streams.onListed(input.entries, nowMs)
                 rollOut { onListed(input.entries) }
             }
 
@@ -87,16 +88,31 @@
             is ForwardingInput.QuarantinesRead ->
                 known.quarantine.onStored(input.quarantines, nowMs)
 
+            is ForwardingInput.VersionsRead -> known.streams.onRead(input.versions, nowMs)
+
+            is ForwardingInput.VersionStored -> known.streams.onStored(input.version, nowMs)
+
+            ForwardingInput.StoreReplaced -> known.streams.onStoreReplaced()
+
+            is ForwardingInput.StreamsTold -> known.streams.onTold(input.versions, nowMs)
+
+            is ForwardingInput.StreamAsked -> known.streams.onAsked(input.host, input.stream)
+
             ForwardingInput.Tick -> onTick(nowMs)
         }
         known.effects += known.quarantine.takeChanges()
         known.effects +=
             known.quarantine.takeStoreEffects().map { ForwardingEffect.Quarantine(it) }
         calls.placeWaiting(nowMs)
+        known.effects += known.streams.takeEffects()
         return known.effects.toList().also { known.effects.clear() }
     }
 
-    override fun nextTickMs(): Long = if (calls.hasWaiting) WAITING_TICK_MS else IDLE_TICK_MS
+    override fun nextTickMs(): Long = when {
+        calls.hasWaiting -> WAITING_TICK_MS
+        known.streams.hasUntold -> StreamVersions.TELL_INTERVAL_MS
+        else -> IDLE_TICK_MS
+    }
 
     override fun nextCopyAtMs(): Long = calls.nextCopyAtMs
 
@@ -170,6 +186,7 @@
         known.countHosts(nowMs)
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
         calls.copySlow(nowMs)
+        known.streams.onTick(nowMs)
         rollOut { tick(nowMs) }
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.OrganisationId
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.rollout.RolloutChange
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.routing.RoutingTable
@@ -100,6 +101,22 @@
     public data class QuarantinesRead(public val quarantines: List<QuarantinedRequest>) :
         ForwardingInput
 
+    /** The versions that the platform's store holds, read as this host started. */
+    public data class VersionsRead(public val versions: Set<PoolVersion>) : ForwardingInput
+
+    /** The platform's store has taken [version]. */
+    public data class VersionStored(public val version: PoolVersion) : ForwardingInput
+
+    /** The platform's store came back from an older copy; what hosts wrote lately may be lost. */
+    public data object StoreReplaced : ForwardingInput
+
+    /** Another host told which versions began streams. */
+    public data class StreamsTold(public val versions: Map<StreamKey, VersionId>) : ForwardingInput
+
+    /** [host] asks which version began [stream]. */
+    public data class StreamAsked(public val host: HostId, public val stream: StreamKey) :
+        ForwardingInput
+
     /** Lets the control thread act on elapsed time. */
     public data object Tick : ForwardingInput
 }
@@ -125,6 +142,9 @@
 
     /** A change of what the platform's store holds of quarantines. */
     public data class Quarantine(public val effect: QuarantineEffect) : ForwardingEffect
+
+    /** What others get to know of the versions of streams. */
+    public data class Stream(public val effect: StreamEffect) : ForwardingEffect
 }
 
 /** A change of the stored quarantines, which outlive the hosts. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -17,6 +17,7 @@
         random
     )
     val quarantine = CrashQuarantine(settings.host) { hostRegistry.otherHosts }
+    val streams = StreamVersions()
     val reporter = LoadReporter(settings, endpoints, quotas, quarantine)
 
     val rollouts = RolloutController(
@@ -44,8 +45,27 @@
     /** Endpoints of the pool of [state] whose version it may be sent to now. */
     fun eligibleEndpoints(state: CallState, nowMs: Long): List<TrackedEndpoint> {
         val inPool = endpoints.inPool(state.call.pool)
-        if (settings.rolloutBounds == null) return inPool
-        return rollouts.gate.eligible(state.call, inPool, state.tried, nowMs)
+        return when (val place = placeOf(state, nowMs)) {
+            is StreamPlace.At -> inPool.filter { it.entry.version == place.version }
+
+            StreamPlace.Unknown -> emptyList()
+
+            StreamPlace.Anywhere -> {
+                val ordered = if (settings.rolloutBounds == null) {
+                    inPool
+                } else {
+                    rollouts.gate.eligible(state.call, inPool, state.tried, nowMs)
+                }
+                streams.mayBegin(state.call, ordered, nowMs)
+            }
+        }
+    }
+
+    /** Where the request of [state] may run, once its stream has begun or if it resumes one. */
+    fun placeOf(state: CallState, nowMs: Long): StreamPlace {
+        val started = state.startedVersion
+        if (started != null) return StreamPlace.At(started, "begun here")
+        return streams.placeOf(state.call, listAge.isCurrent(nowMs))
     }
 
     private companion object {
--- a/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
@@ -4,7 +4,7 @@
 import cowslipcart.core.model.LogOffset
 
 /** Tables of the platform's store that the gateway reads. */
-public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS, ROLLOUTS, QUARANTINES }
+public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS, ROLLOUTS, QUARANTINES, VERSIONS }
 
 /**
  * The platform's store of keyed records, as the gateway sees it. It is a compacted log: every
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -87,12 +87,13 @@
         output: Int = 0,
         fingerprint: String = "f${lastCall + 1}",
         remainingMs: Long = 10_000,
-        prompt: List<PromptPart> = emptyList()
+        prompt: List<PromptPart> = emptyList(),
+        resumption: Resumption? = null
     ): ForwardedCall {
         lastCall++
         return ForwardedCall(
             id = CallId(lastCall),
-            requestId = RequestId("r$lastCall"),
+            requestId = RequestId("${host.value}-r$lastCall"),
             organisation = ORGANISATION,
             route = route(kind, maxAttempts),
             pool = POOL,
@@ -102,7 +103,8 @@
             prompt = prompt,
             fingerprint = Fingerprint(fingerprint),
             arrivedAtMs = nowMs,
-            deadlineAtMs = nowMs + remainingMs
+            deadlineAtMs = nowMs + remainingMs,
+            resumption = resumption
         )
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
@@ -255,7 +255,7 @@
             when (effect) {
                 is ForwardingEffect.Command -> perform(host, effect)
                 is ForwardingEffect.Rollout -> perform(host, effect.effect)
-                is ForwardingEffect.Quarantine -> Unit
+                is ForwardingEffect.Quarantine, is ForwardingEffect.Stream -> Unit
                 is ForwardingEffect.LogStateChange -> Unit
             }
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallAdmission.kt
@@ -90,7 +90,8 @@
             prompt = metadata.prompt,
             fingerprint = fingerprint(request, access?.id),
             arrivedAtMs = nowMs,
-            deadlineAtMs = nowMs + minOf(route.timeoutMs, metadata.remainingMs ?: Long.MAX_VALUE)
+            deadlineAtMs = nowMs + minOf(route.timeoutMs, metadata.remainingMs ?: Long.MAX_VALUE),
+            resumption = metadata.resumption
         )
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -292,7 +292,7 @@
             isFramed: Boolean
         ): ExchangeResult {
             listener.onAccepted()
-            relay.begin(head)
+            relay.begin(head, endpoint.version)
             var hasEvent = false
             while (withInactivityTimeout("stream stalled") { readEvents(reader) }) {
                 relay.forward()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -10,6 +10,7 @@
 import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.core.forwarding.ReportPlan
+import cowslipcart.core.forwarding.StreamEffect
 import cowslipcart.core.model.HostId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.daemon.catchFailure
@@ -30,6 +31,7 @@
  * @property onSuspended called when the machine was suspended, before further inputs are handled
  * @property onRollout carries out decisions on roll-outs; never blocks
  * @property onQuarantine carries out changes of the stored quarantines; never blocks
+ * @property onStream tells others of the versions of streams; never blocks
  * @property publish receives the load report of this host, null if there is none yet, and the plan
  * that says to which hosts it goes
  */
@@ -42,6 +44,7 @@
     private val onSuspended: () -> Unit = {},
     private val onRollout: (RolloutEffect) -> Unit = {},
     private val onQuarantine: (QuarantineEffect) -> Unit = {},
+    private val onStream: (StreamEffect) -> Unit = {},
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
     private sealed interface Message {
@@ -135,6 +138,8 @@
             is ForwardingEffect.Rollout -> onRollout(effect.effect)
 
             is ForwardingEffect.Quarantine -> onQuarantine(effect.effect)
+
+            is ForwardingEffect.Stream -> onStream(effect.effect)
         }
     }
 
@@ -162,6 +167,11 @@
             is ForwardingInput.PeerLeft,
             is ForwardingInput.RolloutsChanged,
             is ForwardingInput.QuarantinesRead,
+            is ForwardingInput.VersionsRead,
+            is ForwardingInput.VersionStored,
+            ForwardingInput.StoreReplaced,
+            is ForwardingInput.StreamsTold,
+            is ForwardingInput.StreamAsked,
             ForwardingInput.Tick -> Unit
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.ForwardingSettings
+import cowslipcart.core.forwarding.StreamEffect
 import cowslipcart.core.forwarding.createForwardingController
 import cowslipcart.core.intake.IntakeLimits
 import cowslipcart.core.model.EndpointId
@@ -78,6 +79,7 @@
         onSuspended = { follower?.onSuspended() },
         onRollout = { rollouts?.perform(it) },
         onQuarantine = { quarantines?.perform(it) },
+        onStream = ::onStream,
         publish = peers::publish
     )
     private val connections = EndpointConnections(selector, clock, ::maxIdleConnections)
@@ -109,6 +111,9 @@
 
     @Volatile
     private var quarantines: QuarantineKeeper? = null
+
+    @Volatile
+    private var versions: VersionKeeper? = null
     private var frontListener: Job? = null
 
     @Volatile
@@ -135,6 +140,7 @@
         val links = RolloutLinks(following, ::submitRollout, peers::publish)
         rollouts = RolloutFollower(links, rolloutCodec, random).also { it.start(scope) }
         quarantines = QuarantineKeeper(following, random, loop::submit).also { it.start(scope) }
+        versions = VersionKeeper(following, random, loop::submit).also { it.start(scope) }
         follower = StoreFollower(following, settings.configurationBoundMs, random)
             .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { evictIdleConnections() }
@@ -246,6 +252,16 @@
         }
     }
 
+    private fun onStream(effect: StreamEffect) {
+        when (effect) {
+            is StreamEffect.Store -> versions?.perform(effect)
+            is StreamEffect.Remove -> versions?.perform(effect)
+            is StreamEffect.Tell -> peers.tell(effect.versions)
+            is StreamEffect.Ask -> peers.ask(effect.stream)
+            is StreamEffect.Answer -> peers.answer(effect)
+        }
+    }
+
     /** Takes the connection in before the next one is accepted, so that no more are open. */
     private suspend fun serveCaller(socket: Socket) {
         val connection = CallerConnection(context, admission, state)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -4,6 +4,7 @@
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.QUARANTINE_CHANGES
+import cowslipcart.core.forwarding.STREAM_CHANGES
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.store.StoreTable
@@ -30,7 +31,7 @@
             is ForwardingEffect.Command -> writeCommand(effect)
             is ForwardingEffect.LogStateChange -> writeStateChange(effect)
             is ForwardingEffect.Rollout -> writeRollout(effect.effect)
-            is ForwardingEffect.Quarantine -> Unit
+            is ForwardingEffect.Quarantine, is ForwardingEffect.Stream -> Unit
         }
     }
 
@@ -38,6 +39,9 @@
         if (effect.change in QUARANTINE_CHANGES) {
             metrics.quarantineChanges.labelValues(effect.change).inc()
         }
+        if (effect.change in STREAM_CHANGES) {
+            metrics.streamResumptions.labelValues(effect.change).inc()
+        }
         line()
             ?.addKeyValue("subject", effect.subject)
             ?.addKeyValue("change", effect.change)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -46,6 +46,10 @@
     val quarantineChanges: Counter =
         counter("quarantine_changes", "Changes of quarantines", "change")
 
+    /** Streams that callers resume, by whether the version that began them is known. */
+    val streamResumptions: Counter =
+        counter("stream_resumptions", "Resumed streams", "change")
+
     /** Datagrams between hosts; the label says whether sent, received, failed or unreadable. */
     val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.PromptPart
+import cowslipcart.core.forwarding.Resumption
 import cowslipcart.core.forwarding.StatedLoad
 import cowslipcart.core.forwarding.WorkSize
 import cowslipcart.core.model.OrganisationId
@@ -30,13 +31,15 @@
  * @property key API key of the organisation; null if there is none
  * @property size size of the work in tokens; null if not stated
  * @property prompt parts of the prompt; empty if not stated
+ * @property resumption the stream that the caller goes on with; null if it begins one, or none
  */
 public data class RequestMetadata(
     public val requestId: RequestId?,
     public val remainingMs: Long?,
     public val key: String?,
     public val size: WorkSize?,
-    public val prompt: List<PromptPart>
+    public val prompt: List<PromptPart>,
+    public val resumption: Resumption? = null
 )
 
 /**
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -3,7 +3,10 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.ReportPlan
+import cowslipcart.core.forwarding.StreamEffect
+import cowslipcart.core.forwarding.StreamKey
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.rollout.RolloutNotice
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.daemon.SocketAddressSetting
@@ -39,6 +42,9 @@
     class RolloutNoticed(val notice: RolloutNotice) : PeerEvent
 }
 
+/** A datagram on the versions of streams; [receivers] gives the hosts when it is sent. */
+private class StreamMessage(val datagram: PeerDatagram, val receivers: () -> Set<HostId>)
+
 /**
  * Exchanges load reports and store updates with the other hosts of the group, in datagrams, and
  * forwards the load reports of some hosts of other groups to it. Lost datagrams are not resent,
@@ -53,6 +59,7 @@
     private val addresses = ConcurrentHashMap<HostId, InetSocketAddress>()
     private val outgoing = Channel<PeerDatagram>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val notices = Channel<RolloutNotice>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val streamMessages = Channel<StreamMessage>(STREAM_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val relayBuffer = RelayBuffer()
     private lateinit var socket: BoundDatagramSocket
 
@@ -90,6 +97,27 @@
         notices.trySend(notice)
     }
 
+    /** Queues [versions] of streams for the hosts of the group; never blocks. */
+    fun tell(versions: Map<StreamKey, VersionId>) {
+        streamMessages.trySend(StreamMessage(PeerDatagram.StreamsTold(versions)) { plan.members })
+    }
+
+    /**
+     * Queues the question which version began [stream], for the hosts of the group and one of each
+     * other group, as a group tells its hosts of all its streams; never blocks.
+     */
+    fun ask(stream: StreamKey) {
+        streamMessages.trySend(
+            StreamMessage(PeerDatagram.StreamAsked(self, stream)) { plan.members + plan.relays }
+        )
+    }
+
+    /** Queues the answer to a host that asked; never blocks. */
+    fun answer(answer: StreamEffect.Answer) {
+        val told = PeerDatagram.StreamsTold(mapOf(answer.stream to answer.version))
+        streamMessages.trySend(StreamMessage(told) { setOf(answer.host) })
+    }
+
     /** Adds the addresses of [hosts], which the platform lists. */
     fun onHosts(hosts: Map<HostId, SocketAddressSetting>) {
         for ((host, address) in hosts) {
@@ -107,6 +135,11 @@
         scope.launch { while (isActive) guard("receive") { receive() } }
         scope.launch { for (datagram in outgoing) guard("send") { sendToGroup(datagram) } }
         scope.launch { for (notice in notices) guard("send") { sendToAll(notice) } }
+        scope.launch {
+            for (message in streamMessages) {
+                guard("send") { send(DatagramCodec.encode(message.datagram), message.receivers()) }
+            }
+        }
         scope.launch {
             while (isActive) {
                 delay(RELAY_INTERVAL_MS)
@@ -189,8 +222,18 @@
                 metrics.peerReports.labelValues("received").inc()
                 when (message) {
                     is PeerDatagram.Update -> deliver(PeerEvent.StoreRead(message.update))
+
                     is PeerDatagram.LoadReport -> onDirectReport(message, from)
+
                     is PeerDatagram.Rollout -> deliver(PeerEvent.RolloutNoticed(message.notice))
+
+                    is PeerDatagram.StreamsTold ->
+                        deliver(PeerEvent.Input(ForwardingInput.StreamsTold(message.versions)))
+
+                    is PeerDatagram.StreamAsked -> deliver(
+                        PeerEvent.Input(ForwardingInput.StreamAsked(message.host, message.stream))
+                    )
+
                     is PeerDatagram.Bundle -> message.reports.forEach { onRelayedReport(it) }
                 }
             }
@@ -212,6 +255,8 @@
 
             is PeerDatagram.Bundle,
             is PeerDatagram.Rollout,
+            is PeerDatagram.StreamAsked,
+            is PeerDatagram.StreamsTold,
             is PeerDatagram.Update,
             null -> {
                 metrics.peerReports.labelValues("unreadable").inc()
@@ -241,6 +286,9 @@
          */
         const val LEAVING_COUNT = 3
 
+        /** Questions and answers that wait to be sent; a caller whose one is lost tries again. */
+        const val STREAM_CAPACITY = 256
+
         /** A socket that fails at each call may not keep a thread busy, in ms. */
         const val FAILURE_DELAY_MS = 200L
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StreamRelay.kt
@@ -1,6 +1,7 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.core.forwarding.ShortestGapWindow
+import cowslipcart.core.model.VersionId
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ResponseHead
 import java.io.EOFException
@@ -21,6 +22,10 @@
     private var splitter = EventSplitter()
     private var head: ResponseHead? = null
 
+    /** Version of the endpoint that sent the first forwarded event. */
+    private var startedVersion: VersionId? = null
+    private var version = VersionId.NONE
+
     /** Largest difference between the ids of two events in a row. */
     private var largestStep = 1L
 
@@ -48,10 +53,15 @@
     val isStarted: Boolean get() = eventCount > 0
 
     /**
-     * Starts the stream of an attempt; what the previous one left unforwarded is dropped. Throws
-     * [EventOrderException] if events without ids were forwarded, as a stream can't go on then.
+     * Starts the stream of an attempt at an endpoint of [version]; what the previous one left
+     * unforwarded is dropped. Throws [EventOrderException] if the stream can't go on there: events
+     * without ids were forwarded, or events of another version.
      */
-    fun begin(next: ResponseHead) {
+    fun begin(next: ResponseHead, version: VersionId = VersionId.NONE) {
+        if (isStarted && startedVersion != version) {
+            throw EventOrderException("expected version $startedVersion, found $version")
+        }
+        this.version = version
         if (isStarted && lastEventId == null) {
             throw EventOrderException("expected a stream with event ids, found one without")
         }
@@ -76,7 +86,10 @@
         received = emptyList()
         if (events.isEmpty()) return
         val nowMs = clock.nowMs()
-        if (eventCount == 0) firstEventAtMs = nowMs
+        if (eventCount == 0) {
+            firstEventAtMs = nowMs
+            startedVersion = version
+        }
         eventCount += events.size
         repeat(events.size) { shortestGaps.onEvent(nowMs) }
         events.last().id?.let { lastEventId = it }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -1,30 +1,18 @@
 package cowslipcart.daemon.gateway
 
-import arrow.core.Either
 import arrow.core.left
-import arrow.core.right
 import cowslipcart.core.forwarding.EndpointCrash
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.QuarantineEffect
 import cowslipcart.core.forwarding.QuarantinedRequest
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
-import cowslipcart.core.model.LogOffset
-import cowslipcart.core.routing.RoutingTable
-import cowslipcart.core.store.EndpointRecord
-import cowslipcart.core.store.KeyedStore
-import cowslipcart.core.store.StoreError
-import cowslipcart.core.store.StoreTable
-import cowslipcart.core.store.TableChanges
-import cowslipcart.core.store.TableRecord
-import cowslipcart.core.store.TableSnapshot
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
@@ -33,55 +21,6 @@
 /** Guards against a quarantine that ends when all hosts stop at once. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class QuarantineKeeperTest {
-    /** Store with one table, whose calls can be made to fail. */
-    private class OneTableStore : KeyedStore {
-        val records = LinkedHashMap<String, ByteArray>()
-        var failingCalls = 0
-        var callCount = 0
-
-        private fun <T> call(result: () -> T): Either<StoreError, T> {
-            callCount++
-            if (failingCalls > 0) {
-                failingCalls--
-                return StoreError.Unavailable("down").left()
-            }
-            return result().right()
-        }
-
-        override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> = call {
-            val records = records.map { (key, value) -> TableRecord(key, value, LogOffset(1)) }
-            TableSnapshot(records, LogOffset(2))
-        }
-
-        override suspend fun changes(
-            table: StoreTable,
-            from: LogOffset,
-            waitMs: Long,
-            responseTimeoutMs: Long
-        ): Either<StoreError, TableChanges> = awaitCancellation()
-
-        override suspend fun put(
-            table: StoreTable,
-            key: String,
-            value: ByteArray
-        ): Either<StoreError, Unit> = call {
-            if (value.isEmpty()) records -= key else records[key] = value
-        }
-
-        override suspend fun putAt(
-            table: StoreTable,
-            key: String,
-            value: ByteArray,
-            expectedEnd: LogOffset
-        ): Either<StoreError, Unit> = awaitCancellation()
-    }
-
-    private object NoDecoder : RecordDecoder {
-        override fun decodeRouting(key: String, value: ByteArray): RoutingTable? = null
-
-        override fun decodeEndpoint(id: EndpointId, value: ByteArray): EndpointRecord? = null
-    }
-
     private val store = OneTableStore()
     private val read = mutableListOf<QuarantinedRequest>()
     private val request = QuarantinedRequest(
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/StreamRelayTest.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import cowslipcart.core.model.VersionId
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.Header
 import cowslipcart.daemon.http1.Headers
@@ -71,6 +72,28 @@
         }
     }
 
+    @Nested
+    inner class Versions {
+        /** Guards against streams whose first part is of one version and the rest of another. */
+        @Test
+        fun `an endpoint of another version does not continue a stream`() = runTest {
+            relay.begin(head("first"), VersionId("v1"))
+            relay.receive(event(1))
+
+            assertFailsWith<EventOrderException> { relay.begin(head("second"), VersionId("v2")) }
+            relay.begin(head("third"), VersionId("v1"))
+        }
+
+        @Test
+        fun `an endpoint of another version begins a stream that has no event yet`() = runTest {
+            relay.begin(head("first"), VersionId("v1"))
+            relay.begin(head("second"), VersionId("v2"))
+            relay.receive(event(1))
+
+            assertFailsWith<EventOrderException> { relay.begin(head("third"), VersionId("v1")) }
+        }
+    }
+
     @Nested
     inner class Replaced {
         /** Guards against events that count as forwarded although their attempt was replaced. */
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -93,7 +93,8 @@
             when (effect) {
                 is ForwardingEffect.LogStateChange,
                 is ForwardingEffect.Rollout,
-                is ForwardingEffect.Quarantine -> Unit
+                is ForwardingEffect.Quarantine,
+                is ForwardingEffect.Stream -> Unit
 
                 is ForwardingEffect.Command ->
                     requestsByCall[effect.call.id]?.onCommand(effect.call, effect.command)
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
@@ -4,8 +4,10 @@
 import arrow.core.left
 import arrow.core.right
 import cowslipcart.core.forwarding.HostLoadReport
+import cowslipcart.core.forwarding.StreamKey
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
+import cowslipcart.core.model.VersionId
 import cowslipcart.core.rollout.RolloutNotice
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.wire.WireError
@@ -23,6 +25,13 @@
     /** What a host knows of an unfinished roll-out. */
     public data class Rollout(public val notice: RolloutNotice) : PeerDatagram
 
+    /** Versions of the endpoints that began streams. */
+    public data class StreamsTold(public val versions: Map<StreamKey, VersionId>) : PeerDatagram
+
+    /** [host] asks which version began [stream]. */
+    public data class StreamAsked(public val host: HostId, public val stream: StreamKey) :
+        PeerDatagram
+
     /** Changes that a host of the group read from the store. */
     public data class Update(public val update: StoreUpdate) : PeerDatagram
 }
@@ -47,6 +56,8 @@
     private const val STORE_UPDATE: Byte = 2
     private const val BUNDLE: Byte = 3
     private const val ROLLOUT: Byte = 7
+    private const val STREAMS_TOLD: Byte = 8
+    private const val STREAM_ASKED: Byte = 9
 
     /** Encodes [datagram]. */
     public fun encode(datagram: PeerDatagram): ByteArray = when (datagram) {
@@ -58,6 +69,12 @@
         is PeerDatagram.Rollout ->
             byteArrayOf(ROLLOUT) + RolloutNoticeCodec.encode(datagram.notice)
 
+        is PeerDatagram.StreamsTold ->
+            byteArrayOf(STREAMS_TOLD) + StreamCodec.encodeTold(datagram.versions)
+
+        is PeerDatagram.StreamAsked ->
+            byteArrayOf(STREAM_ASKED) + StreamCodec.encodeAsked(datagram)
+
         is PeerDatagram.Update -> byteArrayOf(STORE_UPDATE) +
             StoreUpdateCodec.encode(datagram.update)
     }
@@ -72,6 +89,8 @@
                 BUNDLE -> BundleCodec.decode(body).right()
                 STORE_UPDATE -> PeerDatagram.Update(StoreUpdateCodec.decode(body)).right()
                 ROLLOUT -> PeerDatagram.Rollout(RolloutNoticeCodec.decode(body)).right()
+                STREAMS_TOLD -> PeerDatagram.StreamsTold(StreamCodec.decodeTold(body)).right()
+                STREAM_ASKED -> StreamCodec.decodeAsked(body).right()
                 else -> malformed("kind $kind")
             }
         } catch (e: SerializationException) {
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -13,6 +13,7 @@
 import cowslipcart.core.forwarding.PrefilledPart
 import cowslipcart.core.forwarding.PromptPartId
 import cowslipcart.core.forwarding.QuarantinedRequest
+import cowslipcart.core.forwarding.StreamKey
 import cowslipcart.core.forwarding.SuspectedPart
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.Fingerprint
@@ -123,6 +124,18 @@
             assertTrue(DatagramCodec.decode(encoded).isLeft())
         }
 
+        @Test
+        fun `versions of streams and questions for them survive a round trip`() {
+            val streams = (1L..500L).associate { StreamKey(it shl 50) to VersionId("v${it % 3}") }
+            val told = PeerDatagram.StreamsTold(streams)
+            val asked = PeerDatagram.StreamAsked(HostId("h"), StreamKey(-1))
+            for (sample in listOf(told, asked)) {
+                val encoded = DatagramCodec.encode(sample)
+                assertTrue(encoded.size < 6_000, "${encoded.size}")
+                assertEquals(sample, DatagramCodec.decode(encoded).getOrNull())
+            }
+        }
+
         @Test
         fun `suspected parts survive a round trip`() {
             val sample = PeerDatagram.LoadReport(
