Read the store anew after it came back from an older copy

What callers would see: after the platform's store came back from a copy some seconds old, hosts took no notice of endpoints that drain, leave or come until the offsets had passed those read before. Cause: hosts told records and reads apart by offsets, which are given out again then; an update of another host counted as news although its offsets were those of another copy. Change: answers and updates between hosts carry the store's era. Log line store-replaced. Updates that carry an era can't be read by hosts of an earlier build.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
@@ -210,7 +210,7 @@
         /** Keeps a datagram below 6 KB. */
         const val MAX_TOLD = 500
 
-        /** Time for hosts to tell the version of a stream, two of these intervals in part, in ms. */
+        /** Time for the hosts to tell the version of a stream, unasked or as asked, in ms. */
         const val ASK_WAIT_MS = 300L
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
+++ b/core/src/main/kotlin/cowslipcart/core/model/Ids.kt
@@ -121,6 +121,22 @@
     public fun next(): Revision = Revision(value + 1)
 }
 
+/**
+ * Counts how often the platform's store came back from an older copy; offsets of records hold
+ * within one era only.
+ */
+@JvmInline
+public value class StoreEra(public val value: Long) : Comparable<StoreEra> {
+    override fun compareTo(other: StoreEra): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+
+    public companion object {
+        /** The era of a store that does not state one. */
+        public val UNSTATED: StoreEra = StoreEra(0)
+    }
+}
+
 /** Position of a record in a log stream; the first record has offset 0. */
 @JvmInline
 public value class LogOffset(public val value: Long) : Comparable<LogOffset> {
--- a/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.store
 
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StoreEra
 
 /**
  * This host's knowledge of the table of configurations, maintained from its own reads of the store
@@ -45,6 +46,12 @@
         }
     }
 
+    /**
+     * The store answered in [era]; to be called before its answer is applied. Returns whether it
+     * came back from an older copy: changes are not to be applied then, a snapshot is read next.
+     */
+    public fun onEra(era: StoreEra): Boolean = freshness.onEra(era)
+
     /** A read failed; the next one may start at [retryAtMs]. */
     public fun onFailed(retryAtMs: Long): Unit = freshness.onFailed(retryAtMs)
 
@@ -53,6 +60,7 @@
 
     /** Returns the configuration of [update] that this host lacks; null if there is none. */
     public fun missingIn(update: StoreUpdate.Configuration): TableRecord? {
+        if (!freshness.isSameEra(update)) return null
         val known = next ?: return null
         return update.record?.takeIf { update.next > known }
     }
@@ -65,7 +73,7 @@
      * Returns whether this host is as current as [update]; otherwise there is something to read.
      */
     public fun onUpdate(update: StoreUpdate.Configuration, nowMs: Long): Boolean =
-        freshness.onUpdate(update, nowMs)
+        freshness.isSameEra(update) && freshness.onUpdate(update, nowMs)
 
     /** Returns the update to publish to other hosts at [nowMs]; null before the first read. */
     public fun update(nowMs: Long): StoreUpdate.Configuration? {
@@ -73,7 +81,7 @@
         // With the record others would skip what lies before it, so they read the store themselves.
         val hasOrder = nowMs - orderAtMs < RECORD_WINDOW_MS
         val record = latest?.takeIf { nowMs - latestAtMs < RECORD_WINDOW_MS && !hasOrder }
-        return StoreUpdate.Configuration(end, freshness.ageMs(nowMs), record)
+        return StoreUpdate.Configuration(end, freshness.ageMs(nowMs), record, freshness.era)
     }
 
     /** Time until this host, at [groupRank] in its group, has to read the store itself, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointFeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointFeed.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StoreEra
 
 /**
  * This host's replica of the endpoint table, maintained from its own reads of the store and from
@@ -15,6 +16,9 @@
     private val batches = ArrayDeque<Batch>()
     private val freshness = TableFreshness(FIRST_MAX_AGE_MS)
 
+    /** Whether the offsets of [listing] are those of an earlier era. */
+    private var isReplaced = false
+
     /** Offset of the next change to read; null if a snapshot has to be read. */
     public val next: LogOffset? get() = freshness.next
 
@@ -25,6 +29,8 @@
         asOfMs: Long,
         nowMs: Long
     ) {
+        if (isReplaced) listing.onStoreReplaced(nowMs)
+        isReplaced = false
         listing.onStoreAnswered(freshness.asOfMs, nowMs)
         listing.onSnapshot(changes, end, nowMs)
         batches.clear()
@@ -44,6 +50,16 @@
         onRead(next, asOfMs, nowMs)
     }
 
+    /**
+     * The store answered in [era]; to be called before its answer is applied. Returns whether it
+     * came back from an older copy: changes are not to be applied then, a snapshot is read next.
+     */
+    public fun onEra(era: StoreEra): Boolean {
+        if (!freshness.onEra(era)) return false
+        isReplaced = true
+        return true
+    }
+
     /** A read failed; the next one may start at [retryAtMs]. */
     public fun onFailed(retryAtMs: Long) {
         listing.onStoreLost()
@@ -64,6 +80,7 @@
      * here, so that it cannot be applied.
      */
     public fun onUpdate(update: StoreUpdate.Endpoints, nowMs: Long): Boolean {
+        if (!freshness.isSameEra(update)) return false
         val known = next ?: return false
         if (known < update.from) return false
         val knownAsOfMs = freshness.asOfMs
@@ -91,7 +108,8 @@
             next = end,
             changes = batches.flatMap { it.changes },
             ageMs = freshness.ageMs(nowMs),
-            recoveredForMs = listing.recoveredAtMs(nowMs)?.let { nowMs - it }
+            recoveredForMs = listing.recoveredAtMs(nowMs)?.let { nowMs - it },
+            era = freshness.era
         )
     }
 
--- a/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/EndpointListing.kt
@@ -50,6 +50,12 @@
             deletionKnownAtMs = nowMs
         }
 
+        /** Copy of an endpoint whose record may have any offset in the next era of the store. */
+        fun beforeNextEra(): KnownEndpoint = KnownEndpoint(record, BEFORE_ERA, overruled).also {
+            it.deletedAt = deletedAt?.let { BEFORE_ERA }
+            it.deletionKnownAtMs = deletionKnownAtMs
+        }
+
         /** The last of the records that followed in the log although they seem older. */
         var lastOlder: EndpointChange? = null
         var olderCount = 0
@@ -68,6 +74,15 @@
     public fun onStoreAnswered(knownAsOfMs: Long, nowMs: Long): Unit =
         outage.onAnswered(knownAsOfMs, nowMs)
 
+    /**
+     * The store came back from an older copy at [nowMs]. Offsets start anew. An endpoint that it
+     * has forgotten writes its entry again; one that had left stays away until it does.
+     */
+    public fun onStoreReplaced(nowMs: Long) {
+        listed.replaceAll { _, known -> known.beforeNextEra() }
+        outage.onReplaced(nowMs)
+    }
+
     /**
      * Applies changes in log order at [nowMs]. Returns those that another listing needs to reach
      * the same state: heartbeats that change nothing are left out, and a deletion comes with the
@@ -85,6 +100,8 @@
             known.onDeleted(change.offset, nowMs)
             return listOf(changeTo(change.id, known), change)
         }
+        // The older copy still holds entries that were removed since.
+        if (known?.deletedAt == BEFORE_ERA && isNewer(known.record, record)) return emptyList()
         var overruled = known?.overruled
         if (known != null && !isNewer(record, known.record)) {
             if (!isConfirmed(known, change, record)) return emptyList()
@@ -180,5 +197,8 @@
         public const val CONFIRMING_RECORDS: Int = 4
 
         private const val MAX_ENDPOINTS = 4_096
+
+        /** Before all offsets of the era of the store that follows. */
+        private val BEFORE_ERA = LogOffset(-1)
     }
 }
--- a/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StoreEra
 
 /** Tables of the platform's store that the gateway reads. */
 public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS, ROLLOUTS, QUARANTINES, VERSIONS }
@@ -57,11 +58,23 @@
  * The newest record of each key.
  *
  * @property end offset of the next change, as of the start of the read
+ * @property era era of the offsets
  */
-public class TableSnapshot(public val records: List<TableRecord>, public val end: LogOffset)
+public class TableSnapshot(
+    public val records: List<TableRecord>,
+    public val end: LogOffset,
+    public val era: StoreEra = StoreEra.UNSTATED
+)
 
-/** Changes in log order; [next] is the offset from which to continue. */
-public class TableChanges(public val records: List<TableRecord>, public val next: LogOffset)
+/**
+ * Changes in log order; [next] is the offset from which to continue, in [era]. In another era than
+ * that of the offset from which they were read, there may be changes before them.
+ */
+public class TableChanges(
+    public val records: List<TableRecord>,
+    public val next: LogOffset,
+    public val era: StoreEra = StoreEra.UNSTATED
+)
 
 /** Why a call to the store failed. */
 public sealed interface StoreError {
--- a/core/src/main/kotlin/cowslipcart/core/store/StoreOutage.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/StoreOutage.kt
@@ -20,6 +20,11 @@
         hasFailed = false
     }
 
+    /** The store came back at [nowMs] from a copy that may lack entries of live endpoints. */
+    fun onReplaced(nowMs: Long) {
+        recoveredAtMs = nowMs
+    }
+
     /** For another host an outage ended at [atMs]; this one knew the table as of [knownAsOfMs]. */
     fun onRecoveredElsewhere(atMs: Long, knownAsOfMs: Long) {
         if (atMs - knownAsOfMs >= MIN_OUTAGE_MS) recoveredAtMs = maxOf(recoveredAtMs, atMs)
--- a/core/src/main/kotlin/cowslipcart/core/store/StoreUpdate.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/StoreUpdate.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.store
 
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StoreEra
 
 /**
  * Update that a host publishes to its group after it read the store, so that the other hosts need
@@ -11,6 +12,9 @@
     /** Offset up to which the table was read. */
     public val next: LogOffset
 
+    /** Era of the offsets. */
+    public val era: StoreEra
+
     /** Age of the read when the message was sent, in ms. */
     public val ageMs: Long
 
@@ -25,7 +29,8 @@
         override val next: LogOffset,
         public val changes: List<EndpointChange>,
         override val ageMs: Long,
-        public val recoveredForMs: Long?
+        public val recoveredForMs: Long?,
+        override val era: StoreEra = StoreEra.UNSTATED
     ) : StoreUpdate
 
     /**
@@ -37,6 +42,7 @@
     public data class Configuration(
         override val next: LogOffset,
         override val ageMs: Long,
-        public val record: TableRecord? = null
+        public val record: TableRecord? = null,
+        override val era: StoreEra = StoreEra.UNSTATED
     ) : StoreUpdate
 }
--- a/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/TableFreshness.kt
@@ -1,6 +1,7 @@
 package cowslipcart.core.store
 
 import cowslipcart.core.model.LogOffset
+import cowslipcart.core.model.StoreEra
 
 /**
  * Age of this host's replica of one table, which decides when it reads the store itself. The limit
@@ -26,6 +27,31 @@
     public var next: LogOffset? = null
         private set
 
+    private var answeredEra: StoreEra? = null
+
+    /** Era of [next]. */
+    public val era: StoreEra get() = answeredEra ?: StoreEra.UNSTATED
+
+    /**
+     * The store answered in [answered]. Returns whether this is another era than before; a snapshot
+     * has to be read then.
+     */
+    public fun onEra(answered: StoreEra): Boolean {
+        val isReplaced = answeredEra != null && answeredEra != answered
+        answeredEra = answered
+        if (isReplaced) next = null
+        return isReplaced
+    }
+
+    /**
+     * Returns whether the offsets of [update] are those of this replica. After one of a later era a
+     * snapshot has to be read.
+     */
+    public fun isSameEra(update: StoreUpdate): Boolean {
+        if (update.era > era) next = null
+        return update.era == era
+    }
+
     /** The replica is complete up to [next] as of [asOfMs]. */
     public fun onRead(next: LogOffset, asOfMs: Long) {
         this.next = next
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -108,12 +108,14 @@
         val table = StoreTable.CONFIGURATION
         val error = if (from == null) {
             following.store.newest(table).onRight {
+                feed.onEra(it.era)
                 val newest = notifyRouting(it.records)
                 feed.onRead(it.end, newest, sentAtMs, clock.nowMs(), hasOrders(it.records))
             }.leftOrNull()
         } else {
             val timeoutMs = health.responseTimeoutMs
             following.store.changes(table, from, waitMs, timeoutMs).onRight {
+                if (feed.onEra(it.era)) return@onRight
                 // Without a change, the store answers only after the whole long poll.
                 val waitedMs = if (it.next == from) waitMs else 0
                 val nowMs = clock.nowMs()
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -205,6 +205,8 @@
             loop.submit(ForwardingInput.EndpointHeartbeats(heartbeats, writtenAfterMs))
 
         override fun onHosts(hosts: Map<HostId, HostRecord>) = this@Gateway.onHosts(hosts)
+
+        override fun onStoreReplaced() = loop.submit(ForwardingInput.StoreReplaced)
     }
 
     private val orders = object : OrderListener {
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.EndpointHeartbeat
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.StoreEra
 import cowslipcart.core.routing.RoutingTable
 import cowslipcart.core.store.ConfigurationFeed
 import cowslipcart.core.store.EndpointChange
@@ -51,6 +52,9 @@
     fun onHeartbeats(heartbeats: List<EndpointHeartbeat>, writtenAfterMs: Long)
 
     fun onHosts(hosts: Map<HostId, HostRecord>)
+
+    /** The store came back from an older copy, so what hosts wrote lately may be lost. */
+    fun onStoreReplaced() = Unit
 }
 
 /** Sends what this host read from the store to the other hosts of its group. */
@@ -85,6 +89,7 @@
     )
     private var entries: List<EndpointEntry>? = null
     private val suspensions = Channel<Unit>(Channel.CONFLATED)
+    private val replacements = Channel<Unit>(Channel.CONFLATED)
 
     private fun healthOf(table: StoreTable) = StoreHealth(table, following.eventLog, random)
 
@@ -92,7 +97,12 @@
     fun start(scope: CoroutineScope, self: HostId, record: HostRecord) {
         scope.launch { repeatGuarded(StoreTable.CONFIGURATION) { configuration.followOnce() } }
         scope.launch { repeatGuarded(StoreTable.ENDPOINTS) { followEndpoints() } }
-        scope.launch { following.guardUntilDone(StoreTable.HOSTS) { register(self, record) } }
+        scope.launch {
+            following.guardUntilDone(StoreTable.HOSTS) { register(self, record) }
+            for (replaced in replacements) {
+                following.guardUntilDone(StoreTable.HOSTS) { register(self, record) }
+            }
+        }
         scope.launch { repeatGuarded(StoreTable.HOSTS) { listHosts() } }
     }
 
@@ -159,10 +169,12 @@
         val timeoutMs = endpointHealth.responseTimeoutMs
         val result = if (from == null) {
             store.newest(table).onRight {
+                onEra(it.era)
                 endpoints.onSnapshot(decodeEndpoints(it.records), it.end, sentAtMs, clock.nowMs())
             }
         } else {
             store.changes(table, from, 0, timeoutMs).onRight {
+                if (onEra(it.era)) return@onRight
                 val changes = decodeEndpoints(it.records)
                 endpoints.onChanges(changes, from, it.next, sentAtMs, clock.nowMs())
                 notifyHeartbeats(changes, knownAsOfMs)
@@ -183,6 +195,15 @@
         }
     }
 
+    /** Returns whether the store came back from an older copy; tells the listener then. */
+    private fun onEra(era: StoreEra): Boolean {
+        if (!endpoints.onEra(era)) return false
+        following.eventLog.event("store-replaced", "era" to era.value)
+        listener.onStoreReplaced()
+        replacements.trySend(Unit)
+        return true
+    }
+
     /** The records of [changes] were written after the table was known as of [knownAsOfMs]. */
     private fun notifyHeartbeats(changes: List<EndpointChange>, knownAsOfMs: Long) {
         val heartbeats = changes.mapNotNull { change ->
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
@@ -18,7 +18,11 @@
 )
 
 /** A response with its whole body. */
-public class HttpResponse(public val status: Int, public val body: ByteArray)
+public class HttpResponse(
+    public val status: Int,
+    public val body: ByteArray,
+    public val headers: Headers = Headers(emptyList())
+)
 
 /**
  * Sends requests to one server, on a keep-alive connection for each purpose. A connection on which
@@ -87,7 +91,8 @@
         val framing = HeadParser.responseFraming(responseHead, request.method)
         return HttpResponse(
             responseHead.status,
-            BodyReader(connection.source, framing).readAll(MAX_BODY_BYTES)
+            BodyReader(connection.source, framing).readAll(MAX_BODY_BYTES),
+            responseHead.headers
         )
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/FollowAlone.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/FollowAlone.kt
@@ -43,6 +43,14 @@
     }
 
     override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
+
+    /** How often the store came back from an older copy. */
+    var replacedCount = 0
+        private set
+
+    override fun onStoreReplaced() {
+        replacedCount++
+    }
 }
 
 /** Publisher of a host that has no others. */
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/StoreUpdateCodec.kt
@@ -6,12 +6,15 @@
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.StoreEra
 import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.core.store.TableRecord
+import cowslipcart.wire.peer.completePeerCbor
 import cowslipcart.wire.peer.peerCbor
+import kotlinx.serialization.BinaryFormat
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -27,7 +30,10 @@
     private const val MAX_RECORD_BYTES = 4 * 1_024 * 1_024
 
     fun encode(update: StoreUpdate): ByteArray =
-        peerCbor.encodeToByteArray(StoreUpdateDocument.serializer(), toDocument(update))
+        cborFor(update).encodeToByteArray(StoreUpdateDocument.serializer(), toDocument(update))
+
+    private fun cborFor(update: StoreUpdate): BinaryFormat =
+        if (update.era == StoreEra.UNSTATED) peerCbor else completePeerCbor
 
     fun decode(bytes: ByteArray): StoreUpdate {
         val document = peerCbor.decodeFromByteArray(StoreUpdateDocument.serializer(), bytes)
@@ -35,14 +41,16 @@
         val from = document.from ?: return StoreUpdate.Configuration(
             next,
             document.ageMs,
-            document.record?.let { toTableRecord(it) }
+            document.record?.let { toTableRecord(it) },
+            StoreEra(document.era)
         )
         return StoreUpdate.Endpoints(
             LogOffset(from),
             next,
             document.changes.map { toChange(it) },
             document.ageMs,
-            document.regainedForMs
+            document.regainedForMs,
+            StoreEra(document.era)
         )
     }
 
@@ -54,7 +62,8 @@
                 null,
                 null,
                 emptyList(),
-                update.record?.let { toDocument(it) }
+                update.record?.let { toDocument(it) },
+                update.era.value
             )
 
         is StoreUpdate.Endpoints -> StoreUpdateDocument(
@@ -68,7 +77,8 @@
                     change.offset.value,
                     change.record?.let { toDocument(it) }
                 )
-            }
+            },
+            era = update.era.value
         )
     }
 
@@ -152,7 +162,8 @@
     val from: Long?,
     val regainedForMs: Long?,
     val changes: List<EndpointChangeDocument>,
-    val record: ConfigurationRecordDocument? = null
+    val record: ConfigurationRecordDocument? = null,
+    val era: Long = 0
 )
 
 @Serializable
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -22,6 +22,7 @@
 import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.OrganisationId
 import cowslipcart.core.model.PoolId
+import cowslipcart.core.model.StoreEra
 import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.EndpointChange
 import cowslipcart.core.store.EndpointRecord
@@ -94,6 +95,21 @@
 
     @Nested
     inner class RoundTrip {
+        @Test
+        fun `the era of a store update survives a round trip`() {
+            val updates = samples.filterIsInstance<PeerDatagram.Update>().map { it.update }.map {
+                when (it) {
+                    is StoreUpdate.Configuration -> it.copy(era = StoreEra(7))
+                    is StoreUpdate.Endpoints -> it.copy(era = StoreEra(7))
+                }
+            }
+            assertTrue(updates.isNotEmpty())
+            for (update in updates) {
+                val sample = PeerDatagram.Update(update)
+                assertEquals(sample, DatagramCodec.decode(DatagramCodec.encode(sample)).getOrNull())
+            }
+        }
+
         @Test
         fun `load reports and store updates survive a round trip`() {
             for (sample in samples + versioned) {
