Keep the versions of recent streams in the store

Cause: the versions of single streams were in the memory of hosts only, and the stored versions of the pool do not tell which one began a stream. Change: while several versions may have streams, one host of each group writes every 0.5 s which version began the streams that its hosts told (40 records a writer and 64 writers at most); hosts that start read them if the store names several versions. Result: the new cases of StreamVersionsTest and VersionKeeperTest are green; the first one fails without the records (the stream is refused as unknown).

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
@@ -13,6 +13,9 @@
     /** Tells the hosts of the group which versions began streams of this host. */
     public data class Tell(public val versions: Map<StreamKey, VersionId>) : StreamEffect
 
+    /** Stores for the group which versions began its streams lately. */
+    public data class Keep(public val versions: Map<StreamKey, VersionId>) : StreamEffect
+
     /** Asks other hosts which version began [stream]. */
     public data class Ask(public val stream: StreamKey) : StreamEffect
 
@@ -54,12 +57,17 @@
 
     /** Streams of this host that were not told to others, oldest first. */
     private val untold = ArrayDeque<Start>()
+
+    /** Streams of the group, told since the last [StreamEffect.Keep]. */
+    private val unkept = mutableMapOf<StreamKey, VersionId>()
+    private var lastKeptMs = Long.MIN_VALUE / 2
     private val effects = mutableListOf<ForwardingEffect>()
     private var isStoreRead = false
     private var lastToldMs = Long.MIN_VALUE / 2
 
     /** Whether [onTick] has something to tell. */
-    val hasUntold: Boolean get() = untold.isNotEmpty() && pools.values.any { it.isMixed }
+    val hasUntold: Boolean
+        get() = unkept.isNotEmpty() || untold.isNotEmpty() && pools.values.any { it.isMixed }
 
     fun onListed(entries: List<EndpointEntry>, nowMs: Long) {
         val versions = entries.groupBy({ it.pool }, { it.version })
@@ -114,6 +122,11 @@
     /** Other hosts told which versions began streams. */
     fun onTold(versions: Map<StreamKey, VersionId>, nowMs: Long) {
         for ((stream, version) in versions) origins.add(stream, version, nowMs)
+        addUnkept(versions)
+    }
+
+    private fun addUnkept(versions: Map<StreamKey, VersionId>) {
+        if (unkept.size + versions.size <= StreamOrigins.MAX_STREAMS) unkept += versions
     }
 
     /** Answers [host] if this one knows which version began [stream]. */
@@ -178,6 +191,11 @@
         }
         pools.values.removeIf { it.all.isEmpty() }
         while (untold.isNotEmpty() && isOld(untold.first(), nowMs)) untold.removeFirst()
+        tell(nowMs)
+        keep(nowMs)
+    }
+
+    private fun tell(nowMs: Long) {
         if (nowMs - lastToldMs < TELL_INTERVAL_MS) return
         lastToldMs = nowMs
         val due = untold.filter { isMixed(it.place.pool) }
@@ -185,9 +203,18 @@
         for (part in due.chunked(MAX_TOLD)) {
             val versions = part.associate { it.key to it.place.version }
             effects += ForwardingEffect.Stream(StreamEffect.Tell(versions))
+            addUnkept(versions)
         }
     }
 
+    private fun keep(nowMs: Long) {
+        if (nowMs - lastKeptMs < KEEP_INTERVAL_MS) return
+        lastKeptMs = nowMs
+        if (unkept.isEmpty()) return
+        effects += ForwardingEffect.Stream(StreamEffect.Keep(unkept.toMap()))
+        unkept.clear()
+    }
+
     private fun isOld(start: Start, nowMs: Long): Boolean =
         nowMs - start.atMs > StreamOrigins.STREAM_LIFETIME_MS
 
@@ -207,6 +234,9 @@
         /** The interval of load reports, with which these datagrams are sent, in ms. */
         const val TELL_INTERVAL_MS = 200L
 
+        /** Bounds what the loss of all hosts forgets, at two calls a second and group, in ms. */
+        const val KEEP_INTERVAL_MS = 500L
+
         /** Keeps a datagram below 6 KB. */
         const val MAX_TOLD = 500
 
--- a/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/KeyedStore.kt
@@ -5,7 +5,15 @@
 import cowslipcart.core.model.StoreEra
 
 /** Tables of the platform's store that the gateway reads. */
-public enum class StoreTable { CONFIGURATION, ENDPOINTS, HOSTS, ROLLOUTS, QUARANTINES, VERSIONS }
+public enum class StoreTable {
+    CONFIGURATION,
+    ENDPOINTS,
+    HOSTS,
+    ROLLOUTS,
+    QUARANTINES,
+    VERSIONS,
+    STREAMS
+}
 
 /**
  * The platform's store of keyed records, as the gateway sees it. It is a compacted log: every
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
@@ -1,5 +1,7 @@
 package cowslipcart.core.forwarding
 
+import cowslipcart.core.model.VersionId
+
 /** Two hosts that tell each other of streams, and a store of versions that can be reverted. */
 internal class StreamFleet {
     private val hosts = mutableListOf<ForwardingFixture>()
@@ -8,6 +10,7 @@
 
     /** Versions in the store. */
     val stored = mutableSetOf<PoolVersion>()
+    private val kept = mutableMapOf<StreamKey, VersionId>()
     private var watchedHost: ForwardingFixture? = null
     private var watchedCall: CallId? = null
 
@@ -25,6 +28,7 @@
         host.nowMs = nowMs
         host.onEffects = { onEffects(host, it) }
         host.send(ForwardingInput.EndpointsChanged(entries))
+        host.send(ForwardingInput.StreamsTold(kept.toMap()))
         host.send(ForwardingInput.VersionsRead(stored.toSet()))
         return host
     }
@@ -96,6 +100,8 @@
                 it.send(ForwardingInput.StreamsTold(mapOf(effect.stream to effect.version)))
             }
 
+            is StreamEffect.Keep -> kept += effect.versions
+
             is StreamEffect.Store -> {
                 stored += effect.version
                 from.send(ForwardingInput.VersionStored(effect.version))
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
@@ -159,7 +159,20 @@
             list("b" to "v2")
             fleet.pass(500)
             fleet.restartAll()
-            assertUnknown(resume(fleet.host(0), call))
+            assertTrue(resume(fleet.host(0), call) is CallCommand.Refuse)
+            assertUnknown(resume(fleet.host(0), null))
+        }
+
+        /** Guards against callers that are all refused after the loss of all hosts. */
+        @Test
+        fun `streams of several versions go on after all hosts restarted`() {
+            list("a" to "v1", "b" to "v2")
+            fleet.pass(5_000)
+            begin(second)
+            val (call, version) = begin(first)
+            fleet.pass(800)
+            fleet.restartAll()
+            assertEquals(version, versionOf(resume(fleet.host(0), call)))
         }
 
         @Test
@@ -182,7 +195,8 @@
             list("b" to "v2")
             fleet.pass(500)
             fleet.restartAll()
-            assertUnknown(resume(fleet.host(0), call))
+            assertTrue(resume(fleet.host(0), call) is CallCommand.Refuse)
+            assertUnknown(resume(fleet.host(0), null))
         }
 
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -140,7 +140,7 @@
         val links = RolloutLinks(following, ::submitRollout, peers::publish)
         rollouts = RolloutFollower(links, rolloutCodec, random).also { it.start(scope) }
         quarantines = QuarantineKeeper(following, random, loop::submit).also { it.start(scope) }
-        versions = VersionKeeper(following, random, loop::submit).also { it.start(scope) }
+        versions = VersionKeeper(following, self, random, loop::submit).also { it.start(scope) }
         follower = StoreFollower(following, settings.configurationBoundMs, random)
             .also { it.start(scope, self, HostRecord(settings.peer, settings.forwarding.profile)) }
         scope.launch { evictIdleConnections() }
@@ -258,6 +258,7 @@
         when (effect) {
             is StreamEffect.Store -> versions?.perform(effect)
             is StreamEffect.Remove -> versions?.perform(effect)
+            is StreamEffect.Keep -> if (peers.groupRank == 0) versions?.perform(effect)
             is StreamEffect.Tell -> peers.tell(effect.versions)
             is StreamEffect.Ask -> peers.ask(effect.stream)
             is StreamEffect.Answer -> peers.answer(effect)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
@@ -3,11 +3,15 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.PoolVersion
 import cowslipcart.core.forwarding.StreamEffect
+import cowslipcart.core.forwarding.StreamKey
 import cowslipcart.core.membership.stableHash
+import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.StoreError
 import cowslipcart.core.store.StoreTable
+import cowslipcart.wire.datagram.DatagramCodec
+import cowslipcart.wire.datagram.PeerDatagram
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
@@ -16,15 +20,19 @@
 import kotlinx.coroutines.launch
 
 /**
- * Stores which versions may have begun streams, and reads them when this host starts, so that hosts
- * know of the versions that have left although all hosts stopped at once.
+ * Stores which versions may have begun streams, and while there are several which one began each
+ * recent stream. Reads both when this host starts, so that they outlast the loss of all hosts.
+ *
+ * @property host host that writes; its streams take [StreamSlots.SLOT_COUNT] records at most
  */
 internal class VersionKeeper(
     private val following: StoreFollowing,
+    host: HostId,
     random: Random,
     private val submit: (ForwardingInput) -> Unit
 ) {
     private val health = StoreHealth(StoreTable.VERSIONS, following.eventLog, random)
+    private val slots = StreamSlots(host)
     private val effects = Channel<StreamEffect>(EFFECT_CAPACITY, BufferOverflow.DROP_OLDEST)
 
     /** Queues a change of the stored versions; never blocks. */
@@ -51,6 +59,7 @@
                         PoolVersionCodec.decode(it)
                     }
                 }
+                if (versions.groupBy { it.pool }.any { it.value.size > 1 }) readStreams()
                 submit(ForwardingInput.VersionsRead(versions.toSet()))
                 return
             }
@@ -58,12 +67,34 @@
         }
     }
 
+    /** Reads the streams of several versions; without them their callers would be refused. */
+    private suspend fun readStreams() {
+        val result = following.store.newest(StoreTable.STREAMS)
+        health.onCall(result.leftOrNull())
+        for (record in result.getOrNull()?.records.orEmpty()) {
+            val told = following.decodeOrReport(StoreTable.STREAMS, record) {
+                DatagramCodec.decode(it).getOrNull() as? PeerDatagram.StreamsTold
+            }
+            if (told != null) submit(ForwardingInput.StreamsTold(told.versions))
+        }
+    }
+
+    /** What is not written at once is not repeated, as newer streams wait behind it. */
+    private suspend fun keep(versions: Map<StreamKey, VersionId>) {
+        val value = DatagramCodec.encode(PeerDatagram.StreamsTold(versions))
+        health.onCall(
+            following.store.put(StoreTable.STREAMS, slots.next(), value).leftOrNull()
+        )
+    }
+
     private suspend fun write(effect: StreamEffect) {
         when (effect) {
             is StreamEffect.Store -> store(effect.version)
 
             is StreamEffect.Remove -> remove(effect.version)
 
+            is StreamEffect.Keep -> keep(effect.versions)
+
             is StreamEffect.Answer,
             is StreamEffect.Ask,
             is StreamEffect.Tell -> Unit
@@ -110,6 +141,28 @@
     }
 }
 
+/**
+ * Keys of the records of streams, written in turn. The keys of many hosts are the same, so that
+ * hosts that come and go leave no more than [SLOT_COUNT] times [WRITER_COUNT] records.
+ */
+internal class StreamSlots(host: HostId) {
+    private val writer = Math.floorMod(stableHash(host.value), WRITER_COUNT.toLong())
+    private var last = 0
+
+    fun next(): String {
+        last = (last + 1) % SLOT_COUNT
+        return "$writer/$last"
+    }
+
+    companion object {
+        /** Streams of 20 s, longer than the deadline of a caller, at a record each 0.5 s. */
+        const val SLOT_COUNT = 40
+
+        /** Several times the groups at the size to design for, each with one writer. */
+        const val WRITER_COUNT = 64
+    }
+}
+
 /** Encodes a version as `POOL` and `VERSION` in two lines, under a key of bounded length. */
 internal object PoolVersionCodec {
     private const val HEX_RADIX = 16
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/OneTableStore.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/FailingStore.kt
@@ -15,9 +15,10 @@
 import cowslipcart.core.store.TableSnapshot
 import kotlinx.coroutines.awaitCancellation
 
-/** Store with one table, whose calls can be made to fail. */
-internal class OneTableStore : KeyedStore {
+/** Store whose calls can be made to fail, with a table of streams and one for all the rest. */
+internal class FailingStore : KeyedStore {
     val records = LinkedHashMap<String, ByteArray>()
+    private val streams = LinkedHashMap<String, ByteArray>()
     var failingCalls = 0
     var callCount = 0
 
@@ -26,6 +27,9 @@
     private val end: LogOffset get() = LogOffset(writeCount)
     private var writeCount = 2L
 
+    private fun recordsOf(table: StoreTable) =
+        if (table == StoreTable.STREAMS) streams else records
+
     private fun <T> call(result: () -> T): Either<StoreError, T> {
         callCount++
         if (failingCalls > 0) {
@@ -36,7 +40,7 @@
     }
 
     override suspend fun newest(table: StoreTable): Either<StoreError, TableSnapshot> = call {
-        val records = records.map { (key, value) -> TableRecord(key, value, LogOffset(1)) }
+        val records = recordsOf(table).map { (key, value) -> TableRecord(key, value, LogOffset(1)) }
         TableSnapshot(records, end)
     }
 
@@ -53,6 +57,7 @@
         value: ByteArray
     ): Either<StoreError, Unit> = call {
         writeCount++
+        val records = recordsOf(table)
         if (value.isEmpty()) records -= key else records[key] = value
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/QuarantineKeeperTest.kt
@@ -21,7 +21,7 @@
 /** Guards against a quarantine that ends when all hosts stop at once. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class QuarantineKeeperTest {
-    private val store = OneTableStore()
+    private val store = FailingStore()
     private val read = mutableListOf<QuarantinedRequest>()
     private val request = QuarantinedRequest(
         Fingerprint("f"),
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/VersionKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/VersionKeeperTest.kt
@@ -3,6 +3,8 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.PoolVersion
 import cowslipcart.core.forwarding.StreamEffect
+import cowslipcart.core.forwarding.StreamKey
+import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.VersionId
 import cowslipcart.core.store.StoreTable
@@ -17,12 +19,12 @@
 
 /** Guards against versions that hosts forget when all of them stop at once. */
 class VersionKeeperTest {
-    private val store = OneTableStore()
+    private val store = FailingStore()
     private val inputs = mutableListOf<ForwardingInput>()
     private val version = PoolVersion(PoolId("pool"), VersionId("v1"))
 
     private fun TestScope.startKeeper(): VersionKeeper =
-        VersionKeeper(followingAlone(store, NoDecoder), Random(3)) { inputs += it }
+        VersionKeeper(followingAlone(store, NoDecoder), HostId("h"), Random(3)) { inputs += it }
             .also { it.start(backgroundScope) }
 
     @Nested
@@ -57,6 +59,42 @@
         }
     }
 
+    /** Guards against streams of several versions that are all refused after all hosts stopped. */
+    @Nested
+    inner class Streams {
+        private val other = PoolVersion(PoolId("pool"), VersionId("v2"))
+
+        private fun keep(key: Long) =
+            StreamEffect.Keep(mapOf(StreamKey(key) to version.version))
+
+        private suspend fun TestScope.readAfterKeeping(vararg versions: PoolVersion) {
+            val keeper = startKeeper()
+            for (stored in versions) keeper.perform(StreamEffect.Store(stored))
+            for (key in 1L..MANY) keeper.perform(keep(key))
+            delay(SETTLE_MS)
+            inputs.clear()
+            startKeeper()
+            delay(SETTLE_MS)
+        }
+
+        @Test
+        fun `the last streams are read before the versions`() = runTest {
+            readAfterKeeping(version, other)
+
+            val told = inputs.filterIsInstance<ForwardingInput.StreamsTold>()
+            assertEquals(StreamSlots.SLOT_COUNT, told.size)
+            assertTrue(told.any { StreamKey(MANY) in it.versions })
+            assertEquals(ForwardingInput.VersionsRead(setOf(version, other)), inputs.last())
+        }
+
+        @Test
+        fun `they are not read if there is one version only`() = runTest {
+            readAfterKeeping(version)
+
+            assertEquals(listOf<ForwardingInput>(ForwardingInput.VersionsRead(setOf(version))), inputs)
+        }
+    }
+
     @Nested
     inner class Removing {
         @Test
@@ -86,5 +124,8 @@
     private companion object {
         const val SETTLE_MS = 1_000L
         const val LONG_MS = 20_000L
+
+        /** More streams than a writer has records. */
+        const val MANY = 100L
     }
 }
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/StreamCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/StreamCodec.kt
@@ -40,7 +40,7 @@
     }
 }
 
-/** Array form of the streams that versions began. The order of the fields is part of the protocol. */
+/** Array form of the streams of versions. The order of the fields is part of the protocol. */
 @Serializable
 @CborArray
 private class StreamsDocument(val versions: List<StreamsOfVersion>)
