Take an answer without a length for cut if its request was not sent

Cause: the end of the connection counted as the end of the answer although the endpoint had not read the request. Change: a success without a length, or a stream, counts only if the request was sent in full. A status of 000 was refused before, which HeadParserTest now shows.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -30,6 +30,7 @@
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.supervisorScope
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Wraps the result of a read, so that a null result differs from a timeout. */
 private class ReadResult<T>(val value: T)
@@ -124,15 +125,28 @@
         var isAnswerBegun = false
             private set
 
+        private lateinit var sending: Job
+        private var isSent = false
+
         suspend fun run(): ExchangeResult = coroutineScope {
-            val sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
+            sending = launch(start = CoroutineStart.UNDISPATCHED) { send() }
             try {
-                receive(sending)
+                receive()
             } finally {
                 sending.cancel()
             }
         }
 
+        /**
+         * Fails if the end of the connection does not show the end of an answer: the endpoint has
+         * closed it before it had the whole request, which may have discarded a part of the answer.
+         */
+        private suspend fun confirmEnd(isFramed: Boolean) {
+            if (isFramed) return
+            withTimeoutOrNull(SEND_END_MS) { sending.join() }
+            if (!isSent) throw EOFException("connection closed while the request was sent")
+        }
+
         /** Closes the connection if sending fails, so that receiving fails too. */
         private suspend fun send() {
             try {
@@ -149,6 +163,7 @@
                     headers
                 )
                 connection.send(head, request.body)
+                isSent = true
             } catch (_: IOException) {
                 connection.abort()
             } catch (_: CancellationException) {
@@ -168,7 +183,7 @@
             }
         }
 
-        private suspend fun receive(sending: Job): ExchangeResult {
+        private suspend fun receive(): ExchangeResult {
             repeat(MAX_MISMATCHED_RESPONSES) {
                 val head = withInactivityTimeout("no response") { readHead() }
                 val metadata = headerCodec.decodeResponse(head)
@@ -263,6 +278,7 @@
             val body = withInactivityTimeout("response stalled") { readBody(reader) }
             val isSuccess = head.status < FIRST_FAILURE_STATUS
             if (isSuccess && !isAuthentic(metadata)) fail("unsigned response")
+            if (isSuccess) confirmEnd(isFramed)
             if (isSuccess && !isFramed && body.isEmpty()) fail("neither a body nor its length")
             if (relay.isStarted) fail("response is no stream although events were forwarded")
             if (head.status in NOT_EXECUTED_STATUSES) fail("status ${head.status} without decline")
@@ -299,6 +315,7 @@
                 if (!hasEvent) listener.onResponseStarted()
                 hasEvent = true
             }
+            confirmEnd(isFramed)
             relay.finish(isFramed)
             return ExchangeResult(AttemptOutcome.Answered(isSuccess = true))
         }
@@ -397,6 +414,9 @@
          */
         private const val AT_MOST_ONCE_IDLE_MS = 3_000L
 
+        /** The end of the last write may be noticed after the answer to it, in ms. */
+        private const val SEND_END_MS = 100L
+
         /** Half of the gap after which callers abandon a stream, in ms. */
         private const val STREAM_INACTIVITY_MS = 1_300L
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ExchangeFixture.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.forwarding.CallCommand
 import cowslipcart.core.forwarding.CallId
+import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.model.Fingerprint
 import cowslipcart.core.model.RequestId
@@ -46,7 +47,8 @@
         kind: WorkKind = WorkKind.AtMostOnce,
         caller: ByteChannel = ByteChannel(),
         body: ByteArray = ByteArray(0),
-        monitor: CallerMonitor = OpenCaller
+        monitor: CallerMonitor = OpenCaller,
+        target: EndpointEntry = endpoint.entry
     ): ExchangeResult {
         val response = CallerResponse(ChannelSink(caller), isHeadRequest = false) { false }
         val head =
@@ -54,7 +56,7 @@
         return exchange.run(
             call(id, kind),
             BufferedRequest(head, body),
-            CallCommand.Dispatch(endpoint.entry, attempt = 1),
+            CallCommand.Dispatch(target, attempt = 1),
             StreamRelay(response, clock),
             monitor,
             SilentListener,
--- a/daemon/src/test/kotlin/cowslipcart/daemon/http1/HeadParserTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/http1/HeadParserTest.kt
@@ -70,6 +70,16 @@
             }
         }
 
+        /** Guards against answers of endpoints in trouble that reach callers with their status. */
+        @Test
+        fun `a status that no answer can have is rejected`() {
+            for (status in listOf("000", "001", "099", "600", "999", "20", "2000", "abc", "-10")) {
+                assertFailsWith<MalformedMessageException>(status) {
+                    HeadParser.parseResponse("HTTP/1.1 $status Odd\r\n\r\n".toByteArray())
+                }
+            }
+        }
+
         @Test
         fun `malformed request lines are rejected`() {
             val bad = listOf(
