Store the versions of streams more often, by two hosts of each group

Cause: 51 takers-up were refused since nobody knew their stream: it had begun less than 0.7 s before, or its host had told it in a datagram that the one writer missed, or the host that was asked had not read the store in time (one of 15 hosts took 0.9 s longer). Change: two hosts of a group write, every 0.25 s; a request at a host that has not read the store waits for it, 2 s at most.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
@@ -67,7 +67,10 @@
 
     /** Whether [onTick] has something to tell. */
     val hasUntold: Boolean
-        get() = unkept.isNotEmpty() || untold.isNotEmpty() && pools.values.any { it.isMixed }
+        get() = unkept.isNotEmpty() || (untold.isNotEmpty() && pools.values.any { it.isMixed })
+
+    /** Time for which a request waits until the version of its stream is known, in ms. */
+    val askWaitMs: Long get() = if (isStoreRead) ASK_WAIT_MS else READ_WAIT_MS
 
     fun onListed(entries: List<EndpointEntry>, nowMs: Long) {
         val versions = entries.groupBy({ it.pool }, { it.version })
@@ -234,14 +237,17 @@
         /** The interval of load reports, with which these datagrams are sent, in ms. */
         const val TELL_INTERVAL_MS = 200L
 
-        /** Bounds what the loss of all hosts forgets, at two calls a second and group, in ms. */
-        const val KEEP_INTERVAL_MS = 500L
+        /** Bounds what the loss of all hosts forgets, at four calls a second and writer, in ms. */
+        const val KEEP_INTERVAL_MS = 250L
 
         /** Keeps a datagram below 6 KB. */
         const val MAX_TOLD = 500
 
         /** Time for the hosts to tell the version of a stream, unasked or as asked, in ms. */
         const val ASK_WAIT_MS = 300L
+
+        /** Time for a host that starts to read the store, a call that times out included, in ms. */
+        const val READ_WAIT_MS = 2_000L
     }
 }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
@@ -110,6 +110,22 @@
             assertUnknown(resume(second, null))
         }
 
+        /** Guards against callers who are refused since a host that starts has not read the store. */
+        @Test
+        fun `a host that has not read the store waits for it`() {
+            list("a" to "v1")
+            val starting = ForwardingFixture(host = "host-2")
+            starting.listEndpoints(ForwardingFixture.entry("a").copy(version = VersionId("v1")))
+            val call = starting.call(STREAM, resumption = Resumption(null))
+            assertEquals(emptyList(), starting.arrive(call))
+            starting.nowMs = 1_000
+            assertEquals(emptyList(), starting.commandsOf(ForwardingInput.Tick))
+            val commands = starting.commandsOf(
+                ForwardingInput.VersionsRead(setOf(PoolVersion(call.pool, VersionId("v1"))))
+            )
+            assertEquals("v1", versionOf(commands.single()))
+        }
+
         @Test
         fun `a stream that no host knows goes on while there was one version only`() {
             list("a" to "v1", "b" to "v1")
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -258,7 +258,7 @@
         when (effect) {
             is StreamEffect.Store -> versions?.perform(effect)
             is StreamEffect.Remove -> versions?.perform(effect)
-            is StreamEffect.Keep -> if (peers.groupRank == 0) versions?.perform(effect)
+            is StreamEffect.Keep -> if (peers.groupRank < STREAM_WRITERS) versions?.perform(effect)
             is StreamEffect.Tell -> peers.tell(effect.versions)
             is StreamEffect.Ask -> peers.ask(effect.stream)
             is StreamEffect.Answer -> peers.answer(effect)
@@ -331,6 +331,9 @@
 
         /** Leaves half of the connections that an endpoint accepts to those in use. */
         const val IN_USE_FACTOR = 2
+
+        /** Hosts of a group that store its streams; one alone may miss a datagram, or stop. */
+        const val STREAM_WRITERS = 2
         const val IDLE_EVICTION_INTERVAL_MS = 1_000L
         const val ACCEPT_PAUSE_MS = 50L
         const val BACKLOG = 512
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -99,7 +99,8 @@
         scope.launch { repeatGuarded(StoreTable.ENDPOINTS) { followEndpoints() } }
         scope.launch {
             following.guardUntilDone(StoreTable.HOSTS) { register(self, record) }
-            for (replaced in replacements) {
+            while (isActive) {
+                replacements.receive()
                 following.guardUntilDone(StoreTable.HOSTS) { register(self, record) }
             }
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
@@ -155,10 +155,10 @@
     }
 
     companion object {
-        /** Streams of 20 s, longer than the deadline of a caller, at a record each 0.5 s. */
-        const val SLOT_COUNT = 40
+        /** Streams of 15 s, longer than the deadline of a caller, at a record each 0.25 s. */
+        const val SLOT_COUNT = 60
 
-        /** Several times the groups at the size to design for, each with one writer. */
+        /** About twice the writers at the size to design for; two that share keys lose records. */
         const val WRITER_COUNT = 64
     }
 }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/FailingStore.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/FailingStore.kt
@@ -27,8 +27,7 @@
     private val end: LogOffset get() = LogOffset(writeCount)
     private var writeCount = 2L
 
-    private fun recordsOf(table: StoreTable) =
-        if (table == StoreTable.STREAMS) streams else records
+    private fun recordsOf(table: StoreTable) = if (table == StoreTable.STREAMS) streams else records
 
     private fun <T> call(result: () -> T): Either<StoreError, T> {
         callCount++
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/VersionKeeperTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/VersionKeeperTest.kt
@@ -64,8 +64,7 @@
     inner class Streams {
         private val other = PoolVersion(PoolId("pool"), VersionId("v2"))
 
-        private fun keep(key: Long) =
-            StreamEffect.Keep(mapOf(StreamKey(key) to version.version))
+        private fun keep(key: Long) = StreamEffect.Keep(mapOf(StreamKey(key) to version.version))
 
         private suspend fun TestScope.readAfterKeeping(vararg versions: PoolVersion) {
             val keeper = startKeeper()
@@ -91,7 +90,10 @@
         fun `they are not read if there is one version only`() = runTest {
             readAfterKeeping(version)
 
-            assertEquals(listOf<ForwardingInput>(ForwardingInput.VersionsRead(setOf(version))), inputs)
+            assertEquals(
+                listOf<ForwardingInput>(ForwardingInput.VersionsRead(setOf(version))),
+                inputs
+            )
         }
     }
 
