--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PoolVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PoolVersions.kt
@@ -54,7 +54,8 @@
         val state = states[version] ?: return
         if (state.isStored) return
         state.isStored = true
-        state.usableFromMs = nowMs + SETTLE_MS
+        // Stored once more after the store came back from an older copy, it is known to all hosts.
+        if (state.usableFromMs == Long.MAX_VALUE) state.usableFromMs = nowMs + SETTLE_MS
     }
 
     /** What was stored may be lost; returns what has to be stored again. */
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
@@ -155,6 +155,14 @@
             assertTrue((1..10).any { begin(first).second == "v2" })
         }
 
+        @Test
+        fun `it goes on to begin streams after the store came back from an older copy`() {
+            list("a" to "v1", "b" to "v2")
+            fleet.pass(5_000)
+            fleet.revertStore()
+            assertEquals(setOf("v1", "v2"), (1..10).map { begin(first).second }.toSet())
+        }
+
         @Test
         fun `it begins streams at once if no other version is in service`() {
             list("a" to "v1")
