Store quarantines again after the store came back from an older copy

What callers would see: a request that crashes endpoints comes to three more of them after the store came back without its quarantine and all hosts stopped. Cause: a quarantine is written once; nobody knew that the store had lost it. Change: the hosts that saw its crashes write it again.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CrashQuarantine.kt
@@ -100,6 +100,9 @@
     fun onStored(quarantines: List<QuarantinedRequest>, nowMs: Long) =
         requests.onTold("the store", quarantines, nowMs)
 
+    /** The platform's store came back from an older copy, which may lack quarantines. */
+    fun onStoreReplaced(nowMs: Long) = requests.onStoreReplaced(nowMs)
+
     /** Returns the changes of the stored quarantines since the last call. */
     fun takeStoreEffects(): List<QuarantineEffect> = requests.takeStoreEffects()
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -92,7 +92,10 @@
 
             is ForwardingInput.VersionStored -> known.streams.onStored(input.version, nowMs)
 
-            ForwardingInput.StoreReplaced -> known.streams.onStoreReplaced()
+            ForwardingInput.StoreReplaced -> {
+                known.streams.onStoreReplaced()
+                known.quarantine.onStoreReplaced(nowMs)
+            }
 
             is ForwardingInput.StreamsTold -> known.streams.onTold(input.versions, nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/QuarantineTracker.kt
@@ -165,14 +165,22 @@
         if (isOwn) record.hasOwnCrash = true
         if (record.isQuarantined && (!wasQuarantined || isProbe)) {
             logQuarantine(fingerprint, record, "")
-            if (record.hasOwnCrash) {
-                val request = record.toQuarantinedRequest(fingerprint, nowMs)
-                storeEffects += QuarantineEffect.Keep(request)
-            }
+            if (record.hasOwnCrash) keep(fingerprint, record, nowMs)
         }
         forgetSurplus()
     }
 
+    private fun keep(fingerprint: Fingerprint, record: QuarantineRecord, nowMs: Long) {
+        storeEffects += QuarantineEffect.Keep(record.toQuarantinedRequest(fingerprint, nowMs))
+    }
+
+    /** The store may have lost quarantines; the hosts that saw their crashes store them again. */
+    fun onStoreReplaced(nowMs: Long) {
+        for ((fingerprint, record) in records) {
+            if (record.isQuarantined && record.hasOwnCrash) keep(fingerprint, record, nowMs)
+        }
+    }
+
     private fun logQuarantine(fingerprint: Fingerprint, record: QuarantineRecord, source: String) {
         val next = if (record.mayBeProbed) "in ${record.lapseMs} ms or more" else "never"
         val reason = "${source}connections lost at ${record.endpoints.joinToString(",")}, " +
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
@@ -66,6 +66,12 @@
         }
     }
 
+    /** The store comes back from a copy that lacks all quarantines. */
+    fun revertStore() {
+        stored.clear()
+        for (host in hosts) host.send(ForwardingInput.StoreReplaced)
+    }
+
     /** Replaces the process of the host at [index], which loses what it knew. */
     fun restart(index: Int) {
         hosts[index] = start(names[index], nextIncarnation++)
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleetTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleetTest.kt
@@ -68,6 +68,19 @@
             )
         }
 
+        @Test
+        fun `a quarantine outlasts a store that comes back without it`() {
+            val fleet = QuarantineFleet(hostCount = 4)
+            fleet.pass(4_000, everyMs = 200)
+            fleet.revertStore()
+            loseAll(fleet, 4)
+            fleet.pass(60_000, everyMs = 200)
+            assertTrue(
+                fleet.lateRuns() <= QuarantineFleet.MAX_LATE_RUNS,
+                "${fleet.lateRuns()} late runs, ran at ${fleet.ranAtMs}"
+            )
+        }
+
         @Test
         fun `a released request stays released`() {
             val fleet = QuarantineFleet(hostCount = 2)
