--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -14,7 +14,7 @@
     /** Share of the pool's slots that must be free before [call] is admitted, from 0 to 1. */
     fun reservedShare(call: ForwardedCall): Double {
         if (call.rankInPool == 0) return 0.0
-        if (isAdmittedAtAnySize(call)) return RESERVED_SHARE * MEAN_SCALE
+        if (isAdmittedAtAnySize(call)) return RESERVED_SHARE * ANY_SIZE_SCALE
         val prefillMs = PrefillCost.ofTokens(call.inputTokens) / PrefillCost.TOKENS_PER_MS
         val workMs = prefillMs + call.expectedOutputTokens * OUTPUT_TOKEN_MS
         return RESERVED_SHARE * (workMs / MEAN_WORK_MS).coerceIn(MIN_SCALE, MAX_SCALE)
@@ -148,10 +148,12 @@
     /** Work of a mean request of both deployments on the reference engine, in ms. */
     private const val MEAN_WORK_MS = 70.0
 
-    /** Bounds on how the reserve grows with the request, and the middle between them. */
+    /** Bounds on how the reserve grows with the request. */
     private const val MIN_SCALE = 0.3
     private const val MAX_SCALE = 0.9
-    private const val MEAN_SCALE = 0.6
+
+    /** With less, the most urgent rank finds its slots taken; with more, large requests starve. */
+    private const val ANY_SIZE_SCALE = 0.5
 
     /** Multiples of the golden ratio spread consecutive ids evenly over both halves. */
     private const val GOLDEN_RATIO_BITS = -0x61c8864680b583ebL
