Raise the reserve of small requests to that of any size

Callers saw: in a burst without a pause the largest requests of the lower tiers were refused as overloaded, while small ones were served. Cause: half of the requests need 0.11 of the slots free whatever their size, but small ones of the other half 0.066, so they keep the free share below what large ones need. Change: the lower bound of the reserve is the one of requests of any size, so half of the large ones are admitted like the smallest.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/AdmissionRule.kt
@@ -148,13 +148,16 @@
     /** Work of a mean request of both deployments on the reference engine, in ms. */
     private const val MEAN_WORK_MS = 70.0
 
+    /**
+     * Reserve of half of the requests of any size, and the lower bound for all others. If small
+     * requests needed less, they could keep the free share below what large ones need.
+     */
+    private const val ANY_SIZE_SCALE = 0.5
+
     /** Bounds on how the reserve grows with the request. */
-    private const val MIN_SCALE = 0.3
+    private const val MIN_SCALE = ANY_SIZE_SCALE
     private const val MAX_SCALE = 0.9
 
-    /** With less, the most urgent rank finds its slots taken; with more, large requests starve. */
-    private const val ANY_SIZE_SCALE = 0.5
-
     /** Multiples of the golden ratio spread consecutive ids evenly over both halves. */
     private const val GOLDEN_RATIO_BITS = -0x61c8864680b583ebL
 
--- a/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
@@ -47,6 +47,23 @@
             }
         }
 
+        /**
+         * Guards against small requests that keep the free share below what large ones need, for as
+         * long as a burst lasts.
+         */
+        @Test
+        fun `the largest requests are served half as often in a burst without a pause`() {
+            for (name in listOf("playsafe-grown-scale", "shared-machines")) {
+                val burst = Burst(fromMs = 900, untilMs = 13_400, factor = 2.0)
+                val workload = load(name).copy(bursts = listOf(burst))
+                for (kind in runGatewayWorkload(workload, seed = 1).kinds) {
+                    val half = kind.servedShare() / 2
+                    assertTrue(kind.largestTenthServed >= half, "$name: found $kind")
+                    assertTrue(kind.nextFifthServed >= half, "$name: found $kind")
+                }
+            }
+        }
+
         /** Guards against bursts that delay the most urgent kind more than the others. */
         @Test
         fun `the most urgent kind is on time at least as often as the others`() {
