--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -3,7 +3,6 @@
 import cowslipcart.standins.platform.PlatformStoreServer
 import cowslipcart.standins.platform.RunnerServer
 import java.io.IOException
-import java.net.DatagramSocket
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -101,7 +100,7 @@
     ): GatewayHandle {
         val front = freeTcpPort()
         val ready = freeTcpPort()
-        val peer = DatagramSocket(0).use { it.localPort }
+        val peer = freeTcpPort()
         val settings = """{"node":"$name","role":"gateway","zone":"a","ip":"127.0.0.1",""" +
             """"listen":{"front":"127.0.0.1:$front","ready":"127.0.0.1:$ready"},""" +
             """"portRange":[$peer,$peer],"bootstrap":true,"unknown":{"x":[1]},""" +
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/FaultProxy.kt
@@ -3,10 +3,13 @@
 import java.io.IOException
 import java.io.InputStream
 import java.io.OutputStream
+import java.net.BindException
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
@@ -36,7 +39,12 @@
 /** TCP proxy to [serverPort] on loopback; its [fault] can be changed at any time. */
 internal class FaultProxy(private val serverPort: Int) : AutoCloseable {
     private val loopback: InetAddress = InetAddress.getLoopbackAddress()
-    private val listener = ServerSocket(0, BACKLOG, loopback)
+
+    @Volatile
+    private var listener = ServerSocket(0, BACKLOG, loopback)
+
+    /** Connections that fill the queue of [stallListener]. */
+    private val queued = mutableListOf<Socket>()
     private val openSockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
 
     private val lock = ReentrantLock()
@@ -49,10 +57,49 @@
             faultChanged.signalAll()
         }
 
-    val port: Int get() = listener.localPort
+    val port: Int = listener.localPort
 
     init {
-        thread(isDaemon = true, name = "proxy-$port") { acceptConnections() }
+        thread(isDaemon = true, name = "proxy-$port") { acceptConnections(listener) }
+    }
+
+    /** New connections are refused from now on; open ones stay. */
+    fun closeListener() = listener.close()
+
+    /** New connections get no answer from now on, as behind a partition; open ones stay. */
+    fun stallListener() {
+        listener.close()
+        listener = bindAgain(1)
+        repeat(STALLING_COUNT) {
+            val socket = Socket()
+            try {
+                socket.connect(InetSocketAddress(loopback, port), STALL_TIMEOUT_MS)
+            } catch (_: SocketTimeoutException) {
+                // The queue is full.
+            }
+            queued += socket
+        }
+    }
+
+    /** Binds [port] once the thread that accepted there has left. */
+    private fun bindAgain(backlog: Int): ServerSocket {
+        repeat(MAX_BIND_TRIES) {
+            try {
+                return ServerSocket(port, backlog, loopback)
+            } catch (_: BindException) {
+                TimeUnit.MILLISECONDS.sleep(BIND_PAUSE_MS)
+            }
+        }
+        return ServerSocket(port, backlog, loopback)
+    }
+
+    /** Accepts new connections again. */
+    fun openListener() {
+        listener.close()
+        queued.forEach { close(it) }
+        queued.clear()
+        listener = bindAgain(BACKLOG)
+        thread(isDaemon = true, name = "proxy-$port") { acceptConnections(listener) }
     }
 
     /** Resets all open connections. */
@@ -69,10 +116,11 @@
 
     override fun close() {
         listener.close()
+        queued.forEach { close(it) }
         openSockets.forEach { close(it) }
     }
 
-    private fun acceptConnections() {
+    private fun acceptConnections(listener: ServerSocket) {
         while (!listener.isClosed) {
             val caller = try {
                 listener.accept()
@@ -140,6 +188,12 @@
 
     private companion object {
         const val BACKLOG = 128
+
+        /** A queue of one takes two connections; the next gets no answer. */
+        const val STALLING_COUNT = 3
+        const val STALL_TIMEOUT_MS = 200
+        const val MAX_BIND_TRIES = 100
+        const val BIND_PAUSE_MS = 10L
         const val BUFFER_BYTES = 16_384
     }
 }
