Confirm by a read that a stream's version is the only one

Cause: a host concluded from its list that one version only can have begun a stream. Updates that waited in its socket while it stood still seem current, and a version alone in service begins streams at once, before the others know of it. Change: such a request waits for a read of the endpoints and of the stored versions that began after it came; one read answers all that came before it, at most one in 50 ms. The case of a starting host now asks for the confirming read too, which is stricter.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -104,7 +104,7 @@
 
     /** Ends [state] if nobody has told the version of its stream; returns false if it waits on. */
     private fun endIfUnknown(state: CallState, nowMs: Long): Boolean {
-        if (nowMs < state.call.arrivedAtMs + known.streams.askWaitMs) return false
+        if (nowMs < known.streams.waitUntilMs(state.call)) return false
         logResumption(state, StreamPlace.Unknown)
         end(state, RefusalReason.UNKNOWN_STREAM, retryAfterMs(state.call, nowMs), nowMs)
         return true
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -92,6 +92,9 @@
 
             is ForwardingInput.VersionsRead -> known.streams.onRead(input.versions, nowMs)
 
+            is ForwardingInput.VersionsConfirmed ->
+                known.streams.onConfirmed(input.versions, input.asOfMs, nowMs)
+
             is ForwardingInput.VersionStored -> known.streams.onStored(input.version, nowMs)
 
             ForwardingInput.StoreReplaced -> onStoreReplaced(nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -110,6 +110,12 @@
     /** The versions that the platform's store holds, read as this host started. */
     public data class VersionsRead(public val versions: Set<PoolVersion>) : ForwardingInput
 
+    /** The platform's store named [versions], in force or recent, in a read begun at [asOfMs]. */
+    public data class VersionsConfirmed(
+        public val versions: Set<PoolVersion>,
+        public val asOfMs: Long
+    ) : ForwardingInput
+
     /** The platform's store has taken [version]. */
     public data class VersionStored(public val version: PoolVersion) : ForwardingInput
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/PoolVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/PoolVersions.kt
@@ -49,6 +49,11 @@
         state.usableFromMs = nowMs
     }
 
+    /** The store names [version], as one that is listed or has been. */
+    fun onFound(version: VersionId, nowMs: Long) {
+        states.getOrPut(version) { State(nowMs) }
+    }
+
     /** This host has stored [version]. Other hosts learn of it from the list meanwhile. */
     fun onStored(version: VersionId, nowMs: Long) {
         val state = states[version] ?: return
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/StreamVersions.kt
@@ -19,6 +19,9 @@
     /** Asks other hosts which version began [stream]. */
     public data class Ask(public val stream: StreamKey) : StreamEffect
 
+    /** Reads from the store which versions there are, for a stream that no host may know. */
+    public data object Confirm : StreamEffect
+
     /** Answers [host], which asked for [stream]. */
     public data class Answer(
         public val host: HostId,
@@ -63,14 +66,25 @@
     private var lastKeptMs = Long.MIN_VALUE / 2
     private val effects = mutableListOf<ForwardingEffect>()
     private var isStoreRead = false
+    private var storeReadAtMs = Long.MIN_VALUE / 2
+
+    /** Start of the last read of the store that told all versions, on the monotonic clock. */
+    private var confirmedAsOfMs = Long.MIN_VALUE / 2
     private var lastToldMs = Long.MIN_VALUE / 2
 
     /** Whether [onTick] has something to tell. */
     val hasUntold: Boolean
         get() = unkept.isNotEmpty() || (untold.isNotEmpty() && pools.values.any { it.isMixed })
 
-    /** Time for which a request waits until the version of its stream is known, in ms. */
-    val askWaitMs: Long get() = if (isStoreRead) ASK_WAIT_MS else READ_WAIT_MS
+    /**
+     * Time on the monotonic clock until which [call] waits for the version of its stream. A host
+     * that starts reads the store first, and confirms what it has read then.
+     */
+    fun waitUntilMs(call: ForwardedCall): Long {
+        val longestMs = call.arrivedAtMs + READ_WAIT_MS
+        if (!isStoreRead) return longestMs
+        return minOf(maxOf(call.arrivedAtMs, storeReadAtMs) + ASK_WAIT_MS, longestMs)
+    }
 
     fun onListed(entries: List<EndpointEntry>, nowMs: Long) {
         val versions = entries.groupBy({ it.pool }, { it.version })
@@ -86,12 +100,25 @@
     /** The platform's store held [versions] as this host started. */
     fun onRead(versions: Set<PoolVersion>, nowMs: Long) {
         isStoreRead = true
+        storeReadAtMs = nowMs
         for (stored in versions) {
             pools.getOrPut(stored.pool) { PoolVersions() }.onRead(stored.version, nowMs)
         }
         for ((pool, state) in pools) store(pool, state.all - stored(versions, pool))
     }
 
+    /**
+     * The store and its list of endpoints name [versions]; the read began at [asOfMs]. The list of
+     * this host may lack some although it seems current: what other hosts sent of it may have
+     * waited in a socket while this host stood still.
+     */
+    fun onConfirmed(versions: Set<PoolVersion>, asOfMs: Long, nowMs: Long) {
+        confirmedAsOfMs = asOfMs
+        for (found in versions) {
+            pools.getOrPut(found.pool) { PoolVersions() }.onFound(found.version, nowMs)
+        }
+    }
+
     private fun stored(versions: Set<PoolVersion>, pool: PoolId): Set<VersionId> =
         versions.filter { it.pool == pool }.map { it.version }.toSet()
 
@@ -138,9 +165,13 @@
         effects += ForwardingEffect.Stream(StreamEffect.Answer(host, stream, version))
     }
 
-    /** Asks other hosts if it is not known which version began the stream that [call] resumes. */
+    /**
+     * Asks other hosts if it is not known which version began the stream that [call] resumes, and
+     * the store if there may be one version only.
+     */
     fun onArrived(call: ForwardedCall, isListCurrent: Boolean) {
         if (placeOf(call, isListCurrent) != StreamPlace.Unknown) return
+        if (!isMixed(call.pool)) effects += ForwardingEffect.Stream(StreamEffect.Confirm)
         val origin = call.resumption?.origin ?: return
         effects += ForwardingEffect.Stream(StreamEffect.Ask(StreamKey.of(origin)))
     }
@@ -155,7 +186,8 @@
         val known = resumption.origin?.let { origins[StreamKey.of(it)] }
         if (known != null) return StreamPlace.At(known, "known")
         val only = pools[call.pool]?.all?.singleOrNull()
-        if (only == null || !isStoreRead || !isListCurrent) return StreamPlace.Unknown
+        val isConfirmed = isStoreRead && isListCurrent && confirmedAsOfMs >= call.arrivedAtMs
+        if (only == null || !isConfirmed) return StreamPlace.Unknown
         return StreamPlace.At(only, "only version")
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
@@ -46,6 +46,15 @@
         for (host in hosts) host.send(ForwardingInput.EndpointsChanged(next))
     }
 
+    /** Whether the hosts don't hear each other. */
+    var areCut = false
+
+    /** The list of endpoints becomes [next]; only [host] learns of it. */
+    fun listAt(host: ForwardingFixture, next: List<EndpointEntry>) {
+        entries = next
+        host.send(ForwardingInput.EndpointsChanged(next))
+    }
+
     /** The store comes back without its newest version. */
     fun revertStore() {
         stored -= stored.maxBy { it.version }
@@ -90,7 +99,7 @@
     }
 
     private fun perform(from: ForwardingFixture, effect: StreamEffect) {
-        val others = hosts.filter { it !== from }
+        val others = if (areCut) emptyList() else hosts.filter { it !== from }
         when (effect) {
             is StreamEffect.Tell ->
                 others.forEach { it.send(ForwardingInput.StreamsTold(effect.versions)) }
@@ -110,6 +119,11 @@
             }
 
             is StreamEffect.Remove -> stored -= effect.version
+
+            StreamEffect.Confirm -> {
+                val listed = entries.map { PoolVersion(it.pool, it.version) }
+                from.send(ForwardingInput.VersionsConfirmed(stored + listed, from.nowMs))
+            }
         }
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamVersionsTest.kt
@@ -13,11 +13,11 @@
     private val first = fleet.host(0)
     private val second = fleet.host(1)
 
-    private fun list(vararg endpoints: Pair<String, String>) = fleet.list(
-        endpoints.map { (id, version) ->
-            ForwardingFixture.entry(id, slots = 20).copy(version = VersionId(version))
-        }
-    )
+    private fun list(vararg endpoints: Pair<String, String>) = fleet.list(entries(*endpoints))
+
+    private fun entries(vararg endpoints: Pair<String, String>) = endpoints.map { (id, version) ->
+        ForwardingFixture.entry(id, slots = 20).copy(version = VersionId(version))
+    }
 
     /** A stream begins at [host]; returns the request and the version of its endpoint. */
     private fun begin(host: ForwardingFixture): Pair<ForwardedCall, String> {
@@ -120,8 +120,13 @@
             assertEquals(emptyList(), starting.arrive(call))
             starting.nowMs = 1_000
             assertEquals(emptyList(), starting.commandsOf(ForwardingInput.Tick))
+            val versions = setOf(PoolVersion(call.pool, VersionId("v1")))
+            assertEquals(
+                emptyList(),
+                starting.commandsOf(ForwardingInput.VersionsRead(versions))
+            )
             val commands = starting.commandsOf(
-                ForwardingInput.VersionsRead(setOf(PoolVersion(call.pool, VersionId("v1"))))
+                ForwardingInput.VersionsConfirmed(versions, asOfMs = starting.nowMs)
             )
             assertEquals("v1", versionOf(commands.single()))
         }
@@ -142,6 +147,49 @@
         }
     }
 
+    /**
+     * Guards against a host that missed a version while it stood still, or was cut off from the
+     * others, and then takes a late update of its list for a new one.
+     */
+    @Nested
+    inner class OutOfStep {
+        private fun missVersion(): ForwardedCall {
+            list("a" to "v1")
+            fleet.pass(5_000)
+            fleet.areCut = true
+            fleet.listAt(first, entries("a" to "v1", "b" to "v2"))
+            fleet.pass(3_000)
+            second.send(ForwardingInput.EndpointsKnown(second.nowMs, isStoreLost = false))
+            return generateSequence { begin(first) }.first { it.second == "v2" }.first
+        }
+
+        @Test
+        fun `a stream of a version that a host missed does not go on at another one`() {
+            assertUnknown(resume(second, missVersion()))
+        }
+
+        @Test
+        fun `a stream that begins as the only other version leaves does not go on there`() {
+            list("a" to "v1")
+            fleet.pass(5_000)
+            fleet.areCut = true
+            fleet.listAt(first, entries("b" to "v2"))
+            val (call, version) = begin(first)
+            assertEquals("v2", version)
+            assertUnknown(resume(second, call))
+        }
+
+        @Test
+        fun `it goes on once the host has caught up with the others`() {
+            val call = missVersion()
+            fleet.areCut = false
+            second.send(
+                ForwardingInput.EndpointsChanged(entries("a" to "v1", "b" to "v2"))
+            )
+            assertEquals("v2", versionOf(resume(second, call)))
+        }
+    }
+
     @Nested
     inner class NewVersion {
         @Test
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -178,6 +178,7 @@
             is ForwardingInput.RolloutsChanged,
             is ForwardingInput.QuarantinesRead,
             is ForwardingInput.VersionsRead,
+            is ForwardingInput.VersionsConfirmed,
             is ForwardingInput.VersionStored,
             ForwardingInput.StoreReplaced,
             is ForwardingInput.StreamsTold,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -281,6 +281,7 @@
 
     private fun onStream(effect: StreamEffect) {
         when (effect) {
+            StreamEffect.Confirm -> versions?.perform(effect)
             is StreamEffect.Store -> versions?.perform(effect)
             is StreamEffect.Remove -> versions?.perform(effect)
             is StreamEffect.Keep -> if (peers.groupRank < STREAM_WRITERS) versions?.perform(effect)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/VersionKeeper.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.StreamEffect
 import cowslipcart.core.forwarding.StreamKey
 import cowslipcart.core.membership.stableHash
+import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.PoolId
 import cowslipcart.core.model.VersionId
@@ -17,6 +18,7 @@
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 
 /**
@@ -33,11 +35,12 @@
 ) {
     private val health = StoreHealth(StoreTable.VERSIONS, following.eventLog, random)
     private val slots = StreamSlots(host)
+    private val confirmations = Channel<Unit>(Channel.CONFLATED)
     private val effects = Channel<StreamEffect>(EFFECT_CAPACITY, BufferOverflow.DROP_OLDEST)
 
-    /** Queues a change of the stored versions; never blocks. */
+    /** Queues a change of the stored versions, or a read of them; never blocks. */
     fun perform(effect: StreamEffect) {
-        effects.trySend(effect)
+        if (effect == StreamEffect.Confirm) confirmations.trySend(Unit) else effects.trySend(effect)
     }
 
     /** Reads the stored versions once, and then stores changes until [scope] is cancelled. */
@@ -46,21 +49,48 @@
             following.guardUntilDone(StoreTable.VERSIONS) { read() }
             for (effect in effects) following.guard(StoreTable.VERSIONS) { write(effect) }
         }
+        scope.launch {
+            while (isActive) {
+                confirmations.receive()
+                following.guard(StoreTable.VERSIONS) { confirm() }
+                delay(CONFIRM_PAUSE_MS)
+            }
+        }
+    }
+
+    /**
+     * Reads which versions the store and its list of endpoints name now. A read that fails is not
+     * repeated: the request that needs it is refused soon, and its caller returns.
+     */
+    private suspend fun confirm() {
+        val asOfMs = following.clock.nowMs()
+        val stored = readVersions() ?: return
+        val listed = following.store.newest(StoreTable.ENDPOINTS)
+            .onLeft { health.onCall(it) }.getOrNull() ?: return
+        val running = listed.records.mapNotNull { record ->
+            following.decodeOrReport(StoreTable.ENDPOINTS, record) {
+                following.decoder.decodeEndpoint(EndpointId(record.key), it)
+            }
+        }
+        val versions = stored + running.map { PoolVersion(it.entry.pool, it.entry.version) }
+        submit(ForwardingInput.VersionsConfirmed(versions, asOfMs))
+    }
+
+    /** Returns the stored versions, or null if the store does not answer. */
+    private suspend fun readVersions(): Set<PoolVersion>? {
+        val result = following.store.newest(StoreTable.VERSIONS)
+        health.onCall(result.leftOrNull())
+        return result.getOrNull()?.records?.mapNotNull { record ->
+            following.decodeOrReport(StoreTable.VERSIONS, record) { PoolVersionCodec.decode(it) }
+        }?.toSet()
     }
 
     private suspend fun read() {
         while (true) {
-            val result = following.store.newest(StoreTable.VERSIONS)
-            health.onCall(result.leftOrNull())
-            val snapshot = result.getOrNull()
-            if (snapshot != null) {
-                val versions = snapshot.records.mapNotNull { record ->
-                    following.decodeOrReport(StoreTable.VERSIONS, record) {
-                        PoolVersionCodec.decode(it)
-                    }
-                }
+            val versions = readVersions()
+            if (versions != null) {
                 if (versions.groupBy { it.pool }.any { it.value.size > 1 }) readStreams()
-                submit(ForwardingInput.VersionsRead(versions.toSet()))
+                submit(ForwardingInput.VersionsRead(versions))
                 return
             }
             delay(health.retryDelayMs())
@@ -97,6 +127,7 @@
 
             is StreamEffect.Answer,
             is StreamEffect.Ask,
+            StreamEffect.Confirm,
             is StreamEffect.Tell -> Unit
         }
     }
@@ -136,6 +167,9 @@
         /** Versions come and go seldom; far more than the pools of a platform. */
         const val EFFECT_CAPACITY = 256
 
+        /** Many streams may break at once; requests wait 300 ms for the read, in ms. */
+        const val CONFIRM_PAUSE_MS = 50L
+
         /** Enough for outages of a minute, at a call in 0.6 s. */
         const val MAX_WRITES = 100
     }
