Tell a partition from endpoints that crash at once

Change: four endpoints have to fail, or all, and a suspicion has others probed at once; an endpoint is avoided as well if its relay does not answer; the relay that failed first is asked again if all have failed; the relay has 700 ms to answer.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -285,7 +285,9 @@
         val endpoint = attempt.endpoint.entry.id
         when {
             outcome.isRelayLost && attempt.relay != null -> {
+                // A relay that does not answer in time may be waiting for the endpoint.
                 known.reach.onRelayFailed(attempt.relay, nowMs)
+                attempt.endpoint.health.onUnreachable(nowMs)
                 state.tried -= endpoint
             }
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.membership.stableHash
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import kotlin.random.Random
 
 /** How requests of this host get to endpoints. */
 internal sealed interface EndpointPath {
@@ -15,13 +16,13 @@
 
 /**
  * Decides whether this host reaches endpoints itself. Several endpoints that can't be connected to,
- * with no connection to any other one in between, show that the host is partitioned from all of
- * them. It sends requests through other hosts then, until a probe connects again. Requests are
+ * for requests or as probes, with no connection to any other one in between, show that the host is
+ * partitioned from all of them. It sends requests through other hosts then, until a probe connects again. Requests are
  * decided on here as before; the other host only relays the bytes of one connection to an endpoint.
  *
  * Load pattern: a partition between some hosts and all endpoints, while callers still come.
  */
-internal class EndpointReach(private val self: HostId) {
+internal class EndpointReach(private val self: HostId, private val random: Random) {
     private class Failure(val endpoint: EndpointId, val atMs: Long)
 
     /** Failed connections since the last one that was established; [MAX_FAILURES] at most. */
@@ -42,14 +43,18 @@
         return changeTo(EndpointPath.Direct)
     }
 
-    /** This host could not connect to [endpoint]. Returns whether the path has changed. */
-    fun onUnreachable(endpoint: EndpointId, nowMs: Long): Boolean {
+    /**
+     * This host could not connect to [endpoint], one of [endpointCount]. Returns whether the path
+     * has changed.
+     */
+    fun onUnreachable(endpoint: EndpointId, endpointCount: Int, nowMs: Long): Boolean {
         failures += Failure(endpoint, nowMs)
         while (failures.size > MAX_FAILURES || nowMs - failures.first().atMs > FAILURE_WINDOW_MS) {
             failures.removeFirst()
         }
         isSuspected = true
-        if (failures.distinctBy { it.endpoint }.size < MIN_FAILED_ENDPOINTS) return false
+        val neededCount = minOf(MIN_FAILED_ENDPOINTS, maxOf(endpointCount, 2))
+        if (failures.distinctBy { it.endpoint }.size < neededCount) return false
         return path == EndpointPath.Direct && changeTo(EndpointPath.Relayed(nowMs))
     }
 
@@ -64,29 +69,37 @@
         return isChanged
     }
 
+    /** Whether [takeProbes] has something to return at [nowMs]. */
+    fun isProbeDue(nowMs: Long): Boolean =
+        (isSuspected || path != EndpointPath.Direct) && nowMs - probedAtMs >= PROBE_INTERVAL_MS
+
     /**
      * Returns the endpoints among [candidates] that are connected to as probes at [nowMs]. While
      * the path is direct, only a suspicion needs probes, at as many endpoints as show a partition.
      */
     fun takeProbes(candidates: List<EndpointEntry>, nowMs: Long): List<EndpointEntry> {
-        if (path == EndpointPath.Direct && !isSuspected) return emptyList()
-        if (nowMs - probedAtMs < PROBE_INTERVAL_MS) return emptyList()
+        if (!isProbeDue(nowMs)) return emptyList()
         probedAtMs = nowMs
         isSuspected = false
         val failed = failures.map { it.endpoint }
         val count = if (path == EndpointPath.Direct) MIN_FAILED_ENDPOINTS else 1
-        return candidates.sortedBy { failed.lastIndexOf(it.id) }.take(count)
+        return candidates.shuffled(random).sortedBy { failed.lastIndexOf(it.id) }.take(count)
     }
 
     /**
      * Returns the host that relays the next connection, or null if it is made by this host. Each
-     * host uses few others, so that their connections to endpoints are kept and used again.
+     * host uses few others, so that their connections to endpoints are kept and used again. If all
+     * have failed lately, the one that failed first is asked again.
      */
     fun relay(live: Collection<HostId>, nowMs: Long): HostId? {
         if (path == EndpointPath.Direct) return null
         relayBackoffs.keys.retainAll(live.toSet())
-        return live.filter { nowMs >= (relayBackoffs[it] ?: Long.MIN_VALUE) }
-            .minByOrNull { stableHash("${self.value}/${it.value}") }
+        return live.minWithOrNull(
+            compareBy(
+                { maxOf(nowMs, relayBackoffs[it] ?: nowMs) },
+                { stableHash("${self.value}/${it.value}") }
+            )
+        )
     }
 
     /** [host] could not relay a connection. */
@@ -95,8 +108,8 @@
     }
 
     private companion object {
-        /** A single endpoint that can't be connected to has most likely crashed. */
-        const val MIN_FAILED_ENDPOINTS = 2
+        /** Some endpoints crash at once; others among them can then be connected to. */
+        const val MIN_FAILED_ENDPOINTS = 4
 
         /** Requests for other endpoints follow each other within this time, in ms. */
         const val FAILURE_WINDOW_MS = 1_500L
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -57,12 +57,7 @@
 
             is ForwardingInput.RoutingChanged -> onRouting(input.table, nowMs)
 
-            is ForwardingInput.EndpointsChanged -> {
-                known.effects += known.endpoints.onEntries(input.entries)
-                known.quarantine.onEndpoints(input.entries.map { it.id }.toSet())
-                known.streams.onListed(input.entries, nowMs)
-                rollOut { onListed(input.entries) }
-            }
+            is ForwardingInput.EndpointsChanged -> onEndpoints(input.entries, nowMs)
 
             is ForwardingInput.EndpointsKnown ->
                 known.listAge.onKnown(input.asOfMs, input.isStoreLost)
@@ -109,6 +104,7 @@
         known.effects +=
             known.quarantine.takeStoreEffects().map { ForwardingEffect.Quarantine(it) }
         calls.placeWaiting(nowMs)
+        probe(nowMs)
         known.effects += known.streams.takeEffects()
         return known.effects.toList().also { known.effects.clear() }
     }
@@ -140,6 +136,13 @@
         )
     }
 
+    private fun onEndpoints(entries: List<EndpointEntry>, nowMs: Long) {
+        known.effects += known.endpoints.onEntries(entries)
+        known.quarantine.onEndpoints(entries.map { it.id }.toSet())
+        known.streams.onListed(entries, nowMs)
+        rollOut { onListed(entries) }
+    }
+
     private fun onStoreReplaced(nowMs: Long) {
         known.streams.onStoreReplaced()
         known.quarantine.onStoreReplaced(nowMs)
@@ -196,13 +199,13 @@
         known.countHosts(nowMs)
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
         calls.copySlow(nowMs)
-        probe(nowMs)
         known.streams.onTick(nowMs)
         rollOut { tick(nowMs) }
     }
 
     /** Has a connection tried if that may show whether this host reaches the endpoints. */
     private fun probe(nowMs: Long) {
+        if (!known.reach.isProbeDue(nowMs)) return
         val inService = known.endpoints.all().filter { it.isInService }.map { it.entry }
         known.effects += known.reach.takeProbes(inService, nowMs).map { ForwardingEffect.Probe(it) }
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -12,7 +12,7 @@
     val cacheIndex = PrefixCacheIndex()
     val endpoints = EndpointRegistry(cacheIndex)
     val listAge = EndpointListAge()
-    val reach = EndpointReach(settings.host)
+    val reach = EndpointReach(settings.host, random)
     val hostRegistry = HostRegistry(settings.host, settings.profile)
     val quotas = QuotaRegistry(
         if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE,
@@ -63,7 +63,7 @@
      * failures before say nothing of them.
      */
     fun onUnreachable(endpoint: EndpointId, nowMs: Long) {
-        if (!reach.onUnreachable(endpoint, nowMs)) return
+        if (!reach.onUnreachable(endpoint, endpoints.all().size, nowMs)) return
         endpoints.all().forEach { it.health.onReachable() }
         reportPath("endpoints-lost", "no connection, last to ${endpoint.value}")
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayClient.kt
@@ -59,6 +59,6 @@
         const val CONNECT_TIMEOUT_MS = 350L
 
         /** Time for the relay to connect to the endpoint, and the way there and back, in ms. */
-        const val ANSWER_TIMEOUT_MS = 450L
+        const val ANSWER_TIMEOUT_MS = 700L
     }
 }
