Heed the limit on declines that endpoints state

No code read the header Server-Brittle. Cause: hosts decide on reports some hundred ms old and overload the endpoints that have just become free, so these decline requests in bursts. Change: DeclineLimits, set by answers and gone 3 s after the last; meanwhile the slots of the pool are divided between the live hosts, a host borrows one slot at a time while most of the pool is free, and stays away from an endpoint that declined.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -79,7 +79,9 @@
         if (place == StreamPlace.Unknown) return endIfUnknown(state, nowMs)
         logResumption(state, place)
         val inPool = known.eligibleEndpoints(state, nowMs)
-        val result = placement.choose(call, inPool, state.tried, hostRegistry.topology, nowMs)
+        val topology = hostRegistry.topology
+        val ownSlots = known.ownSlots(call.pool, nowMs)
+        val result = placement.choose(call, inPool, state.tried, topology, nowMs, ownSlots)
         return when (result) {
             is PlacementResult.Found -> {
                 dispatch(state, result, nowMs)
@@ -248,7 +250,7 @@
         nowMs: Long
     ) {
         when (outcome.reason) {
-            DeclineReason.FULL -> Unit
+            DeclineReason.FULL -> spareEndpoint(attempt.endpoint, nowMs)
 
             DeclineReason.WRONG_ENDPOINT -> {
                 attempt.endpoint.health.onUnreachable(nowMs)
@@ -258,6 +260,13 @@
         retry(state, RefusalReason.DECLINED, nowMs)
     }
 
+    /** Stays away from an endpoint that may decline few requests, after it declined one. */
+    private fun spareEndpoint(endpoint: TrackedEndpoint, nowMs: Long) {
+        val limitPerS = known.declineLimits[endpoint.entry.pool] ?: return
+        val backoffMs = DeclineLimits.backoffMs(limitPerS, hostRegistry.knownCount)
+        endpoint.onBackoffRequested(nowMs + backoffMs / 2 + random.nextLong(backoffMs))
+    }
+
     private fun onNotSent(
         state: CallState,
         attempt: CurrentAttempt,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
@@ -17,8 +17,9 @@
 /**
  * Decides whether this host reaches endpoints itself. Several endpoints that can't be connected to,
  * for requests or as probes, with no connection to any other one in between, show that the host is
- * partitioned from all of them. It sends requests through other hosts then, until a probe connects again. Requests are
- * decided on here as before; the other host only relays the bytes of one connection to an endpoint.
+ * partitioned from all of them. It sends requests through other hosts then, until a probe connects
+ * again. Requests are decided on here as before; the other host only relays the bytes of one
+ * connection to an endpoint.
  *
  * Load pattern: a partition between some hosts and all endpoints, while callers still come.
  */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -75,6 +75,8 @@
             is ForwardingInput.LoadStated ->
                 known.endpoints[input.endpoint]?.onLoadStated(input.load, nowMs)
 
+            is ForwardingInput.DeclineLimitStated -> known.onDeclineLimit(input, nowMs)
+
             is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
@@ -199,6 +201,7 @@
         known.countHosts(nowMs)
         for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
         calls.copySlow(nowMs)
+        known.endDeclineLimits(nowMs)
         known.streams.onTick(nowMs)
         rollOut { tick(nowMs) }
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -60,6 +60,15 @@
         public val durationMs: Long
     ) : ForwardingInput
 
+    /**
+     * [endpoint] has stated that it falls over if it has to decline more than [limitPerS] requests
+     * in a second.
+     */
+    public data class DeclineLimitStated(
+        public val endpoint: EndpointId,
+        public val limitPerS: Int
+    ) : ForwardingInput
+
     /** [endpoint] has stated its load in an answer to this host. */
     public data class LoadStated(public val endpoint: EndpointId, public val load: StatedLoad) :
         ForwardingInput
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -2,6 +2,7 @@
 
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.core.model.PoolId
 import cowslipcart.core.rollout.RolloutBounds
 import cowslipcart.core.rollout.RolloutController
 import cowslipcart.core.routing.RoutingTable
@@ -13,6 +14,7 @@
     val endpoints = EndpointRegistry(cacheIndex)
     val listAge = EndpointListAge()
     val reach = EndpointReach(settings.host, random)
+    val declineLimits = DeclineLimits()
     val hostRegistry = HostRegistry(settings.host, settings.profile)
     val quotas = QuotaRegistry(
         if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE,
@@ -73,6 +75,32 @@
         effects += ForwardingEffect.LogStateChange(settings.host.value, change, reason)
     }
 
+    /** An endpoint stated how many requests it may decline in a second. */
+    fun onDeclineLimit(input: ForwardingInput.DeclineLimitStated, nowMs: Long) {
+        val pool = endpoints[input.endpoint]?.entry?.pool ?: return
+        if (!declineLimits.onStated(pool, input.limitPerS, nowMs)) return
+        logDeclineLimit(pool, "declines-limited", "${input.limitPerS} a second")
+    }
+
+    /** Lifts the limits that endpoints no longer state. */
+    fun endDeclineLimits(nowMs: Long) {
+        for (pool in declineLimits.takeEnded(nowMs)) {
+            logDeclineLimit(pool, "declines-unlimited", "not stated any more")
+        }
+    }
+
+    /** Slots of [pool] that are those of this host; null if its endpoints state no limit. */
+    fun ownSlots(pool: PoolId, nowMs: Long): Map<EndpointId, Int>? {
+        if (declineLimits[pool] == null) return null
+        val hosts = hostRegistry.liveHosts(nowMs) + settings.host
+        val inService = endpoints.inPool(pool).filter { it.isInService }
+        return DeclineLimits.ownSlots(settings.host, hosts, inService)
+    }
+
+    private fun logDeclineLimit(pool: PoolId, change: String, reason: String) {
+        effects += ForwardingEffect.LogStateChange(pool.value, change, reason)
+    }
+
     /** Endpoints of the pool of [state] whose version it may be sent to now. */
     fun eligibleEndpoints(state: CallState, nowMs: Long): List<TrackedEndpoint> {
         val inPool = endpoints.inPool(state.call.pool)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -35,24 +35,29 @@
     private val ownDomain: String,
     private val random: Random
 ) {
-    /** Returns the best of [endpoints] for [call], leaving out those in [tried]. */
+    /**
+     * Returns the best of [endpoints] for [call], leaving out those in [tried]. If [ownSlots] are
+     * given, which are those of this host, endpoints may decline few requests.
+     */
     fun choose(
         call: ForwardedCall,
         endpoints: Collection<TrackedEndpoint>,
         tried: Set<EndpointId>,
         topology: ReportTopology,
-        nowMs: Long
+        nowMs: Long,
+        ownSlots: Map<EndpointId, Int>? = null
     ): PlacementResult {
         val untried = endpoints.filter { it.isInService && it.entry.id !in tried }
         if (untried.isEmpty()) return PlacementResult.None
         val usable = untried.filter { !it.isBackingOff(nowMs) }
         if (usable.isEmpty()) return PlacementResult.BackingOff(untried.minOf { it.backoffUntilMs })
-        if (freeShare(endpoints, nowMs) < AdmissionRule.reservedShare(call)) {
-            return PlacementResult.Full
-        }
+        val freeShare = freeShare(endpoints, nowMs)
+        if (freeShare < AdmissionRule.reservedShare(call)) return PlacementResult.Full
         val healthy = usable.filter { !it.health.isEjected(nowMs) }.ifEmpty { usable }
-        val available =
-            healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
+        val available = when (ownSlots) {
+            null -> healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
+            else -> DeclineLimits.withRoom(healthy, ownSlots, freeShare)
+        }
         val best = candidates(call, available, topology)
             .minByOrNull { costMs(call, it, nowMs) + groupCostMs(it, topology) }
             ?: return PlacementResult.Full
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
@@ -115,7 +115,8 @@
         if (known.listAge.isOutdated(nowMs)) return null
         val inPool = known.eligibleEndpoints(state, nowMs)
         val topology = known.hostRegistry.topology
-        val result = placement.choose(call, inPool, state.tried, topology, nowMs)
+        val ownSlots = known.ownSlots(call.pool, nowMs)
+        val result = placement.choose(call, inPool, state.tried, topology, nowMs, ownSlots)
         val selected = result as? PlacementResult.Found ?: return null
         val isWorthwhile = !selected.endpoint.health.isEjected(nowMs) &&
             selected.firstTokenMs < state.remainingMs(nowMs) && isUseful(selected)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -265,6 +265,10 @@
             }
         }
 
+        override fun onDeclineLimit(limitPerS: Int) = context.loop.submit(
+            ForwardingInput.DeclineLimitStated(command.endpoint.id, limitPerS)
+        )
+
         override fun onStalled() {
             context.loop.submit(ForwardingInput.AttemptStalled(call.id, command.attempt))
             if (isStallLogged) return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointExchange.kt
@@ -209,6 +209,7 @@
                 val metadata = headerCodec.decodeResponse(head)
                 if (metadata.isLeaving) listener.onLeaving()
                 listener.onLoadStated(metadata.load)
+                metadata.declineLimitPerS?.let { listener.onDeclineLimit(it) }
                 val framing = HeadParser.responseFraming(head, request.head.method)
                 val reader = BodyReader(connection.source, framing)
                 val isFirstOnConnection = it == 0 && connection.useCount == 0
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ExchangeResult.kt
@@ -59,6 +59,9 @@
     /** The endpoint has stated its load. */
     fun onLoadStated(statement: LoadStatement)
 
+    /** The endpoint falls over if it has to decline more than [limitPerS] requests in a second. */
+    fun onDeclineLimit(limitPerS: Int) = Unit
+
     /** The endpoint is silent. The attempt goes on unless it is replaced. */
     fun onStalled()
 }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -168,6 +168,7 @@
             is ForwardingInput.EndpointLeaving,
             is ForwardingInput.BackoffRequested,
             is ForwardingInput.LoadStated,
+            is ForwardingInput.DeclineLimitStated,
             is ForwardingInput.CallClosed,
             is ForwardingInput.RoutingChanged,
             is ForwardingInput.EndpointsChanged,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -1,6 +1,7 @@
 package cowslipcart.daemon.gateway
 
 import cowslipcart.core.forwarding.CallCommand
+import cowslipcart.core.forwarding.DECLINE_LIMIT_CHANGES
 import cowslipcart.core.forwarding.ENDPOINT_PATH_CHANGES
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingEffect
@@ -50,6 +51,9 @@
         if (effect.change in STREAM_CHANGES) {
             metrics.streamResumptions.labelValues(effect.change).inc()
         }
+        if (effect.change in DECLINE_LIMIT_CHANGES) {
+            metrics.declineLimits.labelValues(effect.change).inc()
+        }
         if (effect.change in ENDPOINT_PATH_CHANGES) {
             metrics.pathChanges.labelValues(effect.change).inc()
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -54,6 +54,9 @@
     val pathChanges: Counter =
         counter("endpoint_path_changes", "Endpoints lost, regained", "change")
 
+    /** Pools whose endpoints began or ceased to state a limit on declines. */
+    val declineLimits: Counter = counter("decline_limits", "Limits on declines of pools", "change")
+
     /** Connections to endpoints that were made to see whether this host can. */
     val probes: Counter = Counter.builder().name("cowslipcart_gateway_endpoint_probes")
         .help("Probe connections to endpoints").register(registry)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/HeaderCodec.kt
@@ -65,6 +65,7 @@
  * @property isLeaving whether the endpoint states that it leaves
  * @property backoff how long the endpoint wants no requests from this host
  * @property load what the endpoint states of its load
+ * @property declineLimitPerS declines in a second beyond which it falls over; null for no limit
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
@@ -72,7 +73,8 @@
     public val isDeclined: Boolean,
     public val isLeaving: Boolean = false,
     public val backoff: BackoffRequest = BackoffRequest.None,
-    public val load: LoadStatement = LoadStatement.None
+    public val load: LoadStatement = LoadStatement.None,
+    public val declineLimitPerS: Int? = null
 )
 
 /** What an endpoint states of its load. */
