Connect to relays by their numeric address

Cause: the address of a host that reported by datagram was taken by its host name, which looks the name up. On loopback that returns at once; where no name service answers it blocks one of the two threads of traffic for seconds. Change: PeerReports gives the address in numbers. Test: EndpointRelayTest (Addresses); the function is new, so it was not seen red.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -78,7 +78,7 @@
     override val groupRank: Int get() = plan.groupRank
 
     /** Address of [host] for traffic between hosts; null if it is not known. */
-    fun addressOf(host: HostId): InetSocketAddress? = addresses[host]
+    fun addressOf(host: HostId): SocketAddressSetting? = addresses[host]?.let { numeric(it) }
 
     /**
      * Sets [plan] and queues [report], the load report of this host, if not null. The oldest queued
@@ -302,3 +302,12 @@
         const val MAX_BUNDLE_REPORTS = 6
     }
 }
+
+/**
+ * Returns [address] with its IP address in numbers. Its host name would be looked up, which blocks
+ * the thread for seconds where no name service answers.
+ */
+internal fun numeric(address: InetSocketAddress): SocketAddressSetting? =
+    address.resolveAddress()?.let { bytes ->
+        SocketAddressSetting(bytes.joinToString(".") { "${it.toUByte()}" }, address.port)
+    }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/RelayClient.kt
@@ -2,10 +2,10 @@
 
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.wire.relay.RelayAnswer
 import cowslipcart.wire.relay.RelayHandshake
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
 import java.io.IOException
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -16,7 +16,7 @@
  */
 internal class RelayClient(
     private val selector: SelectorManager,
-    private val addressOf: (HostId) -> InetSocketAddress?
+    private val addressOf: (HostId) -> SocketAddressSetting?
 ) {
     /**
      * Returns a connection to [endpoint] that [relay] relays, or null if the endpoint can't be
@@ -25,7 +25,7 @@
     suspend fun connect(relay: HostId, endpoint: EndpointId): ServerConnection? {
         val address = addressOf(relay) ?: throw RelayLostException("no address")
         val connection = try {
-            selector.connectTo(address.hostname, address.port, CONNECT_TIMEOUT_MS)
+            selector.connectTo(address.ip, address.port, CONNECT_TIMEOUT_MS)
         } catch (e: IOException) {
             throw RelayLostException("not connected: ${e.message}")
         } ?: throw RelayLostException("not connected")
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
@@ -43,7 +43,7 @@
         { _, _ -> }
     )
     private val client =
-        RelayClient(selector) { server.localAddress as InetSocketAddress }
+        RelayClient(selector) { numeric(server.localAddress as InetSocketAddress) }
 
     init {
         scope.launch {
@@ -112,6 +112,16 @@
             }
     }
 
+    @Nested
+    inner class Addresses {
+        /** Guards against look-ups of names, which block where no name service answers. */
+        @Test
+        fun `the address of a relay is numeric although its name is known`() {
+            val address = numeric(server.localAddress as InetSocketAddress)
+            assertEquals(LOOPBACK, address?.ip)
+        }
+    }
+
     @Nested
     inner class Refusals {
         /** Guards against relays that pass a connection on to a place that is no endpoint. */
