Drop the unused time of a lost path to endpoints

Cause: EndpointPath.Relayed kept a time that nothing read. Change: it is an object; no behaviour changes.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -308,7 +308,7 @@
                 known.onUnreachable(endpoint, nowMs)
             }
         }
-        if (known.reach.path is EndpointPath.Relayed) {
+        if (known.reach.path == EndpointPath.Relayed) {
             state.tried -= state.unreached
             state.unreached.clear()
         }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
@@ -10,8 +10,8 @@
     /** New connections are made by this host. */
     data object Direct : EndpointPath
 
-    /** No endpoint can be connected to since [sinceMs]; other hosts relay the connections. */
-    data class Relayed(val sinceMs: Long) : EndpointPath
+    /** No endpoint can be connected to; other hosts relay the connections. */
+    data object Relayed : EndpointPath
 }
 
 /**
@@ -56,7 +56,7 @@
         isSuspected = true
         val neededCount = minOf(MIN_FAILED_ENDPOINTS, maxOf(endpointCount, 2))
         if (failures.distinctBy { it.endpoint }.size < neededCount) return false
-        return path == EndpointPath.Direct && changeTo(EndpointPath.Relayed(nowMs))
+        return path == EndpointPath.Direct && changeTo(EndpointPath.Relayed)
     }
 
     /** An endpoint is silent on an open connection; a probe shows whether others answer. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -50,7 +50,7 @@
     /** The host that relays the next connection to an endpoint; null if this host connects. */
     fun relay(nowMs: Long): HostId? = when (reach.path) {
         EndpointPath.Direct -> null
-        is EndpointPath.Relayed -> reach.relay(hostRegistry.liveHosts(nowMs), nowMs)
+        EndpointPath.Relayed -> reach.relay(hostRegistry.liveHosts(nowMs), nowMs)
     }
 
     /** This host tried to connect to an endpoint, for a request or as a probe. */
