Log what a decision assumes of an endpoint beside what that states

Cause: the lines of the log could not tell requests that are spread by counts which are out of date from endpoints that are merely slow, nor callers who come back after a refusal from new ones. Change: a decision names the requests that are assumed at the endpoint, the expected time to the first token and the time until the caller gives up; an attempt names the requests that ran and waited at the endpoint as it began to answer. Metric stated_queue_requests. No decision changes.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -136,7 +136,10 @@
         val relay = known.relay(nowMs)
         startAttempt(state, selected, relay, nowMs)
         val untilMs = known.listAge.validUntilMs
-        emitCommand(state, send(selected.endpoint.entry, state.sentCount, untilMs, relay), nowMs)
+        val command = send(selected.endpoint.entry, state.sentCount, untilMs, relay)
+        val running = selected.endpoint.total.running
+        val assumed = SelectedEndpoint(running, selected.firstTokenMs.toLong())
+        emitCommand(state, command, nowMs, assumed)
     }
 
     private fun startAttempt(
@@ -367,7 +370,12 @@
     private fun refuse(state: CallState, reason: RefusalReason, retryAfterMs: Long?, nowMs: Long) =
         emitCommand(state, CallCommand.Refuse(reason, retryAfterMs), nowMs)
 
-    private fun emitCommand(state: CallState, command: CallCommand, nowMs: Long) {
+    private fun emitCommand(
+        state: CallState,
+        command: CallCommand,
+        nowMs: Long,
+        selected: SelectedEndpoint? = null
+    ) {
         val counts = hostRegistry.counts(nowMs)
         val inPool = endpoints.inPool(state.call.pool)
         val context = DecisionContext(
@@ -378,7 +386,9 @@
             knownHosts = counts.known,
             waitedMs = nowMs - state.call.arrivedAtMs,
             unitsAsked = quotas.costOf(state.call).toLong(),
-            unitsLeft = quotas.unitsLeft(state.call)
+            unitsLeft = quotas.unitsLeft(state.call),
+            remainingMs = state.remainingMs(nowMs),
+            selected = selected
         )
         known.effects += ForwardingEffect.Command(state.call, command, context)
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -194,6 +194,8 @@
  * @property waitedMs time since the request arrived
  * @property unitsAsked units of its organisation's limit that the request costs
  * @property unitsLeft units left in this host's copy of the bucket; null without a limit
+ * @property remainingMs time until the caller gives up
+ * @property selected what was assumed of the endpoint that was chosen; null if none was
  */
 public data class DecisionContext(
     public val revision: Long,
@@ -203,9 +205,19 @@
     public val knownHosts: Int,
     public val waitedMs: Long,
     public val unitsAsked: Long,
-    public val unitsLeft: Long?
+    public val unitsLeft: Long?,
+    public val remainingMs: Long = 0,
+    public val selected: SelectedEndpoint? = null
 )
 
+/**
+ * What a host assumed of an endpoint as it chose it.
+ *
+ * @property running requests of all hosts there, this one included
+ * @property firstTokenMs expected time to the first token
+ */
+public data class SelectedEndpoint(public val running: Int, public val firstTokenMs: Long)
+
 /**
  * Load report of one host for the others. Loads are current values and usage is a total since the
  * start of the process, so the next report makes up for a lost one.
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/CallSession.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.forwarding.ForwardingInput
 import cowslipcart.core.forwarding.LeavingEndpoint
 import cowslipcart.core.forwarding.RefusalReason
+import cowslipcart.core.forwarding.StatedLoad
 import cowslipcart.core.intake.IntakeLimits
 import cowslipcart.daemon.control.RuntimeClock
 import cowslipcart.daemon.http1.ByteInput
@@ -207,7 +208,7 @@
         if (isDone && attempt.command is CallCommand.Hedge) {
             context.metrics.hedges.labelValues("won").inc()
         }
-        report(outcome, attempt.command, attempt.startMs)
+        report(outcome, attempt)
         return isDone
     }
 
@@ -219,6 +220,10 @@
         lateinit var result: Deferred<ExchangeResult>
         private var isStallLogged = false
 
+        /** What the endpoint stated of its load in its last answer. */
+        var statedLoad: StatedLoad? = null
+            private set
+
         override val replaced = Job()
 
         override suspend fun onAccepted() {
@@ -257,8 +262,11 @@
             when (statement) {
                 LoadStatement.None -> Unit
 
-                is LoadStatement.Of ->
+                is LoadStatement.Of -> {
+                    statedLoad = statement.load
+                    context.metrics.observeStatedQueue(statement.load.waiting)
                     context.loop.submit(ForwardingInput.LoadStated(endpoint, statement.load))
+                }
 
                 is LoadStatement.Unreadable ->
                     context.eventLog.unreadableLoad(call, endpoint.value, statement.text)
@@ -278,18 +286,20 @@
         }
     }
 
-    private fun report(outcome: AttemptOutcome, command: CallCommand.Send, startMs: Long) {
+    private fun report(outcome: AttemptOutcome, attempt: RunningAttempt) {
+        val command = attempt.command
         val description = describe(outcome)
         context.metrics.attempts.labelValues(description.substringBefore(':')).inc()
         val firstEventMs = (relay.firstEventAtMs - call.arrivedAtMs).takeIf { relay.isStarted }
-        val tookMs = context.clock.nowMs() - startMs
+        val tookMs = context.clock.nowMs() - attempt.startMs
         context.eventLog.attemptEnded(
             call,
             command.endpoint.id.value,
             description,
             tookMs,
             firstEventMs,
-            relay.eventCount
+            relay.eventCount,
+            attempt.statedLoad
         )
         context.loop.submit(
             ForwardingInput.AttemptEnded(
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -7,6 +7,7 @@
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.QUARANTINE_CHANGES
 import cowslipcart.core.forwarding.STREAM_CHANGES
+import cowslipcart.core.forwarding.StatedLoad
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.store.StoreTable
@@ -91,6 +92,7 @@
      * @param firstEventMs time from the arrival of the request to the first event of its stream,
      * null if no event was forwarded
      * @param events events forwarded to the caller so far, over all attempts
+     * @param load what the endpoint stated of its load as it began to answer, null if nothing
      */
     fun attemptEnded(
         call: ForwardedCall,
@@ -98,7 +100,8 @@
         outcome: String,
         tookMs: Long,
         firstEventMs: Long?,
-        events: Int
+        events: Int,
+        load: StatedLoad?
     ) {
         line()
             ?.addKeyValue("request", call.requestId.value)
@@ -107,6 +110,8 @@
             ?.addKeyValue("tookMs", tookMs)
             ?.addKeyValue("firstEventMs", firstEventMs)
             ?.addKeyValue("events", events)
+            ?.addKeyValue("statedRunning", load?.running)
+            ?.addKeyValue("statedWaiting", load?.waiting)
             ?.log("attempt")
     }
 
@@ -231,6 +236,9 @@
             .addKeyValue("slots", context.slotCount)
             .addKeyValue("hosts", "${context.liveHosts}/${context.knownHosts}")
             .addKeyValue("waitedMs", context.waitedMs)
+            .addKeyValue("remainingMs", context.remainingMs)
+            .addKeyValue("endpointRunning", context.selected?.running)
+            .addKeyValue("expectedMs", context.selected?.firstTokenMs)
             .addKeyValue("unitsAsked", context.unitsAsked)
             .addKeyValue("unitsLeft", context.unitsLeft)
             .addKeyValue("revision", context.revision)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -86,6 +86,13 @@
         .classicUpperBounds(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
         .register(registry)
 
+    private val statedQueues = Histogram.builder()
+        .name("cowslipcart_gateway_stated_queue_requests")
+        .help("Requests that waited at an endpoint as it began to answer, by its own statement")
+        .classicOnly()
+        .classicUpperBounds(0.0, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
+        .register(registry)
+
     /** Counts a request that ended with [status] after [tookMs]; [end] says how. */
     fun countEndedRequest(route: String, status: Int, end: String, tookMs: Long) {
         answers.labelValues(route, "$status", end).inc()
@@ -95,6 +102,9 @@
     /** Records that the work for a request ended [goneMs] after its caller's close was read. */
     fun observeCallerGone(goneMs: Long) = goneDurations.observe(goneMs / MS_PER_S)
 
+    /** Records that an endpoint stated that [requests] waited for one of its slots. */
+    fun observeStatedQueue(requests: Int) = statedQueues.observe(requests.toDouble())
+
     /** Counts a request that was not admitted. */
     fun countRejection(status: Int, reason: String) {
         rejections.labelValues("$status", reason).inc()
