Take endpoints that crash at once for no partition

Cause: four endpoints that could not be connected to were enough. Crashed ones look idle, so that one request alone meets four of them. The probes that would have told come twice a second at most. Change: failures raise a suspicion only. A host is partitioned if the probes of others fail as well; endpoints that run requests are probed first. Result: EndpointReachTest, "half of the endpoints that crash at once are no partition if any other connects", red before. PartitionedGatewayTest green. "four endpoints that fail at once are a partition" asked for the fault itself; in its place endpoints have to fail and the probes of others too, and a probe whose result never comes is followed by another round.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
@@ -3,7 +3,6 @@
 import cowslipcart.core.membership.stableHash
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
-import kotlin.random.Random
 
 /** How requests of this host get to endpoints. */
 internal sealed interface EndpointPath {
@@ -15,15 +14,17 @@
 }
 
 /**
- * Decides whether this host reaches endpoints itself. Several endpoints that can't be connected to,
- * for requests or as probes, with no connection to any other one in between, show that the host is
- * partitioned from all of them. It sends requests through other hosts then, until a probe connects
+ * Decides whether this host reaches endpoints itself. Endpoints that can't be connected to may have
+ * crashed, and those attract requests, since they look idle. So several failures only raise a
+ * suspicion: the host is partitioned from all endpoints if probes of others fail as well, with no
+ * new connection in between. It sends requests through other hosts then, until a probe connects
  * again. Requests are decided on here as before; the other host only relays the bytes of one
  * connection to an endpoint.
  *
- * Load pattern: a partition between some hosts and all endpoints, while callers still come.
+ * Load pattern: a partition between some hosts and all endpoints, while callers still come; and a
+ * part of many endpoints that crashes at once.
  */
-internal class EndpointReach(private val self: HostId, private val random: Random) {
+internal class EndpointReach(private val self: HostId) {
     private class Failure(val endpoint: EndpointId, val atMs: Long)
 
     /** Failed connections since the last one that was established; [MAX_FAILURES] at most. */
@@ -34,6 +35,9 @@
     private var probedAtMs = Long.MIN_VALUE / 2
     private var isSuspected = false
 
+    /** Probes of the last round that have not failed; null if there was none since a connection. */
+    private var openProbes: MutableSet<EndpointId>? = null
+
     var path: EndpointPath = EndpointPath.Direct
         private set
 
@@ -41,6 +45,7 @@
     fun onConnected(): Boolean {
         failures.clear()
         isSuspected = false
+        openProbes = null
         return changeTo(EndpointPath.Direct)
     }
 
@@ -54,9 +59,13 @@
             failures.removeFirst()
         }
         isSuspected = true
-        val neededCount = minOf(MIN_FAILED_ENDPOINTS, maxOf(endpointCount, 2))
-        if (failures.distinctBy { it.endpoint }.size < neededCount) return false
-        return path == EndpointPath.Direct && changeTo(EndpointPath.Relayed)
+        openProbes?.remove(endpoint)
+        val failedCount = failures.distinctBy { it.endpoint }.size
+        val haveAllFailed = failedCount >= maxOf(endpointCount, 2)
+        val haveProbesFailed =
+            failedCount >= MIN_FAILED_ENDPOINTS && openProbes?.isEmpty() == true
+        val isPartitioned = haveAllFailed || haveProbesFailed
+        return isPartitioned && path == EndpointPath.Direct && changeTo(EndpointPath.Relayed)
     }
 
     /** An endpoint is silent on an open connection; a probe shows whether others answer. */
@@ -75,8 +84,9 @@
         (isSuspected || path != EndpointPath.Direct) && nowMs - probedAtMs >= PROBE_INTERVAL_MS
 
     /**
-     * Returns the endpoints among [candidates] that are connected to as probes at [nowMs]. While
-     * the path is direct, only a suspicion needs probes, at as many endpoints as show a partition.
+     * Returns the endpoints among [candidates] that are connected to as probes at [nowMs]: those
+     * that have not failed, and of these the first. While the path is direct, only a suspicion
+     * needs probes, at as many endpoints as show a partition.
      */
     fun takeProbes(candidates: List<EndpointEntry>, nowMs: Long): List<EndpointEntry> {
         if (!isProbeDue(nowMs)) return emptyList()
@@ -84,7 +94,9 @@
         isSuspected = false
         val failed = failures.map { it.endpoint }
         val count = if (path == EndpointPath.Direct) MIN_FAILED_ENDPOINTS else 1
-        return candidates.shuffled(random).sortedBy { failed.lastIndexOf(it.id) }.take(count)
+        val probed = candidates.sortedBy { failed.lastIndexOf(it.id) }.take(count)
+        openProbes = probed.mapTo(mutableSetOf()) { it.id }
+        return probed
     }
 
     /**
@@ -109,7 +121,7 @@
     }
 
     private companion object {
-        /** Some endpoints crash at once; others among them can then be connected to. */
+        /** As many probes of endpoints that carry requests hardly all meet crashed ones. */
         const val MIN_FAILED_ENDPOINTS = 4
 
         /** Requests for other endpoints follow each other within this time, in ms. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -206,11 +206,17 @@
         rollOut { tick(nowMs) }
     }
 
-    /** Has a connection tried if that may show whether this host reaches the endpoints. */
+    /**
+     * Has connections tried if they may show whether this host reaches the endpoints. Those that
+     * run requests are tried first, since they are alive.
+     */
     private fun probe(nowMs: Long) {
         if (!known.reach.isProbeDue(nowMs)) return
-        val inService = known.endpoints.all().filter { it.isInService }.map { it.entry }
-        known.effects += known.reach.takeProbes(inService, nowMs).map { ForwardingEffect.Probe(it) }
+        val candidates = known.endpoints.all().filter { it.isInService }.shuffled(random)
+            .sortedBy { it.total.running == 0 }
+            .map { it.entry }
+        known.effects +=
+            known.reach.takeProbes(candidates, nowMs).map { ForwardingEffect.Probe(it) }
     }
 
     /** Takes the decisions of [step], unless the settings allow no roll-outs. */
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -13,7 +13,7 @@
     val cacheIndex = PrefixCacheIndex()
     val endpoints = EndpointRegistry(cacheIndex)
     val listAge = EndpointListAge()
-    val reach = EndpointReach(settings.host, random)
+    val reach = EndpointReach(settings.host)
     val declineLimits = DeclineLimits()
     val hostRegistry = HostRegistry(settings.host, settings.profile)
     val quotas = QuotaRegistry(
