Count no slots of endpoints that can't be connected to as free

Cause: an endpoint that has crashed runs nothing, so all its slots counted in the free share by which less urgent requests are admitted. With 20 of 78 engines down the free share never fell below any reserve. Change: the slots of ejected endpoints don't count, unless all are ejected.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -184,14 +184,15 @@
     }
 }
 
-/** Share of the slots of [endpoints] that are free, of those that take work; 0 without slots. */
+/**
+ * Share of the slots of [endpoints] that are free, of those that take work; 0 without slots. The
+ * slots of ejected endpoints don't count unless all are ejected: an endpoint that has crashed runs
+ * nothing, so that all its slots look free.
+ */
 internal fun freeShare(endpoints: Collection<TrackedEndpoint>, nowMs: Long): Double {
-    var slots = 0L
-    var free = 0L
-    for (endpoint in endpoints) {
-        if (!endpoint.isInService || endpoint.isBackingOff(nowMs)) continue
-        slots += endpoint.entry.slotCount
-        free += endpoint.freeSlots.coerceAtLeast(0)
-    }
+    val working = endpoints.filter { it.isInService && !it.isBackingOff(nowMs) }
+    val healthy = working.filter { !it.health.isEjected(nowMs) }.ifEmpty { working }
+    val slots = healthy.sumOf { it.entry.slotCount.toLong() }
+    val free = healthy.sumOf { it.freeSlots.coerceAtLeast(0).toLong() }
     return if (slots == 0L) 0.0 else free.toDouble() / slots
 }
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedEngine.kt
@@ -8,11 +8,13 @@
 /**
  * A request on an engine.
  *
+ * @property onBroken called if the engine crashes before the last event
  * @property onEvent called for each event of the stream
  */
 internal class EmulatedSequence(
     val promptTokens: Int,
     val outputTokens: Int,
+    val onBroken: () -> Unit,
     val onEvent: (isLast: Boolean) -> Unit
 ) {
     var prefilledTokens = 0
@@ -42,6 +44,24 @@
     /** Time until which it refuses all requests. */
     var backoffUntilMs = 0L
 
+    /** Whether it has crashed and accepts no connections. */
+    var isDown = false
+        private set
+
+    /** Loses all its sequences and accepts no connections until [restart]. */
+    fun crash() {
+        isDown = true
+        val lost = running + waiting
+        running.clear()
+        waiting.clear()
+        lost.forEach { it.onBroken() }
+    }
+
+    /** Accepts connections again after a crash. */
+    fun restart() {
+        isDown = false
+    }
+
     /** Number of sequences that hold a slot. */
     val runningCount: Int get() = running.size
 
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedNotices.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedNotices.kt
@@ -16,6 +16,15 @@
     var unheededCount = 0
         private set
 
+    /** Attempts that met an engine which had crashed. */
+    var failedContactCount = 0
+        private set
+
+    /** A request meets an engine that has crashed. */
+    fun onFailedContact() {
+        failedContactCount++
+    }
+
     /** Schedules the notices of the workload. */
     fun start(notices: List<EngineNotice>) {
         val engines = run.engines.values.toList()
@@ -31,6 +40,15 @@
         }
     }
 
+    /** Schedules the crashes of the workload. */
+    fun startCrashes(crashes: List<EngineCrash>) {
+        for (crash in crashes) {
+            val engines = run.engines.values.take(crash.engines)
+            run.queue.schedule(crash.atMs) { engines.forEach { it.crash() } }
+            run.queue.schedule(crash.untilMs) { engines.forEach { it.restart() } }
+        }
+    }
+
     /** A request of [host] reaches [engine]. */
     fun onArrival(host: EmulatedHost, engine: EmulatedEngine) {
         if (run.queue.nowMs in (quietMs[host.id to engine] ?: return)) unheededCount++
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/EmulatedRequest.kt
@@ -50,6 +50,9 @@
         var engine: EmulatedEngine? = null
         var sequence: EmulatedSequence? = null
         var eventCount = 0
+
+        /** Tokens of the answer that engines generated before they crashed. */
+        var decodedTokens = 0
         val shortestGaps = ShortestGapWindow()
     }
 
@@ -104,23 +107,39 @@
 
     private fun submit(attempt: Attempt, engine: EmulatedEngine) {
         if (isEnded || current !== attempt) return
-        run.notices.onArrival(attempt.host, engine)
-        val sequence = EmulatedSequence(promptTokens, outputTokens) { isLast ->
-            run.queue.scheduleIn(run.workload.networkMs) { onEvent(attempt, isLast) }
+        if (engine.isDown) {
+            run.notices.onFailedContact()
+            return endAttempt(attempt, AttemptOutcome.NotSent("no connection"))
         }
+        run.notices.onArrival(attempt.host, engine)
+        val doneTokens = attempt.decodedTokens
+        val onBroken = { run.queue.scheduleIn(run.workload.networkMs) { onBroken(attempt) } }
+        val sequence =
+            EmulatedSequence(promptTokens + doneTokens, outputTokens - doneTokens, onBroken) {
+                run.queue.scheduleIn(run.workload.networkMs) { onEvent(attempt, isLast = it) }
+            }
         attempt.engine = engine
         attempt.sequence = sequence
         val isRefused = nowMs < engine.backoffUntilMs
         if (isRefused) run.notices.tellBackoff(attempt.host, engine)
         if (isRefused || !engine.submit(sequence)) {
-            val declined = AttemptOutcome.Declined(DeclineReason.FULL)
-            run.send(
-                attempt.host,
-                ForwardingInput.AttemptEnded(attempt.call.id, attempt.number, declined)
-            )
+            endAttempt(attempt, AttemptOutcome.Declined(DeclineReason.FULL))
         }
     }
 
+    private fun onBroken(attempt: Attempt) {
+        if (isEnded || current !== attempt) return
+        attempt.decodedTokens += attempt.sequence?.decodedTokens ?: 0
+        val isAnswerBegun = attempt.eventCount > 0
+        val broken = AttemptOutcome.Broken("crashed", isConnectionLost = true, isAnswerBegun)
+        endAttempt(attempt, broken)
+    }
+
+    private fun endAttempt(attempt: Attempt, outcome: AttemptOutcome) = run.send(
+        attempt.host,
+        ForwardingInput.AttemptEnded(attempt.call.id, attempt.number, outcome)
+    )
+
     private fun onEvent(attempt: Attempt, isLast: Boolean) {
         if (isEnded || current !== attempt) return
         if (attempt.eventCount++ == 0) {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayResult.kt
@@ -36,6 +36,7 @@
  * @property share earned worth of all requests divided by their total worth
  * @property worstWindows mean share of the two arrival windows of 2 s with the lowest share
  * @property unheededNotices requests that reached an engine although it wanted none
+ * @property failedContacts attempts that met an engine which had crashed
  */
 @Serializable
 public data class GatewayResult(
@@ -44,7 +45,8 @@
     public val share: Double,
     public val worstWindows: Double,
     public val kinds: List<KindResult>,
-    public val unheededNotices: Int = 0
+    public val unheededNotices: Int = 0,
+    public val failedContacts: Int = 0
 )
 
 /**
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -78,9 +78,13 @@
             scheduleArrivals(it, Random(seed xor it.name.hashCode().toLong()))
         }
         notices.start(workload.notices)
+        notices.startCrashes(workload.crashes)
         queue.run { queue.nowMs < workload.durationMs || openRequestCount > 0 }
         return summarize(workload, seed, outcomes)
-            .copy(unheededNotices = notices.unheededCount)
+            .copy(
+                unheededNotices = notices.unheededCount,
+                failedContacts = notices.failedContactCount
+            )
     }
 
     fun randomHost(): EmulatedHost = hosts.random(random)
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayWorkload.kt
@@ -29,7 +29,8 @@
     public val engines: EngineSheet,
     public val kinds: List<RequestKind>,
     public val bursts: List<Burst> = emptyList(),
-    public val notices: List<EngineNotice> = emptyList()
+    public val notices: List<EngineNotice> = emptyList(),
+    public val crashes: List<EngineCrash> = emptyList()
 )
 
 /**
@@ -138,6 +139,14 @@
     public val backoffMs: Long = 0
 )
 
+/** The first [engines] of the pool accept no connection between [atMs] and [untilMs]. */
+@Serializable
+public data class EngineCrash(
+    public val engines: Int,
+    public val atMs: Long,
+    public val untilMs: Long
+)
+
 /** Parses the text of a workload file for gateways. */
 public fun parseGatewayWorkload(text: String): Either<WorkloadError, GatewayWorkload> = try {
     val workload = Yaml.default.decodeFromString(GatewayWorkload.serializer(), text)
