Tell other hosts which endpoints can't be connected to

Callers saw: requests that met one crashed engine after another. Cause: an engine that has crashed looks idle to each host until that has tried it, and nobody told the others. Change: hosts tell each other in a datagram of its own kind, as soon as they know that they are not cut off themselves.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -177,6 +177,7 @@
         copies.onAnswerBegun(state, attempt, nowMs)
         rollouts.answers.onResponseStarted(input, nowMs)
         attempt.endpoint.onResponseStarted(attempt.prefillTokens)
+        attempt.endpoint.reportedLoss.onReached(nowMs)
         quarantine.onResponseStarted(state.call, nowMs)
         val speed = attempt.endpoint.speed
         val expectedMs = attempt.expectedFirstTokenMs / speed.firstTokenFactor
@@ -257,6 +258,7 @@
 
             DeclineReason.WRONG_ENDPOINT -> {
                 attempt.endpoint.health.onUnreachable(nowMs)
+                known.lostEndpoints.onUnreachable(attempt.endpoint, nowMs)
                 known.cacheIndex.forget(attempt.endpoint.entry.id)
             }
         }
@@ -308,6 +310,7 @@
             else -> {
                 state.unreached += endpoint
                 attempt.endpoint.health.onUnreachable(nowMs)
+                known.lostEndpoints.onUnreachable(attempt.endpoint, nowMs)
                 known.onUnreachable(endpoint, nowMs)
             }
         }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/EndpointReach.kt
@@ -41,6 +41,9 @@
     var path: EndpointPath = EndpointPath.Direct
         private set
 
+    /** Whether nothing suggests that this host is partitioned from the endpoints. */
+    val isCertain: Boolean get() = path == EndpointPath.Direct && !isSuspected && openProbes == null
+
     /** This host has connected to an endpoint. Returns whether the path has changed. */
     fun onConnected(): Boolean {
         failures.clear()
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -79,6 +79,9 @@
 
             is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
 
+            is ForwardingInput.EndpointsLost ->
+                known.onToldLost(input.host, input.endpoints, nowMs)
+
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
 
             is ForwardingInput.RolloutsChanged ->
@@ -107,6 +110,7 @@
             known.quarantine.takeStoreEffects().map { ForwardingEffect.Quarantine(it) }
         calls.placeWaiting(nowMs)
         probe(nowMs)
+        known.tellLost()
         known.effects += known.streams.takeEffects()
         return known.effects.toList().also { known.effects.clear() }
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -99,6 +99,12 @@
     /** A load report of another host arrived. */
     public data class PeerReported(public val report: HostLoadReport) : ForwardingInput
 
+    /** Another host, [host], can't connect to [endpoints]. */
+    public data class EndpointsLost(
+        public val host: HostId,
+        public val endpoints: Set<EndpointId>
+    ) : ForwardingInput
+
     /** Another host shut down gracefully. */
     public data class PeerLeft(public val host: HostId) : ForwardingInput
 
@@ -170,6 +176,9 @@
     /** Whether this host reaches endpoints itself, and so may relay connections, has changed. */
     public data class ReachChanged(public val isDirect: Boolean) : ForwardingEffect
 
+    /** Tells the other hosts that this one can't connect to [endpoints]. */
+    public data class TellLost(public val endpoints: Set<EndpointId>) : ForwardingEffect
+
     /** What others get to know of the versions of streams. */
     public data class Stream(public val effect: StreamEffect) : ForwardingEffect
 }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -15,6 +15,7 @@
     val listAge = EndpointListAge()
     val reach = EndpointReach(settings.host)
     val declineLimits = DeclineLimits()
+    val lostEndpoints = LostEndpoints(settings.host, random)
     val hostRegistry = HostRegistry(settings.host, settings.profile)
     val quotas = QuotaRegistry(
         if (settings.isFirstStart) 1.0 else RESTART_QUOTA_SHARE,
@@ -56,6 +57,7 @@
     /** This host tried to connect to an endpoint, for a request or as a probe. */
     fun onConnectionTried(input: ForwardingInput.ConnectionTried, nowMs: Long) {
         if (!input.isConnected) return onUnreachable(input.endpoint, nowMs)
+        endpoints[input.endpoint]?.reportedLoss?.onReached(nowMs)
         if (!reach.onConnected()) return
         reportPath("endpoints-regained", "connected to ${input.endpoint.value}")
     }
@@ -70,6 +72,26 @@
         reportPath("endpoints-lost", "no connection, last to ${endpoint.value}")
     }
 
+    /** Another host, [host], can't connect to [lost]. */
+    fun onToldLost(host: HostId, lost: Set<EndpointId>, nowMs: Long) {
+        for (id in lost) {
+            val endpoint = endpoints[id] ?: continue
+            if (!lostEndpoints.onTold(endpoint, host, nowMs)) continue
+            effects += ForwardingEffect.LogStateChange(
+                id.value,
+                "endpoint-reported-lost",
+                "told by ${host.value}"
+            )
+        }
+    }
+
+    /** Tells the others which endpoints are lost, unless it may be this host that is cut off. */
+    fun tellLost() {
+        if (!reach.isCertain) return
+        val lost = lostEndpoints.takeUntold()
+        if (lost.isNotEmpty()) effects += ForwardingEffect.TellLost(lost)
+    }
+
     private fun reportPath(change: String, reason: String) {
         effects += ForwardingEffect.ReachChanged(reach.path == EndpointPath.Direct)
         effects += ForwardingEffect.LogStateChange(settings.host.value, change, reason)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -26,7 +26,7 @@
 /**
  * Chooses the endpoint with the lowest cost for a request: the prefill queue, the part of the
  * request's own prompt that the engine has not cached, and penalties for contention, distance,
- * expected failures and a missed deadline. Ejected endpoints are used only if all are ejected.
+ * expected failures and a missed deadline. Endpoints that are avoided are used only if all are.
  *
  * Load pattern: a burst of long prompts on engines that differ several times in speed.
  */
@@ -53,7 +53,7 @@
         if (usable.isEmpty()) return PlacementResult.BackingOff(untried.minOf { it.backoffUntilMs })
         val freeShare = freeShare(endpoints, nowMs)
         if (freeShare < AdmissionRule.reservedShare(call)) return PlacementResult.Full
-        val healthy = usable.filter { !it.health.isEjected(nowMs) }.ifEmpty { usable }
+        val healthy = usable.filter { !it.isAvoided(nowMs) }.ifEmpty { usable }
         val available = when (ownSlots) {
             null -> healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
             else -> DeclineLimits.withRoom(healthy, ownSlots, freeShare)
@@ -186,12 +186,12 @@
 
 /**
  * Share of the slots of [endpoints] that are free, of those that take work; 0 without slots. The
- * slots of ejected endpoints don't count unless all are ejected: an endpoint that has crashed runs
+ * slots of endpoints that are avoided don't count unless all are: an endpoint that has crashed runs
  * nothing, so that all its slots look free.
  */
 internal fun freeShare(endpoints: Collection<TrackedEndpoint>, nowMs: Long): Double {
     val working = endpoints.filter { it.isInService && !it.isBackingOff(nowMs) }
-    val healthy = working.filter { !it.health.isEjected(nowMs) }.ifEmpty { working }
+    val healthy = working.filter { !it.isAvoided(nowMs) }.ifEmpty { working }
     val slots = healthy.sumOf { it.entry.slotCount.toLong() }
     val free = healthy.sumOf { it.freeSlots.coerceAtLeast(0).toLong() }
     return if (slots == 0L) 0.0 else free.toDouble() / slots
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/TrackedEndpoint.kt
@@ -43,6 +43,7 @@
 
     val health = EndpointHealth()
     val speed = EndpointSpeed()
+    val reportedLoss = ReportedLoss()
 
     val interference = Interference()
 
@@ -62,6 +63,13 @@
         backoffUntilMs = maxOf(backoffUntilMs, untilMs)
     }
 
+    /**
+     * Whether requests should use another endpoint at [nowMs], if there is one: it fails the
+     * requests of this host, or others can't connect to it.
+     */
+    fun isAvoided(nowMs: Long): Boolean =
+        health.isEjected(nowMs) || reportedLoss.isBelieved(own, total, nowMs)
+
     /** Free slots; negative if requests are queued at the endpoint. */
     val freeSlots: Int get() = entry.slotCount - total.running
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/StreamFleet.kt
@@ -92,6 +92,7 @@
                 is ForwardingEffect.LogStateChange,
                 is ForwardingEffect.Quarantine,
                 is ForwardingEffect.Probe,
+                is ForwardingEffect.TellLost,
                 is ForwardingEffect.ReachChanged,
                 is ForwardingEffect.Rollout -> Unit
             }
--- a/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/rollout/RolloutFleet.kt
@@ -259,6 +259,7 @@
 
                 is ForwardingEffect.Quarantine,
                 is ForwardingEffect.Probe,
+                is ForwardingEffect.TellLost,
                 is ForwardingEffect.ReachChanged,
                 is ForwardingEffect.Stream -> Unit
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -12,6 +12,7 @@
 import cowslipcart.core.forwarding.RefusalReason
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.forwarding.StreamEffect
+import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.daemon.catchFailure
@@ -34,6 +35,7 @@
  * @property onQuarantine carries out changes of the stored quarantines; never blocks
  * @property onStream tells others of the versions of streams; never blocks
  * @property onReach told whether this host reaches endpoints itself, when that changes
+ * @property onLost tells the other hosts of endpoints that can't be connected to; never blocks
  * @property onProbe tries to connect to an endpoint; never blocks
  * @property publish receives the load report of this host, null if there is none yet, and the plan
  * that says to which hosts it goes
@@ -49,6 +51,7 @@
     private val onQuarantine: (QuarantineEffect) -> Unit = {},
     private val onStream: (StreamEffect) -> Unit = {},
     private val onReach: (Boolean) -> Unit = {},
+    private val onLost: (Set<EndpointId>) -> Unit = {},
     private val onProbe: (EndpointEntry) -> Unit = {},
     private val publish: (HostLoadReport?, ReportPlan) -> Unit
 ) {
@@ -148,6 +151,8 @@
 
             is ForwardingEffect.Probe -> onProbe(effect.endpoint)
 
+            is ForwardingEffect.TellLost -> onLost(effect.endpoints)
+
             is ForwardingEffect.ReachChanged -> onReach(effect.isDirect)
         }
     }
@@ -175,6 +180,7 @@
             is ForwardingInput.EndpointsKnown,
             is ForwardingInput.EndpointHeartbeats,
             is ForwardingInput.PeerReported,
+            is ForwardingInput.EndpointsLost,
             is ForwardingInput.PeerLeft,
             is ForwardingInput.RolloutsChanged,
             is ForwardingInput.QuarantinesRead,
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -82,6 +82,7 @@
         onQuarantine = { quarantines?.perform(it) },
         onStream = ::onStream,
         onReach = { reachesEndpoints = it },
+        onLost = peers::tellLost,
         onProbe = ::probe,
         publish = peers::publish
     )
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.ENDPOINT_PATH_CHANGES
 import cowslipcart.core.forwarding.ForwardedCall
 import cowslipcart.core.forwarding.ForwardingEffect
+import cowslipcart.core.forwarding.LOST_ENDPOINT_CHANGES
 import cowslipcart.core.forwarding.QUARANTINE_CHANGES
 import cowslipcart.core.forwarding.STREAM_CHANGES
 import cowslipcart.core.forwarding.StatedLoad
@@ -42,6 +43,9 @@
             is ForwardingEffect.Stream -> Unit
 
             is ForwardingEffect.Probe -> metrics.probes.inc()
+
+            is ForwardingEffect.TellLost ->
+                metrics.lostEndpoints.labelValues("told").inc(effect.endpoints.size.toDouble())
         }
     }
 
@@ -55,6 +59,9 @@
         if (effect.change in DECLINE_LIMIT_CHANGES) {
             metrics.declineLimits.labelValues(effect.change).inc()
         }
+        if (effect.change in LOST_ENDPOINT_CHANGES) {
+            metrics.lostEndpoints.labelValues("heard").inc()
+        }
         if (effect.change in ENDPOINT_PATH_CHANGES) {
             metrics.pathChanges.labelValues(effect.change).inc()
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -54,6 +54,10 @@
     val pathChanges: Counter =
         counter("endpoint_path_changes", "Endpoints lost, regained", "change")
 
+    /** Endpoints that can't be connected to, of which this host told others or was told. */
+    val lostEndpoints: Counter =
+        counter("lost_endpoints", "Endpoints told or heard to be lost", "stage")
+
     /** Pools whose endpoints began or ceased to state a limit on declines. */
     val declineLimits: Counter = counter("decline_limits", "Limits on declines of pools", "change")
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -5,6 +5,7 @@
 import cowslipcart.core.forwarding.ReportPlan
 import cowslipcart.core.forwarding.StreamEffect
 import cowslipcart.core.forwarding.StreamKey
+import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.VersionId
 import cowslipcart.core.rollout.RolloutNotice
@@ -42,8 +43,8 @@
     class RolloutNoticed(val notice: RolloutNotice) : PeerEvent
 }
 
-/** A datagram on the versions of streams; [receivers] gives the hosts when it is sent. */
-private class StreamMessage(val datagram: PeerDatagram, val receivers: () -> Set<HostId>)
+/** A datagram that is sent at once; [receivers] gives the hosts when it is sent. */
+private class PromptMessage(val datagram: PeerDatagram, val receivers: () -> Set<HostId>)
 
 /**
  * Exchanges load reports and store updates with the other hosts of the group, in datagrams, and
@@ -59,7 +60,7 @@
     private val addresses = ConcurrentHashMap<HostId, InetSocketAddress>()
     private val outgoing = Channel<PeerDatagram>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val notices = Channel<RolloutNotice>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
-    private val streamMessages = Channel<StreamMessage>(STREAM_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val promptMessages = Channel<PromptMessage>(PROMPT_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val relayBuffer = RelayBuffer()
     private lateinit var socket: BoundDatagramSocket
 
@@ -102,7 +103,7 @@
 
     /** Queues [versions] of streams for the hosts of the group; never blocks. */
     fun tell(versions: Map<StreamKey, VersionId>) {
-        streamMessages.trySend(StreamMessage(PeerDatagram.StreamsTold(versions)) { plan.members })
+        promptMessages.trySend(PromptMessage(PeerDatagram.StreamsTold(versions)) { plan.members })
     }
 
     /**
@@ -110,15 +111,21 @@
      * other group, as a group tells its hosts of all its streams; never blocks.
      */
     fun ask(stream: StreamKey) {
-        streamMessages.trySend(
-            StreamMessage(PeerDatagram.StreamAsked(self, stream)) { plan.members + plan.relays }
+        promptMessages.trySend(
+            PromptMessage(PeerDatagram.StreamAsked(self, stream)) { plan.members + plan.relays }
         )
     }
 
     /** Queues the answer to a host that asked; never blocks. */
     fun answer(answer: StreamEffect.Answer) {
         val told = PeerDatagram.StreamsTold(mapOf(answer.stream to answer.version))
-        streamMessages.trySend(StreamMessage(told) { setOf(answer.host) })
+        promptMessages.trySend(PromptMessage(told) { setOf(answer.host) })
+    }
+
+    /** Queues for all hosts that this one can't connect to [endpoints]; never blocks. */
+    fun tellLost(endpoints: Set<EndpointId>) {
+        val lost = PeerDatagram.EndpointsLost(self, endpoints, isRelayed = false)
+        promptMessages.trySend(PromptMessage(lost) { plan.members + plan.relays })
     }
 
     /** Adds the addresses of [hosts], which the platform lists. */
@@ -139,7 +146,7 @@
         scope.launch { for (datagram in outgoing) guard("send") { sendToGroup(datagram) } }
         scope.launch { for (notice in notices) guard("send") { sendToAll(notice) } }
         scope.launch {
-            for (message in streamMessages) {
+            for (message in promptMessages) {
                 guard("send") { send(DatagramCodec.encode(message.datagram), message.receivers()) }
             }
         }
@@ -237,6 +244,8 @@
                         PeerEvent.Input(ForwardingInput.StreamAsked(message.host, message.stream))
                     )
 
+                    is PeerDatagram.EndpointsLost -> onLost(message)
+
                     is PeerDatagram.Bundle -> message.reports.forEach { onRelayedReport(it) }
                 }
             }
@@ -251,12 +260,20 @@
         onReport(message)
     }
 
+    /** A host of another group tells its relays, which tell their group. */
+    private fun onLost(message: PeerDatagram.EndpointsLost) {
+        deliver(PeerEvent.Input(ForwardingInput.EndpointsLost(message.host, message.endpoints)))
+        if (message.isRelayed || message.host in plan.members || plan.relays.isEmpty()) return
+        promptMessages.trySend(PromptMessage(message.copy(isRelayed = true)) { plan.members })
+    }
+
     private fun onRelayedReport(relayed: RelayedReport) {
         if (relayed.host == self) return
         when (val message = DatagramCodec.decode(relayed.encoded).getOrNull()) {
             is PeerDatagram.LoadReport -> onReport(message)
 
             is PeerDatagram.Bundle,
+            is PeerDatagram.EndpointsLost,
             is PeerDatagram.Rollout,
             is PeerDatagram.StreamAsked,
             is PeerDatagram.StreamsTold,
@@ -289,8 +306,8 @@
          */
         const val LEAVING_COUNT = 3
 
-        /** Questions and answers that wait to be sent; a caller whose one is lost tries again. */
-        const val STREAM_CAPACITY = 256
+        /** What is lost beyond that is asked, or found out, again. */
+        const val PROMPT_CAPACITY = 256
 
         /** A socket that fails at each call may not keep a thread busy, in ms. */
         const val FAILURE_DELAY_MS = 200L
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -98,10 +98,13 @@
                 is ForwardingEffect.LogStateChange,
                 is ForwardingEffect.Rollout,
                 is ForwardingEffect.Quarantine,
-                is ForwardingEffect.Probe,
                 is ForwardingEffect.ReachChanged,
                 is ForwardingEffect.Stream -> Unit
 
+                is ForwardingEffect.Probe -> probe(host, effect.endpoint.id)
+
+                is ForwardingEffect.TellLost -> tellLost(host, effect.endpoints)
+
                 is ForwardingEffect.Command ->
                     requestsByCall[effect.call.id]?.onCommand(effect.call, effect.command)
             }
@@ -151,6 +154,25 @@
         }
     }
 
+    private fun probe(host: EmulatedHost, endpoint: EndpointId) {
+        queue.scheduleIn(2 * workload.networkMs) {
+            val isConnected = engines.getValue(endpoint).isDown.not()
+            send(host, ForwardingInput.ConnectionTried(endpoint, isConnected))
+        }
+    }
+
+    /** Tells all other hosts, those of other groups through a relay. */
+    private fun tellLost(host: EmulatedHost, endpoints: Set<EndpointId>) {
+        val members = host.controller.reportPlan(queue.nowMs).members
+        for (other in hosts) {
+            if (other === host) continue
+            val hops = if (other.id in members) 1 else 2
+            queue.scheduleIn(hops * workload.networkMs) {
+                send(other, ForwardingInput.EndpointsLost(host.id, endpoints))
+            }
+        }
+    }
+
     /** Repeats [action] every [intervalMs], first after [firstMs]. */
     private fun every(intervalMs: Long, firstMs: Long, action: () -> Unit) {
         queue.scheduleIn(firstMs) {
--- a/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
+++ b/experiment/src/test/kotlin/cowslipcart/experiment/gateway/GatewayWorkloadTest.kt
@@ -117,6 +117,18 @@
         }
     }
 
+    @Nested
+    inner class Crashes {
+        /** Guards against engines that have crashed and attract a request of each host. */
+        @Test
+        fun `most hosts learn of crashed engines without a failed contact`() {
+            val workload = load("playsafe-grown-crash")
+            val result = runGatewayWorkload(workload, seed = 1)
+            val ofEach = workload.hosts * workload.crashes.sumOf { it.engines }
+            assertTrue(result.failedContacts < ofEach / 2, "found ${result.failedContacts}")
+        }
+    }
+
     @Nested
     inner class ShippedFiles {
         @Test
--- a/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/datagram/DatagramCodec.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import cowslipcart.core.forwarding.HostLoadReport
 import cowslipcart.core.forwarding.StreamKey
+import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
 import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.model.VersionId
@@ -32,6 +33,17 @@
     public data class StreamAsked(public val host: HostId, public val stream: StreamKey) :
         PeerDatagram
 
+    /**
+     * [host] can't connect to [endpoints].
+     *
+     * @property isRelayed whether a host of another group has forwarded this to its own
+     */
+    public data class EndpointsLost(
+        public val host: HostId,
+        public val endpoints: Set<EndpointId>,
+        public val isRelayed: Boolean
+    ) : PeerDatagram
+
     /** Changes that a host of the group read from the store. */
     public data class Update(public val update: StoreUpdate) : PeerDatagram
 }
@@ -58,6 +70,7 @@
     private const val ROLLOUT: Byte = 7
     private const val STREAMS_TOLD: Byte = 8
     private const val STREAM_ASKED: Byte = 9
+    private const val ENDPOINTS_LOST: Byte = 10
 
     /** Encodes [datagram]. */
     public fun encode(datagram: PeerDatagram): ByteArray = when (datagram) {
@@ -75,6 +88,9 @@
         is PeerDatagram.StreamAsked ->
             byteArrayOf(STREAM_ASKED) + StreamCodec.encodeAsked(datagram)
 
+        is PeerDatagram.EndpointsLost ->
+            byteArrayOf(ENDPOINTS_LOST) + EndpointsLostCodec.encode(datagram)
+
         is PeerDatagram.Update -> byteArrayOf(STORE_UPDATE) +
             StoreUpdateCodec.encode(datagram.update)
     }
@@ -91,6 +107,7 @@
                 ROLLOUT -> PeerDatagram.Rollout(RolloutNoticeCodec.decode(body)).right()
                 STREAMS_TOLD -> PeerDatagram.StreamsTold(StreamCodec.decodeTold(body)).right()
                 STREAM_ASKED -> StreamCodec.decodeAsked(body).right()
+                ENDPOINTS_LOST -> EndpointsLostCodec.decode(body).right()
                 else -> malformed("kind $kind")
             }
         } catch (e: SerializationException) {
--- a/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
+++ b/wire/src/test/kotlin/cowslipcart/wire/datagram/DatagramCodecTest.kt
@@ -152,6 +152,17 @@
             }
         }
 
+        @Test
+        fun `lost endpoints survive a round trip`() {
+            val endpoints = (1..64).mapTo(mutableSetOf()) { EndpointId("i-86139d91bd$it") }
+            for (isRelayed in listOf(false, true)) {
+                val lost = PeerDatagram.EndpointsLost(HostId("h"), endpoints, isRelayed)
+                val encoded = DatagramCodec.encode(lost)
+                assertTrue(encoded.size < 1_400, "${encoded.size}")
+                assertEquals(lost, DatagramCodec.decode(encoded).getOrNull())
+            }
+        }
+
         @Test
         fun `suspected parts survive a round trip`() {
             val sample = PeerDatagram.LoadReport(
