Let a request try further endpoints while it may wait

Cause: a request was refused after five failed connections. Crashed engines refuse connections within milliseconds, so that all five fit into a small part of the time that the request may wait. Change: the request goes on to further endpoints until it has waited as long as it may, 17 failures at most; after that time five failures end it as before. Result: CrashedEndpointsTest, "a request tries further endpoints while it may wait", red before.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -282,7 +282,9 @@
         recordUnreached(state, attempt, outcome, nowMs)
         state.connectFailures++
         if (state.inFlight.isNotEmpty()) return
-        if (state.connectFailures > MAX_CONNECT_FAILURES) {
+        val hasWaited = nowMs - state.call.arrivedAtMs >= AdmissionRule.maxWaitMs(state.call)
+        val maxFailures = if (hasWaited) LATE_CONNECT_FAILURES else MAX_CONNECT_FAILURES
+        if (state.connectFailures > maxFailures) {
             end(state, RefusalReason.NOT_SENT, retryAfterMs(state.call, nowMs), nowMs)
         } else {
             requeue(state, nowMs)
@@ -424,8 +426,11 @@
         val waitingOrder: Comparator<CallState> =
             compareBy({ it.call.tier }, { it.call.rankInPool })
 
-        /** Connections that fail before a request is refused. */
-        const val MAX_CONNECT_FAILURES = 4
+        /** Connections that fail before a request is refused that has waited as long as it may. */
+        const val LATE_CONNECT_FAILURES = 4
+
+        /** The same for any request; more than the crashed endpoints that one may meet at once. */
+        const val MAX_CONNECT_FAILURES = 16
 
         /** Time for which a retry may wait for a slot, in ms. */
         const val RETRY_WAIT_MS = 150L
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/CrashedEndpointsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/CrashedEndpointsTest.kt
@@ -150,6 +150,39 @@
         }
     }
 
+    @Nested
+    inner class Requests {
+        /** Guards against requests that are refused since they met several crashed endpoints. */
+        @Test
+        fun `a request tries further endpoints while it may wait`() {
+            val crashed = (1..8).map { entry("crashed-$it", slots = 10) }
+            fixture.listEndpoints(entry("sound", slots = 10), *crashed.toTypedArray())
+            fixture.report("other", 1, mapOf(EndpointId("sound") to load(9)))
+            val call = fixture.call()
+            var endpoint = dispatchedTo(fixture.arrive(call))
+            repeat(8) {
+                assertTrue(endpoint.startsWith("crashed"), endpoint)
+                fixture.nowMs += 5
+                endpoint = dispatchedTo(fixture.end(call, noConnection))
+            }
+            assertEquals("sound", endpoint)
+        }
+
+        /** Guards against requests that wait for one connection after another until they are late. */
+        @Test
+        fun `a request that has waited is refused after several failed connections`() {
+            fixture.listEndpoints(*Array(8) { entry("e$it") })
+            val call = fixture.call()
+            fixture.arrive(call)
+            repeat(4) {
+                fixture.nowMs += 30
+                assertIs<CallCommand.Dispatch>(fixture.end(call, noConnection).single())
+            }
+            val refusal = assertIs<CallCommand.Refuse>(fixture.end(call, noConnection).single())
+            assertEquals(RefusalReason.NOT_SENT, refusal.reason)
+        }
+    }
+
     @Nested
     inner class Admission {
         /** Guards against less urgent requests that take the last slots of the others. */
