Count no attempt for an endpoint that another one has replaced

Cause: the old entry of a crashed engine is listed for some seconds after a new one has its address. The new one answers that it did not run the request, but the attempt counted, so that requests on routes with one attempt were refused. Change: an endpoint of another name had not the request of that attempt, so it uses up none. The budget of repeats counts it as before, and the other hosts are told of the endpoint. Result: CrashedEndpointsTest, "an endpoint of another name at the address uses up no attempt", red before. All tests of core green.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -257,6 +257,8 @@
             DeclineReason.FULL -> spareEndpoint(attempt.endpoint, nowMs)
 
             DeclineReason.WRONG_ENDPOINT -> {
+                // The endpoint that it was meant for never had it.
+                state.onNothingSent(attempt)
                 attempt.endpoint.health.onUnreachable(nowMs)
                 known.lostEndpoints.onUnreachable(attempt.endpoint, nowMs)
                 known.cacheIndex.forget(attempt.endpoint.entry.id)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -47,7 +47,7 @@
     fun hasTimeForAttempt(nowMs: Long): Boolean = remainingMs(nowMs) >= MIN_ATTEMPT_MS
 
     /**
-     * No byte of [attempt] was sent, so it does not count. With a later attempt in flight its
+     * [attempt] reached no endpoint that it was meant for, so it does not count. With a later attempt in flight its
      * number stays taken, or the next attempt would have the number of that one.
      */
     fun onNothingSent(attempt: CurrentAttempt) {
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/CrashedEndpointsTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/CrashedEndpointsTest.kt
@@ -3,6 +3,7 @@
 import cowslipcart.core.forwarding.ForwardingFixture.Companion.entry
 import cowslipcart.core.model.EndpointId
 import cowslipcart.core.model.HostId
+import cowslipcart.core.routing.WorkKind
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -181,6 +182,17 @@
             val refusal = assertIs<CallCommand.Refuse>(fixture.end(call, noConnection).single())
             assertEquals(RefusalReason.NOT_SENT, refusal.reason)
         }
+
+        /** Guards against refusals of requests that met the successor of a crashed endpoint. */
+        @Test
+        fun `an endpoint of another name at the address uses up no attempt`() {
+            fixture.listEndpoints(entry("gone"), entry("sound"))
+            val call = fixture.call(WorkKind.AtMostOnce, maxAttempts = 1)
+            val first = dispatchedTo(fixture.arrive(call))
+            val declined = AttemptOutcome.Declined(DeclineReason.WRONG_ENDPOINT)
+
+            assertTrue(dispatchedTo(fixture.end(call, declined)) != first)
+        }
     }
 
     @Nested
