Handle the load reports of other hosts together

Cause: each load report woke the control thread and was an input of its own, after which all waiting requests were placed again. Change: reports wait until the next message or tick, which handles them first, as one input. So each decision still knows all that have arrived. Messages that have arrived are taken without a timer. Result: ForwardingLoopTest, "the reports of many hosts are one input"; by the way inputs were passed on before, 100 reports were 100 inputs.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -77,7 +77,7 @@
 
             is ForwardingInput.DeclineLimitStated -> known.onDeclineLimit(input, nowMs)
 
-            is ForwardingInput.PeerReported -> onPeerReport(input.report, nowMs)
+            is ForwardingInput.PeersReported -> input.reports.forEach { onPeerReport(it, nowMs) }
 
             is ForwardingInput.EndpointsLost ->
                 known.onToldLost(input.host, input.endpoints, nowMs)
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingInput.kt
@@ -96,8 +96,8 @@
         public val writtenAfterMs: Long
     ) : ForwardingInput
 
-    /** A load report of another host arrived. */
-    public data class PeerReported(public val report: HostLoadReport) : ForwardingInput
+    /** Load reports of other hosts arrived, in this order. */
+    public data class PeersReported(public val reports: List<HostLoadReport>) : ForwardingInput
 
     /** Another host, [host], can't connect to [endpoints]. */
     public data class EndpointsLost(
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/BrittleEndpointTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/BrittleEndpointTest.kt
@@ -114,7 +114,11 @@
             val reports = hosts.mapNotNull { it.controller.loadReport(nowMs) }
             for (host in hosts) {
                 for (report in reports) {
-                    if (report.host != host.host) host.send(ForwardingInput.PeerReported(report))
+                    if (report.host !=
+                        host.host
+                    ) {
+                        host.send(ForwardingInput.PeersReported(listOf(report)))
+                    }
                 }
             }
         }
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/EndpointNoticesTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/EndpointNoticesTest.kt
@@ -106,7 +106,7 @@
             val report = assertNotNull(fixture.controller.loadReport(fixture.nowMs))
             val other = ForwardingFixture()
             other.listEndpoints(first, second)
-            other.send(ForwardingInput.PeerReported(report.copy(host = HostId("host-2"))))
+            other.send(ForwardingInput.PeersReported(listOf(report.copy(host = HostId("host-2")))))
             repeat(10) {
                 val call = other.call(WorkKind.AtMostOnce)
                 assertEquals(second.id, dispatchedTo(other.arrive(call)))
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/ForwardingFixture.kt
@@ -136,19 +136,21 @@
         suspectedParts: List<SuspectedPart> = emptyList(),
         quarantines: List<QuarantinedRequest> = emptyList()
     ) = send(
-        ForwardingInput.PeerReported(
-            HostLoadReport(
-                HostId(host),
-                IncarnationId(incarnation),
-                sequence,
-                HostProfile("a", 1.0),
-                loads,
-                msPerToken,
-                mapOf(ORGANISATION to used),
-                emptyList(),
-                crashes,
-                suspectedParts,
-                quarantines = quarantines
+        ForwardingInput.PeersReported(
+            listOf(
+                HostLoadReport(
+                    HostId(host),
+                    IncarnationId(incarnation),
+                    sequence,
+                    HostProfile("a", 1.0),
+                    loads,
+                    msPerToken,
+                    mapOf(ORGANISATION to used),
+                    emptyList(),
+                    crashes,
+                    suspectedParts,
+                    quarantines = quarantines
+                )
             )
         )
     )
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/LimitCluster.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/LimitCluster.kt
@@ -99,7 +99,7 @@
             for ((to, host) in hosts.withIndex()) {
                 val isDue = from % GROUPS == to % GROUPS || from % GROUPS == relayingGroup
                 if (from == to || !isDue || !isConnected(report.host, host.host, nowMs)) continue
-                host.send(ForwardingInput.PeerReported(report))
+                host.send(ForwardingInput.PeersReported(listOf(report)))
             }
         }
     }
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/QuarantineFleet.kt
@@ -103,7 +103,7 @@
     private fun deliver() {
         while (reports.isNotEmpty() && reports.first().arrivesAtMs <= nowMs) {
             val report = reports.removeFirst().report
-            for (host in hosts) host.send(ForwardingInput.PeerReported(report))
+            for (host in hosts) host.send(ForwardingInput.PeersReported(listOf(report)))
         }
     }
 
--- a/core/src/test/kotlin/cowslipcart/core/forwarding/RefutedCrashTest.kt
+++ b/core/src/test/kotlin/cowslipcart/core/forwarding/RefutedCrashTest.kt
@@ -44,7 +44,7 @@
             for (from in hosts) {
                 from.send(ForwardingInput.Tick)
                 val report = from.controller.loadReport(nowMs) ?: continue
-                for (to in hosts) to.send(ForwardingInput.PeerReported(report))
+                for (to in hosts) to.send(ForwardingInput.PeersReported(listOf(report)))
             }
         }
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ForwardingLoop.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -62,6 +63,10 @@
     }
 
     private val messages = Channel<Message>(Channel.UNLIMITED)
+
+    /** Load reports of other hosts, which the next message or tick finds here. */
+    private val reports =
+        Channel<HostLoadReport>(REPORT_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val commandsByCall = ConcurrentHashMap<CallId, Channel<CallCommand>>()
     private val suspension = SuspensionDetector(clock)
     private var nextReportAtMs = 0L
@@ -76,6 +81,15 @@
         messages.trySend(Message.Input(input))
     }
 
+    /**
+     * Queues a load report of another host; never blocks. It doesn't wake the control thread, which
+     * takes all reports before its next decision.
+     */
+    fun submitReport(report: HostLoadReport) {
+        metrics.controlInputs.labelValues("submitted").inc()
+        reports.trySend(report)
+    }
+
     /** Queues the list of hosts that the platform lists; never blocks. */
     fun submitHosts(hosts: Map<HostId, HostProfile>) {
         messages.trySend(Message.HostsListed(hosts))
@@ -94,11 +108,9 @@
     fun start(scope: CoroutineScope) {
         scope.launch(dispatcher) {
             while (isActive) {
-                val untilCopyMs = copyTickAtMs() - clock.nowMs()
-                val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
-                    .coerceAtMost(maxOf(0, untilCopyMs))
-                val next = messages.receiveOrNull(waitMs)
+                val next = messages.tryReceive().getOrNull() ?: awaitMessage()
                 checkSuspension()
+                handleReports()
                 when (val message = next) {
                     null -> Unit
 
@@ -117,6 +129,22 @@
         }
     }
 
+    /** Returns the next message, or null when a tick or a report may be due. */
+    private suspend fun awaitMessage(): Message? {
+        val untilCopyMs = copyTickAtMs() - clock.nowMs()
+        val waitMs = minOf(controller.nextTickMs(), REPORT_INTERVAL_MS)
+            .coerceAtMost(maxOf(0, untilCopyMs))
+        return messages.receiveOrNull(waitMs)
+    }
+
+    /** Handles the load reports that have arrived, as one input. */
+    private fun handleReports() {
+        val arrived = generateSequence { reports.tryReceive().getOrNull() }.toList()
+        if (arrived.isEmpty()) return
+        metrics.controlInputs.labelValues("handled").inc(arrived.size.toDouble())
+        handle(ForwardingInput.PeersReported(arrived))
+    }
+
     private fun checkSuspension() {
         val suspendedMs = suspension.takeSuspendedMs()
         if (suspendedMs == 0L) return
@@ -179,7 +207,7 @@
             is ForwardingInput.EndpointsChanged,
             is ForwardingInput.EndpointsKnown,
             is ForwardingInput.EndpointHeartbeats,
-            is ForwardingInput.PeerReported,
+            is ForwardingInput.PeersReported,
             is ForwardingInput.EndpointsLost,
             is ForwardingInput.PeerLeft,
             is ForwardingInput.RolloutsChanged,
@@ -230,6 +258,9 @@
          */
         const val REPORT_INTERVAL_MS = 200L
 
+        /** Some seconds of the reports of several hundred hosts. */
+        const val REPORT_CAPACITY = 4_096
+
         /** Delays a copy by less than the time that an answer takes, in ms. */
         const val MIN_COPY_TICK_MS = 5L
     }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -275,6 +275,7 @@
     private fun onPeer(event: PeerEvent) {
         when (event) {
             is PeerEvent.Input -> loop.submit(event.input)
+            is PeerEvent.Report -> loop.submitReport(event.report)
             is PeerEvent.RolloutNoticed -> rollouts?.onNotice(event.notice)
             is PeerEvent.StoreRead -> follower?.onUpdate(event.update)
         }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -36,6 +36,9 @@
     /** An input of the forwarding controller. */
     class Input(val input: ForwardingInput) : PeerEvent
 
+    /** Load report of a host, which may wait until the next decision. */
+    class Report(val report: HostLoadReport) : PeerEvent
+
     /** What the other host read from the store. */
     class StoreRead(val update: StoreUpdate) : PeerEvent
 
@@ -287,7 +290,7 @@
 
     private fun onReport(message: PeerDatagram.LoadReport) {
         val host = message.report.host
-        deliver(PeerEvent.Input(ForwardingInput.PeerReported(message.report)))
+        deliver(PeerEvent.Report(message.report))
         if (message.isLeaving) deliver(PeerEvent.Input(ForwardingInput.PeerLeft(host)))
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ForwardingLoopTest.kt
@@ -6,7 +6,11 @@
 import cowslipcart.core.forwarding.ForwardingController
 import cowslipcart.core.forwarding.ForwardingEffect
 import cowslipcart.core.forwarding.ForwardingInput
+import cowslipcart.core.forwarding.HostLoadReport
+import cowslipcart.core.forwarding.HostProfile
 import cowslipcart.core.forwarding.RefusalReason
+import cowslipcart.core.model.HostId
+import cowslipcart.core.model.IncarnationId
 import cowslipcart.core.routing.WorkKind
 import cowslipcart.daemon.control.RuntimeClock
 import kotlin.test.Test
@@ -108,6 +112,50 @@
         }
     }
 
+    @Nested
+    inner class Reports {
+        private fun report(number: Long) = HostLoadReport(
+            HostId("host"),
+            IncarnationId(1),
+            number,
+            HostProfile("a", 1.0),
+            emptyMap(),
+            emptyMap(),
+            emptyMap(),
+            emptyList(),
+            emptyList(),
+            emptyList()
+        )
+
+        /** Guards against control work that grows with the number of hosts, not with requests. */
+        @Test
+        fun `the reports of many hosts are one input`() = runTest {
+            val loop = createLoop(controller)
+            loop.start(backgroundScope)
+            delay(TICK_MS)
+            val reports = (1L..100L).map { report(it) }
+            reports.forEach { loop.submitReport(it) }
+            delay(TICK_MS)
+
+            val input: ForwardingInput = ForwardingInput.PeersReported(reports)
+            assertEquals(listOf(input), controller.handled)
+        }
+
+        /** Guards against decisions by reports that have arrived but are not known yet. */
+        @Test
+        fun `a report that arrived before a request is handled before it`() = runTest {
+            val loop = createLoop(controller)
+            loop.start(backgroundScope)
+            delay(TICK_MS)
+            loop.submit(ForwardingInput.CallClosed(CallId(1)))
+            loop.submitReport(report(1))
+            delay(1)
+
+            val reported: ForwardingInput = ForwardingInput.PeersReported(listOf(report(1)))
+            assertEquals(reported, controller.handled.first())
+        }
+    }
+
     /** Guards against requests that all get no answer, since the control thread has ended. */
     @Nested
     inner class FailingInputs {
--- a/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
+++ b/experiment/src/main/kotlin/cowslipcart/experiment/gateway/GatewayRun.kt
@@ -149,7 +149,7 @@
             if (other === host) continue
             val relayMs = if (other.id in members) 0 else random.nextLong(MAX_RELAY_MS)
             queue.scheduleIn(workload.networkMs + relayMs) {
-                send(other, ForwardingInput.PeerReported(report))
+                send(other, ForwardingInput.PeersReported(listOf(report)))
             }
         }
     }
