Read datagrams between hosts on a thread of their own

Cause: each datagram woke the selector, a worker and the control thread in turn. Change: a thread that sleeps in the kernel reads them, decodes them and queues load reports, which wake nobody. Datagrams are sent without a suspending call.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -152,7 +152,7 @@
     ) {
         eventLog.event("start", "host" to self.value, "front" to settings.front.toString())
         loop.start(scope)
-        peers.start(scope, selector, settings.peer)
+        peers.start(scope, settings.peer)
         frontListener = accept(settings.front, ::serveCaller)
         accept(settings.ready, ::serveStatus)
         accept(settings.peer) { scope.launch { relay.serve(it) } }
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -15,12 +15,8 @@
 import cowslipcart.wire.datagram.DatagramCodec
 import cowslipcart.wire.datagram.PeerDatagram
 import cowslipcart.wire.datagram.RelayedReport
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.BoundDatagramSocket
-import io.ktor.network.sockets.Datagram
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.aSocket
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.BufferOverflow
@@ -28,8 +24,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.io.Buffer
-import kotlinx.io.readByteArray
 
 /** Content of a datagram from another host. */
 internal sealed interface PeerEvent {
@@ -65,7 +59,7 @@
     private val notices = Channel<RolloutNotice>(OUTGOING_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val promptMessages = Channel<PromptMessage>(PROMPT_CAPACITY, BufferOverflow.DROP_OLDEST)
     private val relayBuffer = RelayBuffer()
-    private lateinit var socket: BoundDatagramSocket
+    private lateinit var socket: PeerSocket
 
     @Volatile
     private var plan = ReportPlan.ALONE
@@ -139,13 +133,9 @@
     }
 
     /** Binds the socket at [listen], and sends and receives until [scope] is cancelled. */
-    suspend fun start(
-        scope: CoroutineScope,
-        selector: SelectorManager,
-        listen: SocketAddressSetting
-    ) {
-        socket = aSocket(selector).udp().bind(InetSocketAddress(listen.ip, listen.port))
-        scope.launch { while (isActive) guard("receive") { receive() } }
+    fun start(scope: CoroutineScope, listen: SocketAddressSetting) {
+        socket = PeerSocket(listen, ::onReceived) { logFailure("receive", it) }
+        socket.start()
         scope.launch { for (datagram in outgoing) guard("send") { sendToGroup(datagram) } }
         scope.launch { for (notice in notices) guard("send") { sendToAll(notice) } }
         scope.launch {
@@ -162,7 +152,7 @@
     }
 
     /** Reports to the other hosts that this one stops and has no requests in flight. */
-    suspend fun sendLeaving() {
+    fun sendLeaving() {
         isLeaving = true
         val last = lastReport ?: return
         val report = last.copy(sequence = last.sequence + 1, loads = emptyMap())
@@ -171,7 +161,7 @@
     }
 
     /** Sends [datagram] to the group, and a load report to its relays in the other groups. */
-    private suspend fun sendToGroup(datagram: PeerDatagram) {
+    private fun sendToGroup(datagram: PeerDatagram) {
         val encoded = DatagramCodec.encode(datagram)
         val isTooLarge = encoded.size > MAX_DATAGRAM_BYTES
         val bytes = if (isTooLarge) DatagramCodec.encode(shortened(datagram)) else encoded
@@ -179,7 +169,7 @@
         if (datagram is PeerDatagram.LoadReport) send(bytes, plan.relays)
     }
 
-    private suspend fun sendToAll(notice: RolloutNotice) =
+    private fun sendToAll(notice: RolloutNotice) =
         send(DatagramCodec.encode(PeerDatagram.Rollout(notice)), addresses.keys)
 
     /**
@@ -191,7 +181,7 @@
     }
 
     /** Forwards the new reports of other groups to this one. */
-    private suspend fun forwardReports() {
+    private fun forwardReports() {
         val reports = relayBuffer.drain()
             .map { DatagramCodec.toRelayed(it, DatagramCodec.encode(it)) }
         for (part in reports.chunked(MAX_BUNDLE_REPORTS)) {
@@ -199,11 +189,11 @@
         }
     }
 
-    private suspend fun send(bytes: ByteArray, hosts: Set<HostId>) {
+    private fun send(bytes: ByteArray, hosts: Set<HostId>) {
         for (host in hosts) {
             val address = addresses[host] ?: continue
             try {
-                socket.send(Datagram(Buffer().apply { write(bytes) }, address))
+                socket.send(bytes, address)
                 metrics.peerReports.labelValues("sent").inc()
             } catch (e: IOException) {
                 metrics.peerReports.labelValues("failed").inc()
@@ -212,20 +202,19 @@
         }
     }
 
-    private suspend fun receive() {
-        val datagram = socket.receive()
-        onReceived(datagram.packet.readByteArray(), datagram.address as? InetSocketAddress)
-    }
-
     /** Runs [step]; logs its failure and waits a moment, so that the exchange goes on. */
     private suspend fun guard(name: String, step: suspend () -> Unit) {
         val failure = catchStepFailure(step) ?: return
-        metrics.peerReports.labelValues("failed").inc()
-        eventLog.event("report-failed", "step" to name, "reason" to "$failure")
+        logFailure(name, failure)
         delay(FAILURE_DELAY_MS)
     }
 
-    private fun onReceived(bytes: ByteArray, from: InetSocketAddress?) {
+    private fun logFailure(step: String, failure: Throwable) {
+        metrics.peerReports.labelValues("failed").inc()
+        eventLog.event("report-failed", "step" to step, "reason" to "$failure")
+    }
+
+    private fun onReceived(bytes: ByteArray, from: InetSocketAddress) {
         DatagramCodec.decode(bytes).fold(
             { error ->
                 metrics.peerReports.labelValues("unreadable").inc()
@@ -256,9 +245,9 @@
     }
 
     /** A host of another group reports directly only to its relay, which this host then is. */
-    private fun onDirectReport(message: PeerDatagram.LoadReport, from: InetSocketAddress?) {
+    private fun onDirectReport(message: PeerDatagram.LoadReport, from: InetSocketAddress) {
         val host = message.report.host
-        from?.let { addresses[host] = it }
+        addresses[host] = from
         if (plan.relays.isNotEmpty() && host !in plan.members) relayBuffer.add(message)
         onReport(message)
     }
@@ -328,6 +317,4 @@
  * the thread for seconds where no name service answers.
  */
 internal fun numeric(address: InetSocketAddress): SocketAddressSetting? =
-    address.resolveAddress()?.let { bytes ->
-        SocketAddressSetting(bytes.joinToString(".") { "${it.toUByte()}" }, address.port)
-    }
+    address.address?.let { SocketAddressSetting(it.hostAddress, address.port) }
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
@@ -5,10 +5,11 @@
 import cowslipcart.core.model.HostId
 import cowslipcart.daemon.control.RuntimeClock
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.toJavaAddress
 import java.io.IOException
+import java.net.InetSocketAddress
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -43,7 +44,7 @@
         { _, _ -> }
     )
     private val client =
-        RelayClient(selector) { numeric(server.localAddress as InetSocketAddress) }
+        RelayClient(selector) { numeric(server.localAddress.toJavaAddress() as InetSocketAddress) }
 
     init {
         scope.launch {
@@ -117,7 +118,7 @@
         /** Guards against look-ups of names, which block where no name service answers. */
         @Test
         fun `the address of a relay is numeric although its name is known`() {
-            val address = numeric(server.localAddress as InetSocketAddress)
+            val address = numeric(server.localAddress.toJavaAddress() as InetSocketAddress)
             assertEquals(LOOPBACK, address?.ip)
         }
     }
