Look at a pool once for all requests that wait

Cause: an overloaded host places each waiting request again at each change, and each time it filtered, summed and hashed all endpoints of the pool. Change: what the waiting requests have in common is computed once, until a request is dispatched or the next input is handled. Tests of core green.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallScheduler.kt
@@ -57,6 +57,7 @@
      * Dispatches the waiting requests for which there is a slot, and ends those that may not wait.
      */
     fun placeWaiting(nowMs: Long) {
+        placement.onLoadsChanged()
         var index = 0
         while (index < waiting.size) {
             if (tryPlace(waiting[index], nowMs)) waiting.removeAt(index) else index++
@@ -149,6 +150,7 @@
         nowMs: Long
     ) {
         selected.endpoint.onDispatched(selected.prefillTokens)
+        placement.onLoadsChanged()
         state.tried += selected.endpoint.entry.id
         state.sentCount++
         state.inFlight += CurrentAttempt(
@@ -383,7 +385,7 @@
         nowMs: Long,
         selected: SelectedEndpoint? = null
     ) {
-        val counts = hostRegistry.counts(nowMs)
+        val counts = known.countHosts(nowMs)
         val inPool = endpoints.inPool(state.call.pool)
         val context = DecisionContext(
             revision = known.routingTable?.revision?.value ?: 0,
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/Placement.kt
@@ -47,19 +47,21 @@
         nowMs: Long,
         ownSlots: Map<EndpointId, Int>? = null
     ): PlacementResult {
-        val untried = endpoints.filter { it.isInService && it.entry.id !in tried }
+        val pool = viewOf(endpoints, topology, nowMs)
+        val untried = pool.inService.filter { it.entry.id !in tried }
         if (untried.isEmpty()) return PlacementResult.None
+        if (untried.all { it.isBackingOff(nowMs) }) {
+            return PlacementResult.BackingOff(untried.minOf { it.backoffUntilMs })
+        }
+        if (pool.freeShare < AdmissionRule.reservedShare(call)) return PlacementResult.Full
         val usable = untried.filter { !it.isBackingOff(nowMs) }
-        if (usable.isEmpty()) return PlacementResult.BackingOff(untried.minOf { it.backoffUntilMs })
-        val freeShare = freeShare(endpoints, nowMs)
-        if (freeShare < AdmissionRule.reservedShare(call)) return PlacementResult.Full
         val healthy = usable.filter { !it.isAvoided(nowMs) }.ifEmpty { usable }
         val available = when (ownSlots) {
             null -> healthy.filter { it.freeSlots > -AdmissionRule.queueLimit(call.rankInPool) }
-            else -> DeclineLimits.withRoom(healthy, ownSlots, freeShare)
+            else -> DeclineLimits.withRoom(healthy, ownSlots, pool.freeShare)
         }
-        val best = candidates(call, available, topology)
-            .minByOrNull { costMs(call, it, nowMs) + groupCostMs(it, topology) }
+        val best = candidates(call, available, pool)
+            .minByOrNull { costMs(call, it, nowMs) + groupCostMs(it, pool) }
             ?: return PlacementResult.Full
         val prefillTokens = prefillTokens(call, best, nowMs)
         val queueMs = prefillMs(best, best.total.pendingPrefillTokens, nowMs)
@@ -68,6 +70,22 @@
         return PlacementResult.Found(best, prefillTokens, queueMs + ownMs)
     }
 
+    private var lastView: PoolView? = null
+
+    /** Loads have changed since the last choice. */
+    fun onLoadsChanged() {
+        lastView = null
+    }
+
+    private fun viewOf(
+        endpoints: Collection<TrackedEndpoint>,
+        topology: ReportTopology,
+        nowMs: Long
+    ): PoolView {
+        lastView?.let { if (it.isOf(endpoints, topology, nowMs)) return it }
+        return PoolView(endpoints, topology, nowMs).also { lastView = it }
+    }
+
     /** Time that [endpoint] takes to prefill [tokens] of a short prompt. */
     private fun prefillMs(endpoint: TrackedEndpoint, tokens: Long, nowMs: Long): Double =
         tokens / endpoint.speed.prefillTokensPerMs * endpoint.speed.firstTokenFactor *
@@ -88,13 +106,11 @@
     private fun candidates(
         call: ForwardedCall,
         available: List<TrackedEndpoint>,
-        topology: ReportTopology
+        pool: PoolView
     ): List<TrackedEndpoint> {
-        if (!topology.isDivided) return available
+        if (!pool.topology.isDivided) return available
         if (call.inputTokens == 0) return listOfNotNull(pickByFreeSlots(available))
-        val (own, others) = available.partition {
-            topology.isAssigned(it.entry.id, it.entry.domain)
-        }
+        val (own, others) = available.partition { it in pool.assigned }
         return own + others.shuffled(random).take(OTHER_CANDIDATES)
     }
 
@@ -113,10 +129,9 @@
      * another group, and a random part. The hosts of a group decide on the same reports, so that
      * without the random part all would choose the same endpoint until the next ones.
      */
-    private fun groupCostMs(endpoint: TrackedEndpoint, topology: ReportTopology): Double {
-        if (!topology.isDivided) return 0.0
-        val entry = endpoint.entry
-        val otherMs = if (topology.isAssigned(entry.id, entry.domain)) 0.0 else OTHER_GROUP_MS
+    private fun groupCostMs(endpoint: TrackedEndpoint, pool: PoolView): Double {
+        if (!pool.topology.isDivided) return 0.0
+        val otherMs = if (endpoint in pool.assigned) 0.0 else OTHER_GROUP_MS
         return otherMs - MEAN_RANDOM_COST_MS * ln(1 - random.nextDouble())
     }
 
@@ -184,6 +199,31 @@
     }
 }
 
+/**
+ * What all requests that wait for one of [endpoints] at the same moment have in common. Computed
+ * once for all of them, as a pool has a hundred endpoints and an overloaded host places each
+ * waiting request again at each change.
+ */
+private class PoolView(
+    private val endpoints: Collection<TrackedEndpoint>,
+    val topology: ReportTopology,
+    private val nowMs: Long
+) {
+    val inService = endpoints.filter { it.isInService }
+    val freeShare = freeShare(endpoints, nowMs)
+
+    /** Endpoints that are assigned to the group of this host. */
+    val assigned: Set<TrackedEndpoint> by lazy {
+        inService.filterTo(HashSet()) { topology.isAssigned(it.entry.id, it.entry.domain) }
+    }
+
+    fun isOf(
+        endpoints: Collection<TrackedEndpoint>,
+        topology: ReportTopology,
+        nowMs: Long
+    ): Boolean = endpoints === this.endpoints && topology === this.topology && nowMs == this.nowMs
+}
+
 /**
  * Share of the slots of [endpoints] that are free, of those that take work; 0 without slots. The
  * slots of endpoints that are avoided don't count unless all are: an endpoint that has crashed runs
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/SecondCopies.kt
@@ -116,6 +116,7 @@
         val inPool = known.eligibleEndpoints(state, nowMs)
         val topology = known.hostRegistry.topology
         val ownSlots = known.ownSlots(call.pool, nowMs)
+        placement.onLoadsChanged()
         val result = placement.choose(call, inPool, state.tried, topology, nowMs, ownSlots)
         val selected = result as? PlacementResult.Found ?: return null
         val isWorthwhile = !selected.endpoint.health.isEjected(nowMs) &&
