Count the hosts twenty times a second at most

Cause: each load report and each decision looked at all known hosts to count the silent ones, and each report of this host divided them into groups again. Change: the count is kept for 50 ms, unless hosts come, leave or are heard of again; hosts are silent after 2.4 s. Groups are made anew when the hosts or the live ones change. Silent loads are dropped ten times a second.

--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -42,6 +42,7 @@
 ) : ForwardingController {
     private val known = ForwardingState(settings, random)
     private val calls = CallScheduler(known, random)
+    private var nextHostCheckAtMs = Long.MIN_VALUE
 
     override fun handle(input: ForwardingInput, nowMs: Long): List<ForwardingEffect> {
         when (input) {
@@ -199,17 +200,24 @@
     }
 
     private fun onTick(nowMs: Long) {
-        for (host in known.hostRegistry.silentHosts(nowMs)) {
-            known.endpoints.onPeerLoads(host, emptyMap())
+        if (nowMs >= nextHostCheckAtMs) {
+            nextHostCheckAtMs = nowMs + HOST_CHECK_INTERVAL_MS
+            checkHosts(nowMs)
         }
-        known.countHosts(nowMs)
-        for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
         calls.copySlow(nowMs)
         known.endDeclineLimits(nowMs)
         known.streams.onTick(nowMs)
         rollOut { tick(nowMs) }
     }
 
+    private fun checkHosts(nowMs: Long) {
+        for (host in known.hostRegistry.silentHosts(nowMs)) {
+            known.endpoints.onPeerLoads(host, emptyMap())
+        }
+        known.countHosts(nowMs)
+        for (host in known.hostRegistry.forgetGone(nowMs)) logHost(host, "host-gone", "silent")
+    }
+
     /**
      * Has connections tried if they may show whether this host reaches the endpoints. Those that
      * run requests are tried first, since they are alive.
@@ -239,6 +247,9 @@
         const val MAX_RETURN_SPREAD_MS = 300L
         const val IDLE_TICK_MS = 500L
 
+        /** A small part of the time after which a host counts as silent, in ms. */
+        const val HOST_CHECK_INTERVAL_MS = 100L
+
         /** Short, because slots are freed by other hosts without a message to this one, in ms. */
         const val WAITING_TICK_MS = 20L
     }
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -43,10 +43,7 @@
      * Counts the hosts that share the limits. What a host uses is no longer assumed from the moment
      * at which its share is set aside; otherwise its use would count twice.
      */
-    fun countHosts(nowMs: Long): HostCounts {
-        for (host in hostRegistry.takeSilent(nowMs)) quotas.onPeerSilent(host)
-        return hostRegistry.counts(nowMs)
-    }
+    fun countHosts(nowMs: Long): HostCounts = hostRegistry.counts(nowMs) { quotas.onPeerSilent(it) }
 
     /** The host that relays the next connection to an endpoint; null if this host connects. */
     fun relay(nowMs: Long): HostId? = when (reach.path) {
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/HostRegistry.kt
@@ -20,21 +20,28 @@
     /** Whether the platform's list of hosts is known. */
     private var isListed = false
 
+    /** The last result of [counts]; null if hosts have come, left or been heard of again since. */
+    private var lastCounts: HostCounts? = null
+    private var countedAtMs = 0L
+
     /**
-     * Counts the known hosts and those with a recent report, this one included. Without the list of
-     * hosts others are assumed, which may use the limits of organisations.
+     * Counts the known hosts and those with a recent report, this one included, as of at most
+     * [COUNT_INTERVAL_MS] ago. Without the list of hosts others are assumed, which may use the
+     * limits of organisations. Calls [onSilent] for each host that counts as live no longer.
      */
-    fun counts(nowMs: Long): HostCounts {
+    fun counts(nowMs: Long, onSilent: (HostId) -> Unit = {}): HostCounts {
+        lastCounts?.let { if (nowMs - countedAtMs < COUNT_INTERVAL_MS) return it }
+        takeSilent(nowMs).forEach(onSilent)
         val live = hosts.values.count { isLive(it, nowMs) } + 1
         val known = if (isListed) knownCount else maxOf(knownCount, UNLISTED_COUNT)
-        return HostCounts(known, live)
+        countedAtMs = nowMs
+        return HostCounts(known, live).also { lastCounts = it }
     }
 
     /** The other hosts with a recent report. */
     fun liveHosts(nowMs: Long): Set<HostId> = hosts.filterValues { isLive(it, nowMs) }.keys
 
-    /** Returns the hosts that have become silent and are no longer counted as live by [counts]. */
-    fun takeSilent(nowMs: Long): List<HostId> {
+    private fun takeSilent(nowMs: Long): List<HostId> {
         val silent = hosts.filterValues { it.wasLive && !isLive(it, nowMs) }
         for (peer in silent.values) peer.wasLive = false
         return silent.keys.toList()
@@ -44,6 +51,9 @@
     var topology = ReportTopology(own, emptyList())
         private set
 
+    /** What the last [plan] was made of, and that plan. */
+    private var planned: Pair<PlanInputs, ReportPlan>? = null
+
     /** Extra delay of reports that are relayed between groups, in ms. */
     private val relayDelayMs: Long get() = if (topology.isDivided) RELAY_DELAY_MS else 0
 
@@ -54,13 +64,23 @@
      */
     fun plan(nowMs: Long): ReportPlan {
         val departed = gone.values.filter { nowMs - it.sinceMs < PLACE_KEPT_MS }.map { it.known }
-        topology = ReportTopology(own, hosts.values.map { it.known }, departed)
-        return topology.plan(hosts.filterValues { isLive(it, nowMs) }.keys)
+        val known = hosts.values.map { it.known }
+        val inputs = PlanInputs(known, departed, liveHosts(nowMs))
+        planned?.let { (before, plan) -> if (before == inputs) return plan }
+        topology = ReportTopology(own, known, departed)
+        return topology.plan(inputs.live).also { planned = inputs to it }
     }
 
+    private data class PlanInputs(
+        val known: List<KnownHost>,
+        val departed: List<KnownHost>,
+        val live: Set<HostId>
+    )
+
     /** Adds hosts of the platform's list; a new host counts as silent until it reports. */
     fun onListed(listed: Map<HostId, HostProfile>, nowMs: Long) {
         isListed = true
+        lastCounts = null
         for ((host, profile) in listed) {
             if (host == self || host in gone) continue
             hosts.getOrPut(host) { Peer(KnownHost(host, profile), nowMs) }
@@ -85,6 +105,7 @@
         peer.sequence = report.sequence
         peer.seenAtMs = nowMs
         peer.hasReported = true
+        if (!peer.wasLive) lastCounts = null
         peer.wasLive = true
         return status
     }
@@ -92,6 +113,7 @@
     /** [host] shut down gracefully. Its earlier reports may still arrive and change nothing. */
     fun onLeft(host: HostId, nowMs: Long) {
         val peer = hosts.remove(host) ?: return
+        lastCounts = null
         gone[host] = GoneHost(peer.known, nowMs, peer.incarnation)
     }
 
@@ -102,6 +124,7 @@
     /** Removes and returns the hosts that have been silent so long that they count as gone. */
     fun forgetGone(nowMs: Long): List<HostId> {
         val forgotten = hosts.filterValues { nowMs - it.seenAtMs >= GONE_MS }
+        if (forgotten.isNotEmpty()) lastCounts = null
         hosts -= forgotten.keys
         for ((host, peer) in forgotten) gone[host] = GoneHost(peer.known, nowMs, null)
         return forgotten.keys.toList()
@@ -127,6 +150,9 @@
     )
 
     private companion object {
+        /** A small part of the time after which a host is silent, in ms. */
+        const val COUNT_INTERVAL_MS = 50L
+
         /** Twice the longest report interval, plus a margin for lost datagrams, in ms. */
         const val SILENT_MS = 2_400L
 
