Ask other hosts for a configuration that the store refuses

Cause: a configuration of over 11,000 bytes, here with 1,128 more routes, is left out of the updates between hosts, and its readers read the store. Hosts that the store refuses can't, so they had it only after the outage. The class of fault: a fallback that needs what has failed. Change: a host whose read fails asks the sender of the update, over TCP; the configuration takes effect, the replica counts as old as before, as orders of roll-outs may lie between. One update kept without its record, one record that was kept before; line configuration-asked, metric asked_configurations.

--- a/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
+++ b/core/src/main/kotlin/cowslipcart/core/store/ConfigurationFeed.kt
@@ -23,6 +23,9 @@
     private var latestAtMs = NEVER_MS
     private var orderAtMs = NEVER_MS
 
+    /** Up to where this host has the newest configuration from another host that holds it. */
+    private var given: StoreUpdate.Configuration? = null
+
     /** Offset of the next change to read; null if a snapshot has to be read. */
     public val next: LogOffset? get() = freshness.next
 
@@ -66,8 +69,32 @@
     }
 
     /** The record that [missingIn] returned for [update] was valid and is in force. */
-    public fun onApplied(update: StoreUpdate.Configuration, nowMs: Long): Unit =
+    public fun onApplied(update: StoreUpdate.Configuration, nowMs: Long) {
         freshness.onRead(update.next, nowMs - update.ageMs)
+        latest = update.record
+        latestAtMs = nowMs
+    }
+
+    /** Returns the newest configuration for a host that asks; null before the first one. */
+    public fun held(nowMs: Long): StoreUpdate.Configuration? {
+        val end = next ?: return null
+        val record = latest ?: return null
+        return StoreUpdate.Configuration(end, freshness.ageMs(nowMs), record, freshness.era)
+    }
+
+    /**
+     * The configuration that another host holds is in force. What lies before it in the table may
+     * have to be read all the same, so the replica counts as old as before.
+     */
+    public fun onGiven(held: StoreUpdate.Configuration) {
+        given = held.copy(record = null)
+    }
+
+    /** Returns whether [update] is of a later state than another host has given. */
+    public fun isBeyondGiven(update: StoreUpdate.Configuration): Boolean {
+        val known = given ?: return true
+        return update.era != known.era || update.next > known.next
+    }
 
     /**
      * Returns whether this host is as current as [update]; otherwise there is something to read.
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -6,6 +6,7 @@
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.core.store.TableRecord
+import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.catchFailure
 import cowslipcart.daemon.catchStepFailure
 import cowslipcart.daemon.control.RuntimeClock
@@ -13,6 +14,11 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 
+/** Asks the host at an address for the configuration that it holds; null if it gives none. */
+internal fun interface ConfigurationSource {
+    suspend fun ask(host: SocketAddressSetting): StoreUpdate.Configuration?
+}
+
 /** Components that the followers of all tables use. */
 internal class StoreFollowing(
     val store: KeyedStore,
@@ -21,7 +27,8 @@
     val publisher: StoreUpdatePublisher,
     val eventLog: GatewayEventLog,
     val clock: RuntimeClock,
-    val orders: OrderListener = OrderListener { false }
+    val orders: OrderListener = OrderListener { false },
+    val configurations: ConfigurationSource = ConfigurationSource { null }
 ) {
     private val unreadable = UnreadableRecords { table, key ->
         eventLog.unreadableRecord(table, key)
@@ -64,54 +71,89 @@
 
 /**
  * Follows the table of configurations. The host at rank 0 reads it with a long poll and publishes
- * what it read; the others take that, and read themselves only if it does not come.
+ * what it read; the others take that, and read themselves only if it does not come. A host that the
+ * store doesn't answer asks the publisher for a configuration that is too large for an update.
  */
 internal class ConfigurationFollower(
     private val following: StoreFollowing,
     private val health: StoreHealth,
     private val feed: ConfigurationFeed
 ) {
+    private class Received(
+        val update: StoreUpdate.Configuration,
+        val publisher: SocketAddressSetting?
+    )
+
     private val clock get() = following.clock
-    private val updates =
-        Channel<StoreUpdate.Configuration>(UPDATE_CAPACITY, BufferOverflow.DROP_OLDEST)
+    private val updates = Channel<Received>(UPDATE_CAPACITY, BufferOverflow.DROP_OLDEST)
 
-    /** Queues an update that another host read from the store; never blocks. */
-    fun onUpdate(update: StoreUpdate.Configuration) {
-        updates.trySend(update)
+    /** The newest update of a change that this host has not got; null if there is none. */
+    private var ahead: Received? = null
+
+    /** Configuration for hosts that ask; null before the first one. */
+    @Volatile
+    var held: StoreUpdate.Configuration? = null
+        private set
+
+    /** Queues an update that the host at [publisher] read from the store; never blocks. */
+    fun onUpdate(update: StoreUpdate.Configuration, publisher: SocketAddressSetting?) {
+        updates.trySend(Received(update, publisher))
     }
 
     /** Waits for an update, or reads the table if none arrives in time. */
     suspend fun followOnce() {
         val rank = following.publisher.groupRank
         val untilReadMs = feed.untilReadMs(rank, clock.nowMs())
-        val update = if (untilReadMs == 0L) {
+        val received = if (untilReadMs == 0L) {
             updates.tryReceive().getOrNull()
         } else {
             updates.receiveOrNull(untilReadMs)
         }
-        if (update != null && isCurrentAfter(update)) return
-        read(if (update == null && rank == 0) feed.waitMs else 0)
+        if (received == null || !isSettled(received)) {
+            read(if (received == null && rank == 0) feed.waitMs else 0)
+        }
     }
 
-    /** Applies what this host lacks of [update]; returns whether nothing is left to read. */
-    private fun isCurrentAfter(update: StoreUpdate.Configuration): Boolean {
+    /** Takes what this host lacks of [received]; returns whether nothing is left to read. */
+    private suspend fun isSettled(received: Received): Boolean {
+        val update = received.update
         val missing = feed.missingIn(update)
         if (missing != null && notifyRouting(listOf(missing)) != null) {
             feed.onApplied(update, clock.nowMs())
+            held = feed.held(clock.nowMs())
         }
-        return feed.onUpdate(update, clock.nowMs())
+        if (feed.onUpdate(update, clock.nowMs())) {
+            ahead = null
+            return true
+        }
+        if (feed.isBeyondGiven(update)) ahead = received
+        return health.failures > 0 && askAhead()
+    }
+
+    /** Asks the host that is ahead of this one; returns whether it gave its configuration. */
+    private suspend fun askAhead(): Boolean {
+        val wanted = ahead ?: return false
+        val publisher = wanted.publisher ?: return false
+        val given = following.configurations.ask(publisher)
+        following.eventLog.configurationAsked(publisher, given?.next)
+        val record = given?.record ?: return false
+        notifyRouting(listOf(record))
+        feed.onGiven(given)
+        if (feed.isBeyondGiven(wanted.update)) return false
+        ahead = null
+        return true
     }
 
     private suspend fun read(waitMs: Long) {
         val from = feed.next
         val sentAtMs = clock.nowMs()
         val table = StoreTable.CONFIGURATION
-        val error = if (from == null) {
+        val result = if (from == null) {
             following.store.newest(table).onRight {
                 feed.onEra(it.era)
                 val newest = notifyRouting(it.records)
                 feed.onRead(it.end, newest, sentAtMs, clock.nowMs(), hasOrders(it.records))
-            }.leftOrNull()
+            }
         } else {
             val timeoutMs = health.responseTimeoutMs
             following.store.changes(table, from, waitMs, timeoutMs).onRight {
@@ -122,16 +164,26 @@
                 val asOfMs = minOf(sentAtMs + waitedMs, nowMs)
                 val newest = notifyRouting(it.records)
                 feed.onRead(it.next, newest, asOfMs, nowMs, hasOrders(it.records))
-            }.leftOrNull()
+            }
         }
+        onRead(result.leftOrNull())
+    }
+
+    private suspend fun onRead(error: StoreError?) {
         health.onCall(error)
         when (error) {
-            null -> feed.update(clock.nowMs())?.let { following.publisher.publish(it) }
+            null -> {
+                ahead = null
+                held = feed.held(clock.nowMs())
+                feed.update(clock.nowMs())?.let { following.publisher.publish(it) }
+            }
 
             StoreError.Trimmed -> feed.onTrimmed()
 
-            StoreError.Conflict, is StoreError.Unavailable ->
+            StoreError.Conflict, is StoreError.Unavailable -> {
+                askAhead()
                 feed.onFailed(clock.nowMs() + health.retryDelayMs())
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointRelay.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/EndpointRelay.kt
@@ -6,16 +6,12 @@
 import cowslipcart.wire.relay.RelayAnswer
 import cowslipcart.wire.relay.RelayFrame
 import cowslipcart.wire.relay.RelayHandshake
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Relays connections to endpoints for hosts that have lost them. It passes bytes on and decides
@@ -27,7 +23,6 @@
  * @property onTried told of each try to connect to an endpoint, and whether it worked
  */
 internal class EndpointRelay(
-    private val selector: SelectorManager,
     private val clock: RuntimeClock,
     private val metrics: GatewayMetrics,
     private val connections: EndpointConnections,
@@ -41,7 +36,6 @@
         var passedAtMs = 0L
     }
 
-    private val count = AtomicInteger()
     private val open = ConcurrentHashMap.newKeySet<Relayed>()
 
     /** Whether new connections are declined, since this host stops. */
@@ -52,22 +46,9 @@
     val isBusy: Boolean
         get() = clock.nowMs().let { nowMs -> open.any { nowMs - it.passedAtMs < BUSY_MS } }
 
-    /** Serves [socket], on which another host asks for a connection to an endpoint. */
-    suspend fun serve(socket: Socket) {
-        val toHost = ServerConnection(socket, selector)
-        try {
-            if (count.incrementAndGet() > MAX_CONNECTIONS) decline(toHost) else relay(toHost)
-        } catch (_: IOException) {
-            metrics.relayedConnections.labelValues("host-lost").inc()
-        } finally {
-            count.decrementAndGet()
-            toHost.close()
-        }
-    }
-
-    private suspend fun relay(toHost: ServerConnection) {
-        val line = withTimeoutOrNull(REQUEST_TIMEOUT_MS) { toHost.source.readLine() }
-        val entry = line?.let { RelayHandshake.decodeRequest(it) }?.let(entryOf)
+    /** Serves [toHost], on which another host asks for a connection to [endpoint]. */
+    suspend fun relay(toHost: ServerConnection, endpoint: EndpointId) {
+        val entry = entryOf(endpoint)
         if (entry == null || isStopping || !hasEndpoints()) return decline(toHost)
         val toEndpoint = connections.connect(entry)
         onTried(entry.id, toEndpoint != null)
@@ -85,7 +66,8 @@
         }
     }
 
-    private suspend fun decline(toHost: ServerConnection) {
+    /** Tells the host at the other end that this one relays nothing for it. */
+    suspend fun decline(toHost: ServerConnection) {
         metrics.relayedConnections.labelValues("declined").inc()
         toHost.send(RelayHandshake.encodeAnswer(RelayAnswer.DECLINED))
     }
@@ -141,10 +123,6 @@
     }
 
     private companion object {
-        /** With two buffers of 4 KB and two of 8 KB each, 3 MB at most. */
-        const val MAX_CONNECTIONS = 128
-
-        const val REQUEST_TIMEOUT_MS = 1_000L
         const val MAX_PIECE_BYTES = RelayFrame.MAX_BYTES.toLong()
 
         /** Longer than an endpoint takes to its first event or between two, mostly, in ms. */
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/Gateway.kt
@@ -41,7 +41,7 @@
  * @property front address that callers connect to
  * @property ready address of the readiness check of the load balancer
  * @property peer UDP address that other hosts send their reports to, and TCP address at which they
- * ask for relayed connections to endpoints
+ * ask for relayed connections to endpoints, and for the configuration
  * @property metricsPort port of the metrics on the IP address of [front]; null for no metrics
  * @property shutdownMs time from the stop signal until the platform kills the process
  * @property configurationBoundMs time within which a changed configuration has to be in force
@@ -93,7 +93,6 @@
         ::maxIdleConnections
     )
     private val relay = EndpointRelay(
-        selector,
         clock,
         metrics,
         connections,
@@ -101,6 +100,8 @@
         hasEndpoints = { reachesEndpoints },
         onTried = ::submitTried
     )
+    private val peerIntake =
+        PeerIntake(selector, metrics, relay) { follower?.heldConfiguration }
     private val admission = CallAdmission(headerCodec, state, clock, random)
     private val shutdownEnd = Job()
     private val intake = CallerIntake(settings.intake, clock, metrics, eventLog)
@@ -126,6 +127,7 @@
     @Volatile
     private var reachesEndpoints = true
 
+    @Volatile
     private var follower: StoreFollower? = null
 
     @Volatile
@@ -155,11 +157,20 @@
         peers.start(scope, settings.peer)
         frontListener = accept(settings.front, ::serveCaller)
         accept(settings.ready, ::serveStatus)
-        accept(settings.peer) { scope.launch { relay.serve(it) } }
+        accept(settings.peer) { scope.launch { peerIntake.serve(it) } }
         settings.metricsPort?.let { accept(settings.front.copy(port = it), ::serveStatus) }
         val instrumented = InstrumentedStore(store, metrics)
         val following =
-            StoreFollowing(instrumented, decoder, listener, peers, eventLog, clock, orders)
+            StoreFollowing(
+                instrumented,
+                decoder,
+                listener,
+                peers,
+                eventLog,
+                clock,
+                orders,
+                ConfigurationClient(selector)
+            )
         val links = RolloutLinks(following, ::submitRollout, peers::publish)
         rollouts = RolloutFollower(links, rolloutCodec, random).also { it.start(scope) }
         quarantines = QuarantineKeeper(following, random, loop::submit).also { it.start(scope) }
@@ -277,7 +288,7 @@
             is PeerEvent.Input -> loop.submit(event.input)
             is PeerEvent.Report -> loop.submitReport(event.report)
             is PeerEvent.RolloutNoticed -> rollouts?.onNotice(event.notice)
-            is PeerEvent.StoreRead -> follower?.onUpdate(event.update)
+            is PeerEvent.StoreRead -> follower?.onUpdate(event.update, event.publisher)
         }
     }
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -9,9 +9,11 @@
 import cowslipcart.core.forwarding.QUARANTINE_CHANGES
 import cowslipcart.core.forwarding.STREAM_CHANGES
 import cowslipcart.core.forwarding.StatedLoad
+import cowslipcart.core.model.LogOffset
 import cowslipcart.core.model.RequestId
 import cowslipcart.core.rollout.RolloutEffect
 import cowslipcart.core.store.StoreTable
+import cowslipcart.daemon.SocketAddressSetting
 import cowslipcart.daemon.control.RuntimeClock
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -208,6 +210,12 @@
         )
     }
 
+    /** This host asked [publisher] for its configuration, and got that up to [end]; null for none. */
+    fun configurationAsked(publisher: SocketAddressSetting, end: LogOffset?) {
+        metrics.askedConfigurations.labelValues(if (end == null) "none" else "given").inc()
+        event("configuration-asked", "of" to publisher.toString(), "end" to end?.value)
+    }
+
     /** Writes a process event such as start, stop, reload, or a dependency lost or regained. */
     fun event(name: String, vararg fields: Pair<String, Any?>) {
         var builder = line() ?: return
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayMetrics.kt
@@ -69,6 +69,10 @@
     val relayedConnections: Counter =
         counter("relayed_connections", "Connections relayed for other hosts", "outcome")
 
+    /** Configurations that this host asked another one for, by what it got, and gave to others. */
+    val askedConfigurations: Counter =
+        counter("asked_configurations", "Configurations asked of other hosts", "outcome")
+
     /** Datagrams between hosts; the label says whether sent, received, failed or unreadable. */
     val peerReports: Counter = counter("peer_reports", "Reports between hosts", "direction")
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/PeerReports.kt
@@ -33,8 +33,8 @@
     /** Load report of a host, which may wait until the next decision. */
     class Report(val report: HostLoadReport) : PeerEvent
 
-    /** What the other host read from the store. */
-    class StoreRead(val update: StoreUpdate) : PeerEvent
+    /** What the host at [publisher] read from the store. */
+    class StoreRead(val update: StoreUpdate, val publisher: SocketAddressSetting?) : PeerEvent
 
     /** What the other host knows of an unfinished roll-out. */
     class RolloutNoticed(val notice: RolloutNotice) : PeerEvent
@@ -223,7 +223,8 @@
             { message ->
                 metrics.peerReports.labelValues("received").inc()
                 when (message) {
-                    is PeerDatagram.Update -> deliver(PeerEvent.StoreRead(message.update))
+                    is PeerDatagram.Update ->
+                        deliver(PeerEvent.StoreRead(message.update, numeric(from)))
 
                     is PeerDatagram.LoadReport -> onDirectReport(message, from)
 
--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/StoreFollower.kt
@@ -15,6 +15,7 @@
 import cowslipcart.core.store.StoreTable
 import cowslipcart.core.store.StoreUpdate
 import cowslipcart.core.store.TableRecord
+import cowslipcart.daemon.SocketAddressSetting
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -111,11 +112,17 @@
         while (currentCoroutineContext().isActive) following.guard(table, step)
     }
 
-    /** Queues an update that another host read from the store; never blocks. */
-    fun onUpdate(update: StoreUpdate) {
+    /** Configuration for hosts that ask; null before the first one. */
+    val heldConfiguration: StoreUpdate.Configuration? get() = configuration.held
+
+    /**
+     * Queues an update that another host read from the store; never blocks. [publisher] is the
+     * address of that host for traffic between hosts; null if it is not known.
+     */
+    fun onUpdate(update: StoreUpdate, publisher: SocketAddressSetting? = null) {
         when (update) {
             is StoreUpdate.Endpoints -> endpointUpdates.trySend(update)
-            is StoreUpdate.Configuration -> configuration.onUpdate(update)
+            is StoreUpdate.Configuration -> configuration.onUpdate(update, publisher)
         }
     }
 
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
@@ -1,6 +1,7 @@
 package cowslipcart.daemon.gateway
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import cowslipcart.core.forwarding.EndpointEntry
 import cowslipcart.core.forwarding.EndpointHeartbeat
@@ -89,6 +90,38 @@
         ): Either<StoreError, Unit> = Unit.right()
     }
 
+    /** The store as one host reaches it. */
+    private sealed interface Path {
+        data object Open : Path
+
+        /** The store refuses each call. */
+        data object Refused : Path
+
+        /** The store answers no call. */
+        data object Silent : Path
+    }
+
+    private inner class PathToStore(val path: () -> Path) : KeyedStore by store {
+        override suspend fun changes(
+            table: StoreTable,
+            from: LogOffset,
+            waitMs: Long,
+            responseTimeoutMs: Long
+        ): Either<StoreError, TableChanges> = when (path()) {
+            Path.Open -> store.changes(table, from, waitMs, responseTimeoutMs)
+
+            Path.Refused -> {
+                delay(CALL_MS)
+                StoreError.Unavailable("refused").left()
+            }
+
+            Path.Silent -> {
+                delay(waitMs + responseTimeoutMs)
+                StoreError.Unavailable("no answer").left()
+            }
+        }
+    }
+
     private object RevisionDecoder : RecordDecoder {
         override fun decodeRouting(key: String, value: ByteArray) = RoutingTable(
             Revision(value.decodeToString().toLong()),
@@ -104,6 +137,9 @@
 
     private val store = FakeStore()
 
+    /** How the hosts reach the store, by rank; others without hindrance. */
+    private val paths = mutableMapOf<Int, Path>()
+
     /** Latest revision by host, and when it came. */
     private val revisions = mutableMapOf<Int, Pair<Long, Long>>()
     private var isSending = true
@@ -122,18 +158,22 @@
                     backgroundScope.launch {
                         delay(CALL_MS)
                         followers.filterIndexed { other, _ -> other != rank }
-                            .forEach { it.onUpdate(sent) }
+                            .forEach { it.onUpdate(sent, addressOf(rank)) }
                     }
                 }
             }
             val eventLog = GatewayEventLog(clock, GatewayMetrics())
             val following = StoreFollowing(
-                store,
+                PathToStore { paths[rank] ?: Path.Open },
                 RevisionDecoder,
                 listener(rank),
                 publisher,
                 eventLog,
-                clock
+                clock,
+                configurations = {
+                    delay(CALL_MS)
+                    followers[it.port - 1].heldConfiguration
+                }
             )
             val record = HostRecord(SocketAddressSetting("127.0.0.1", 1), HostProfile("a", 1.0))
             followers += StoreFollower(following, BOUND_MS, Random(rank))
@@ -141,6 +181,8 @@
         }
     }
 
+    private fun addressOf(rank: Int) = SocketAddressSetting("127.0.0.1", rank + 1)
+
     private fun TestScope.listener(rank: Int) = object : StoreListener {
         override fun onRouting(table: RoutingTable) {
             revisions[rank] = table.revision.value to currentTime
@@ -155,12 +197,13 @@
         override fun onHosts(hosts: Map<HostId, HostRecord>) = Unit
     }
 
-    /** Writes revision 2 and returns how late the last of [count] hosts has it. */
-    private suspend fun TestScope.latestAfterChange(count: Int): Long {
-        store.write(2)
+    /** Writes [revision] and returns how late the last of [count] hosts has it. */
+    private suspend fun TestScope.latestAfterChange(count: Int, revision: Int = 2): Long {
+        store.write(revision)
         val startMs = currentTime
         delay(BOUND_MS * 2)
-        assertEquals(List(count) { 2L }, (0 until count).map { revisions.getValue(it).first })
+        val found = (0 until count).map { revisions.getValue(it).first }
+        assertEquals(List(count) { revision.toLong() }, found)
         return revisions.values.maxOf { it.second } - startMs
     }
 
@@ -200,6 +243,41 @@
         }
     }
 
+    /** Hosts that reach the other hosts and not the store. */
+    @Nested
+    inner class Cut {
+        private fun cutFor(path: Path, ranks: Set<Int>) {
+            ranks.forEach { paths[it] = path }
+        }
+
+        /** Guards against keys that stay valid at hosts which the store turns away. */
+        @Test
+        fun `a configuration that is too large for an update reaches hosts that are turned away`() =
+            runTest {
+                startHosts(HOST_COUNT)
+                delay(START_MS)
+                isRecordSent = false
+                cutFor(Path.Refused, setOf(5, 6, HOST_COUNT - 1))
+                delay(BOUND_MS)
+                val latestMs = latestAfterChange(HOST_COUNT)
+
+                assertTrue(latestMs < BOUND_MS, "found $latestMs ms")
+            }
+
+        @Test
+        fun `a large configuration reaches all hosts while the first ones are turned away`() =
+            runTest {
+                startHosts(HOST_COUNT)
+                delay(START_MS)
+                isRecordSent = false
+                cutFor(Path.Refused, setOf(0, 1, 5))
+                delay(BOUND_MS)
+                val latestMs = latestAfterChange(HOST_COUNT)
+
+                assertTrue(latestMs < BOUND_MS, "found $latestMs ms")
+            }
+    }
+
     private companion object {
         const val HOST_COUNT = 24
         const val BOUND_MS = 2_000L
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/EndpointRelayTest.kt
@@ -35,7 +35,6 @@
     private var lastHost: Socket? = null
     private val listed = mutableMapOf<EndpointId, EndpointEntry>()
     private val relay = EndpointRelay(
-        selector,
         clock,
         GatewayMetrics(),
         connections,
@@ -43,6 +42,7 @@
         { hasEndpoints },
         { _, _ -> }
     )
+    private val intake = PeerIntake(selector, GatewayMetrics(), relay) { null }
     private val client =
         RelayClient(selector) { numeric(server.localAddress.toJavaAddress() as InetSocketAddress) }
 
@@ -51,7 +51,7 @@
             while (true) {
                 val socket = server.accept()
                 lastHost = socket
-                launch { relay.serve(socket) }
+                launch { intake.serve(socket) }
             }
         }
     }
