Take updates while a read of the configuration waits

Callers saw: a change took effect 2.6 s after its acknowledgement at a host whose reads of the store get no answer, 2.0 s being the bound. Cause: the follower of the table was in its own read, with a timeout that doubles up to 2 s, while the update of another host waited in its queue. Change: updates are handled beside a read; a read that they make needless is cancelled.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/ConfigurationFollower.kt
@@ -1,5 +1,6 @@
 package cowslipcart.daemon.gateway
 
+import arrow.core.Either
 import cowslipcart.core.store.ConfigurationFeed
 import cowslipcart.core.store.KeyedStore
 import cowslipcart.core.store.StoreError
@@ -10,9 +11,12 @@
 import cowslipcart.daemon.catchFailure
 import cowslipcart.daemon.catchStepFailure
 import cowslipcart.daemon.control.RuntimeClock
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
 
 /** Asks the host at an address for the configuration that it holds; null if it gives none. */
 internal fun interface ConfigurationSource {
@@ -156,7 +160,10 @@
             }
         } else {
             val timeoutMs = health.responseTimeoutMs
-            following.store.changes(table, from, waitMs, timeoutMs).onRight {
+            val read = unlessUpdated {
+                following.store.changes(table, from, waitMs, timeoutMs)
+            } ?: return
+            read.onRight {
                 if (feed.onEra(it.era)) return@onRight
                 // Without a change, the store answers only after the whole long poll.
                 val waitedMs = if (it.next == from) waitMs else 0
@@ -187,6 +194,29 @@
         }
     }
 
+    /**
+     * Returns the result of [call], or null if an update came meanwhile that makes it needless. The
+     * store may leave the call without an answer for seconds.
+     */
+    private suspend fun <T : Any> unlessUpdated(
+        call: suspend () -> Either<StoreError, T>
+    ): Either<StoreError, T>? = coroutineScope {
+        val from = feed.next
+        val reading = async { call() }
+        var result: Either<StoreError, T>? = null
+        while (result == null && feed.next == from) {
+            result = select {
+                reading.onAwait { it }
+                updates.onReceive {
+                    isSettled(it)
+                    null
+                }
+            }
+        }
+        reading.cancel()
+        result
+    }
+
     /** Tells the listener of the configurations in [records] and returns the last valid one. */
     private fun notifyRouting(records: List<TableRecord>): TableRecord? {
         var newest: TableRecord? = null
--- a/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
+++ b/daemon/src/test/kotlin/cowslipcart/daemon/gateway/ConfigurationFollowerTest.kt
@@ -276,6 +276,31 @@
 
                 assertTrue(latestMs < BOUND_MS, "found $latestMs ms")
             }
+
+        /** Guards against updates that wait for a read which gets no answer. */
+        @Test
+        fun `an update takes effect while a read gets no answer`() = runTest {
+            startHosts(HOST_COUNT)
+            delay(START_MS)
+            cutFor(Path.Silent, setOf(0, 1, 5))
+            for (revision in 2..9) {
+                delay(BOUND_MS + revision * 130)
+                val latestMs = latestAfterChange(HOST_COUNT, revision)
+                assertTrue(latestMs < BOUND_MS, "found $latestMs ms for revision $revision")
+            }
+        }
+
+        @Test
+        fun `a large configuration reaches hosts whose reads get no answer`() = runTest {
+            startHosts(HOST_COUNT)
+            delay(START_MS)
+            isRecordSent = false
+            cutFor(Path.Silent, setOf(0, 5))
+            delay(BOUND_MS)
+            val latestMs = latestAfterChange(HOST_COUNT)
+
+            assertTrue(latestMs < BOUND_MS, "found $latestMs ms")
+        }
     }
 
     private companion object {
