--- a/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/CallState.kt
@@ -47,8 +47,8 @@
     fun hasTimeForAttempt(nowMs: Long): Boolean = remainingMs(nowMs) >= MIN_ATTEMPT_MS
 
     /**
-     * [attempt] reached no endpoint that it was meant for, so it does not count. With a later attempt in flight its
-     * number stays taken, or the next attempt would have the number of that one.
+     * [attempt] reached no endpoint that it was meant for, so it does not count. With a later
+     * attempt in flight its number stays taken, or the next one would have the number of that one.
      */
     fun onNothingSent(attempt: CurrentAttempt) {
         if (attempt.number == sentCount) sentCount--
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingController.kt
@@ -80,8 +80,7 @@
 
             is ForwardingInput.PeersReported -> input.reports.forEach { onPeerReport(it, nowMs) }
 
-            is ForwardingInput.EndpointsLost ->
-                known.onToldLost(input.host, input.endpoints, nowMs)
+            is ForwardingInput.EndpointsLost -> known.onToldLost(input, nowMs)
 
             is ForwardingInput.PeerLeft -> onPeerLeft(input.host, nowMs)
 
--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -70,14 +70,14 @@
     }
 
     /** Another host, [host], can't connect to [lost]. */
-    fun onToldLost(host: HostId, lost: Set<EndpointId>, nowMs: Long) {
-        for (id in lost) {
+    fun onToldLost(told: ForwardingInput.EndpointsLost, nowMs: Long) {
+        for (id in told.endpoints) {
             val endpoint = endpoints[id] ?: continue
-            if (!lostEndpoints.onTold(endpoint, host, nowMs)) continue
+            if (!lostEndpoints.onTold(endpoint, told.host, nowMs)) continue
             effects += ForwardingEffect.LogStateChange(
                 id.value,
                 "endpoint-reported-lost",
-                "told by ${host.value}"
+                "told by ${told.host.value}"
             )
         }
     }
