Give no port twice in a test cluster

Cause: gateway-1 and gateway-4 were given port 31837 (their settings files), since a port is free until its gateway has started; gateway-4 ended with "Address already in use". The fault is of the test cluster. Change: it keeps the ports that it gave.

--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -21,6 +21,7 @@
     private val gateways = mutableListOf<GatewayHandle>()
     private var revision = 0L
     private var lastSequence = 0L
+    private val givenPorts = mutableSetOf<Int>()
 
     /** Starts a runner and registers it for [service]. */
     fun startRunner(
@@ -127,12 +128,13 @@
 
     /**
      * Returns a port below those that the kernel gives to outgoing connections, since one of these
-     * may take the port before the gateway binds it.
+     * may take the port before the gateway binds it, and no port twice, for the same reason.
      */
+    @Synchronized
     private fun freeTcpPort(): Int =
         generateSequence { LISTEN_PORTS.random() }.take(MAX_PORT_TRIES).first { port ->
             try {
-                ServerSocket(port).use { true }
+                ServerSocket(port).use { givenPorts.add(port) }
             } catch (_: IOException) {
                 false
             }
