--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/GatewayCluster.kt
@@ -15,7 +15,8 @@
 import kotlinx.coroutines.withContext
 
 /** Gateway processes with stand-ins for the store and the runners of the platform. */
-internal class GatewayCluster : AutoCloseable {
+internal class GatewayCluster(private val builds: GatewayBuilds = GatewayBuilds.One) :
+    AutoCloseable {
     val store = PlatformStoreServer()
     private val runners = mutableListOf<RunnerServer>()
     private val gateways = mutableListOf<GatewayHandle>()
@@ -115,7 +116,8 @@
             Program.GATEWAY,
             emptyList(),
             mapOf("COWSLIPCART_CONFIG" to file.toString()),
-            jvmOptions
+            jvmOptions,
+            builds.next()
         )
         return GatewayHandle(process, front, ready).also { gateways += it }
     }
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/ManagedProcess.kt
@@ -12,7 +12,10 @@
     DAEMON("daemon"),
     STANDIN("standins"),
     CLI("cli"),
-    GATEWAY("platform")
+    GATEWAY("platform");
+
+    /** The program as this build made it. */
+    val jar: Path get() = Path.of("..", module, "target", "cowslipcart-$module-0.1.0-all.jar")
 }
 
 /** A process started by a test; signals are sent to its process id only. */
@@ -81,14 +84,9 @@
             program: Program,
             arguments: List<String>,
             environment: Map<String, String> = emptyMap(),
-            jvmOptions: List<String> = JVM_OPTIONS
+            jvmOptions: List<String> = JVM_OPTIONS,
+            jar: Path = program.jar
         ): ManagedProcess {
-            val jar = Path.of(
-                "..",
-                program.module,
-                "target",
-                "cowslipcart-${program.module}-0.1.0-all.jar"
-            )
             check(Files.exists(jar)) { "expected $jar, found none; run mvn package first" }
             val output = Files.createTempFile(workDirectory, "$name-", ".out")
             val command = listOf(javaCommand()) + jvmOptions + listOf("-jar", jar.toString()) +
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoak.kt
@@ -1,5 +1,6 @@
 package cowslipcart.systemtest.soak
 
+import cowslipcart.systemtest.GatewayBuilds
 import cowslipcart.systemtest.GatewayCluster
 import java.io.IOException
 import java.util.concurrent.CopyOnWriteArrayList
@@ -13,11 +14,11 @@
  * made: network links that delay, drop bytes in one direction or both, or reset; a store that
  * fails; runners that lose answers or fall silent; gateways that are paused, killed, stopped and
  * restarted; changes of the configuration. They may overlap; [seed] determines their choice and
- * timing, the number of gateways and the load.
+ * timing, the number of gateways and the load; [builds] which programs the gateways run.
  */
-internal class GatewaySoak(private val seed: Long) : AutoCloseable {
+internal class GatewaySoak(private val seed: Long, builds: GatewayBuilds) : AutoCloseable {
     private val random = Random(seed)
-    private val cluster = GatewayCluster()
+    private val cluster = GatewayCluster(builds)
     private val gateways = CopyOnWriteArrayList<ProxiedGateway>()
     private val runners = CopyOnWriteArrayList<ProxiedRunner>()
     private val failures = CopyOnWriteArrayList<String>()
--- a/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoakTest.kt
+++ b/systemtest/src/test/kotlin/cowslipcart/systemtest/soak/GatewaySoakTest.kt
@@ -1,15 +1,23 @@
 package cowslipcart.systemtest.soak
 
+import cowslipcart.systemtest.GatewayBuilds
+import java.nio.file.Path
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import org.junit.jupiter.api.Nested
 
 /**
  * Runs the gateway soak with two seeds for a short time by default. The system properties
- * `cowslipcart.gatewaySoak*` choose other seeds and durations; `bin/soak-gateway` sets them.
+ * `cowslipcart.gatewaySoak*` choose other seeds and durations, and the program of another build that runs
+ * beside this one; `bin/soak-gateway` sets them.
  */
 class GatewaySoakTest {
-    private fun soak(seed: Long, faultMs: Long) = GatewaySoak(seed).use { soak ->
+    private fun builds(seed: Long): GatewayBuilds =
+        System.getProperty("cowslipcart.gatewaySoakBeside").orEmpty().ifEmpty { null }
+            ?.let { GatewayBuilds.Mixed(Path.of(it), Random(seed)) } ?: GatewayBuilds.One
+
+    private fun soak(seed: Long, faultMs: Long) = GatewaySoak(seed, builds(seed)).use { soak ->
         val violations = soak.run(faultMs)
         println("seed $seed: ${soak.log.requests.size} requests, ${violations.size} violations")
         violations.forEach { println("  $it") }
