--- a/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/gateway/GatewayEventLog.kt
@@ -210,7 +210,7 @@
         )
     }
 
-    /** This host asked [publisher] for its configuration, and got that up to [end]; null for none. */
+    /** This host asked [publisher] for its configuration, which [end] ends; null for none. */
     fun configurationAsked(publisher: SocketAddressSetting, end: LogOffset?) {
         metrics.askedConfigurations.labelValues(if (end == null) "none" else "given").inc()
         event("configuration-asked", "of" to publisher.toString(), "end" to end?.value)
--- a/wire/src/main/kotlin/cowslipcart/wire/relay/ConfigurationExchange.kt
+++ b/wire/src/main/kotlin/cowslipcart/wire/relay/ConfigurationExchange.kt
@@ -6,9 +6,9 @@
 import cowslipcart.wire.datagram.PeerDatagram
 
 /**
- * A host asks another one for the configuration that it holds. The answer is a line with a number of
- * bytes, and that many bytes of an update; hosts that have none, or don't know the request, answer
- * with a line that is no number.
+ * A host asks another one for the configuration that it holds. The answer is a line with a number
+ * of bytes, and that many bytes of an update; hosts that have none, or don't know the request,
+ * answer with a line that is no number.
  */
 public object ConfigurationExchange {
     /** Most bytes of an answer; larger than any configuration that the platform's store takes. */
