Time out a response of the store by its silence

Cause: the timeout of 0.5 s covers the whole response, also of a page of a megabyte, which takes 0.8 s on a link of 10 Mbit/s and more beside traffic. The class of fault: a time limit for a small answer that large ones share. Change: the timeout covers the head; a body may be silent for 0.5 s and last 2.5 s, in which 3 MB arrive at 10 Mbit/s. Measured: HttpClientTest (SlowBodies) red before ("expected: <8> but was: <null>", a body of 8 pieces 120 ms apart), green now; a body that stops is given up.

--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/BodyReader.kt
@@ -1,6 +1,8 @@
 package cowslipcart.daemon.http1
 
 import java.io.EOFException
+import java.io.IOException
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** Reads one message body from [source] in pieces and removes its [framing]. */
 internal class BodyReader(private val source: ByteSource, private val framing: BodyFraming) {
@@ -55,14 +57,19 @@
     }
 
     /**
-     * Reads the rest of the body. Throws [TooLongException] if it exceeds [maxBytes]. [onRead] is
-     * called with the size of each piece.
+     * Reads the rest of the body. Throws [TooLongException] if it exceeds [maxBytes], and an
+     * IOException if nothing arrives for [silenceMs]. [onRead] is called with the size of each
+     * piece.
      */
-    suspend fun readAll(maxBytes: Int, onRead: (Int) -> Unit = {}): ByteArray {
+    suspend fun readAll(
+        maxBytes: Int,
+        silenceMs: Long = Long.MAX_VALUE,
+        onRead: (Int) -> Unit = {}
+    ): ByteArray {
         val pieces = ArrayList<ByteArray>()
         var size = 0
         while (true) {
-            val piece = next() ?: return joined(pieces, size)
+            val piece = nextWithin(silenceMs) ?: return joined(pieces, size)
             if (size + piece.size > maxBytes) throw TooLongException.OfBody(maxBytes)
             size += piece.size
             onRead(piece.size)
@@ -70,6 +77,13 @@
         }
     }
 
+    private suspend fun nextWithin(silenceMs: Long): ByteArray? {
+        var piece: ByteArray? = null
+        withTimeoutOrNull(silenceMs) { piece = next() }
+            ?: throw IOException("nothing of the body for $silenceMs ms")
+        return piece
+    }
+
     private fun joined(pieces: List<ByteArray>, size: Int): ByteArray {
         if (pieces.size == 1) return pieces.single()
         val bytes = ByteArray(size)
--- a/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
+++ b/daemon/src/main/kotlin/cowslipcart/daemon/http1/HttpClient.kt
@@ -39,8 +39,8 @@
     private val idleByPurpose = ConcurrentHashMap<String, Idle>()
 
     /**
-     * Sends [request] on the connection for [purpose]. Returns null if the connection fails or
-     * there is no response within [timeoutMs].
+     * Sends [request] on the connection for [purpose]. Returns null if the connection fails, there
+     * is no response within [timeoutMs], or its body stops or takes [MAX_BODY_MS].
      */
     public suspend fun send(purpose: String, request: HttpRequest, timeoutMs: Long): HttpResponse? {
         val server = address()
@@ -48,15 +48,17 @@
         var isReusable = false
         var used: ServerConnection? = null
         try {
-            return withTimeoutOrNull(timeoutMs) {
+            val head = withTimeoutOrNull(timeoutMs) {
                 val connection = reuse(idle, server)
                     ?: selector.connectTo(server.ip, server.port, timeoutMs)
-                    ?: return@withTimeoutOrNull null
                 used = connection
-                val response = exchange(server, connection, request)
-                isReusable = response != null && connection.source.isIdle
-                response
+                connection?.let { exchange(server, it, request) }
             }
+            val connection = used ?: return null
+            if (head == null) return null
+            val response = withTimeoutOrNull(MAX_BODY_MS) { receive(connection, head, request) }
+            isReusable = response != null && connection.source.isIdle
+            return response
         } catch (_: IOException) {
             return null
         } catch (_: ClosedByteChannelException) {
@@ -75,11 +77,12 @@
         return null
     }
 
+    /** Sends [request] and returns the head of the response; null if there is none. */
     private suspend fun exchange(
         server: SocketAddressSetting,
         connection: ServerConnection,
         request: HttpRequest
-    ): HttpResponse? {
+    ): ResponseHead? {
         val body = request.body ?: ByteArray(0)
         val headers = listOf(Header("Host", server.toString())) +
             request.headers.map { Header(it.first, it.second) } +
@@ -87,13 +90,18 @@
         val head = MessageWriter.requestHead(request.method, request.target, headers)
         connection.send(head + body)
         val headBytes = connection.source.readHead(MAX_HEAD_BYTES) ?: return null
-        val responseHead = HeadParser.parseResponse(headBytes)
-        val framing = HeadParser.responseFraming(responseHead, request.method)
-        return HttpResponse(
-            responseHead.status,
-            BodyReader(connection.source, framing).readAll(MAX_BODY_BYTES),
-            responseHead.headers
-        )
+        return HeadParser.parseResponse(headBytes)
+    }
+
+    /** Reads the body that follows [head]. */
+    private suspend fun receive(
+        connection: ServerConnection,
+        head: ResponseHead,
+        request: HttpRequest
+    ): HttpResponse {
+        val framing = HeadParser.responseFraming(head, request.method)
+        val body = BodyReader(connection.source, framing).readAll(MAX_BODY_BYTES, MAX_SILENCE_MS)
+        return HttpResponse(head.status, body, head.headers)
     }
 
     private companion object {
@@ -104,5 +112,11 @@
          * tables are read at once, and the heap of a gateway is 72 MB.
          */
         const val MAX_BODY_BYTES = 3 * 1_024 * 1_024
+
+        /** A body that is on its way shows that the server lives, in ms. */
+        const val MAX_SILENCE_MS = 500L
+
+        /** Time of a body of [MAX_BODY_BYTES] on a link of 10 Mbit/s, in ms. */
+        const val MAX_BODY_MS = 2_500L
     }
 }
