--- a/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
+++ b/core/src/main/kotlin/cowslipcart/core/forwarding/ForwardingState.kt
@@ -69,7 +69,7 @@
         reportPath("endpoints-lost", "no connection, last to ${endpoint.value}")
     }
 
-    /** Another host, [host], can't connect to [lost]. */
+    /** Another host has [told] which endpoints it can't connect to. */
     fun onToldLost(told: ForwardingInput.EndpointsLost, nowMs: Long) {
         for (id in told.endpoints) {
             val endpoint = endpoints[id] ?: continue
